--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on routing, admission, retries and claims.
--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,1 @@
+//! State charts read from files.
--- /dev/null
+++ b/crates/codegen/src/main.rs
@@ -0,0 +1,7 @@
+//! Command that rewrites the generated types in `crates/wire/src/generated`.
+
+use miette::Result;
+
+fn main() -> Result<()> {
+    agatedeck_codegen::generate(&agatedeck_codegen::wire_crate().join("src/generated"))
+}
--- /dev/null
+++ b/crates/codegen/tests/up_to_date.rs
@@ -0,0 +1,15 @@
+//! Guards against a `.proto` change whose generated types were not committed.
+
+use std::fs;
+
+use agatedeck_codegen::{GENERATED_FILE, generate, wire_crate};
+
+#[test]
+fn committed_types_match_the_proto_file() {
+    let dir = tempfile::tempdir().expect("temporary folder");
+    generate(dir.path()).expect("the proto file compiles");
+    let fresh = fs::read_to_string(dir.path().join(GENERATED_FILE)).expect("generated file");
+    let committed = wire_crate().join("src/generated").join(GENERATED_FILE);
+    let committed = fs::read_to_string(committed).expect("committed file");
+    assert_eq!(fresh, committed, "run `cargo run -p agatedeck-codegen`");
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on acceptance, spreading and membership.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon: actors, sockets and settings.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service and object store.
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration records, snapshots and deltas.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for targets.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! agatedeck.
