Add state charts, records, the platform client and the stand-ins

The chart interpreter checks each file when it loads: unknown names, unhandled events, unreachable states and dead ends are all reported. Record files are read key by key, so that one run reports everything that is wrong with them. The platform is met through the trait PlatformStore; the stand-in speaks the same protocol and can lose an answer after a write, refuse or delay.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,1 +1,3 @@
+//! Measurements of the system.
+
 fn main() {}
--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -1,1 +1,32 @@
-//! State charts read from files.
+//! Interprets state charts that are kept in TOML files.
+//!
+//! A chart names its states, its events and, for each state, what an event does. Keeping this in a
+//! file makes every life cycle readable in one place and lets one check cover all of them. The
+//! code supplies typed states, events and actions; a chart that names anything else fails to load.
+//!
+//! ```toml
+//! name = "link"
+//! initial = "idle"
+//! events = ["dial", "opened", "failed"]
+//!
+//! [state.idle]
+//! on.dial = { to = "connecting", actions = ["connect"] }
+//! ignore = ["opened", "failed"]
+//!
+//! [state.connecting]
+//! on.opened = { to = "up" }
+//! on.failed = { to = "idle" }
+//! ignore = ["dial"]
+//!
+//! [state.up]
+//! on.failed = { to = "idle" }
+//! ignore = ["dial", "opened"]
+//! ```
+
+mod check;
+mod file;
+mod table;
+
+pub use check::ChartFinding;
+pub use file::ChartError;
+pub use table::{ChartStep, ChartTable};
--- /dev/null
+++ b/crates/findings/src/reader.rs
@@ -0,0 +1,257 @@
+//! Reads TOML tables key by key and notes every problem with its place.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::{Range, RangeInclusive};
+use std::str::FromStr;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::finding::{Finding, FindingList};
+
+/// A TOML text with the findings made while reading it.
+#[derive(Debug)]
+pub struct TomlDocument<'a> {
+    file: &'a str,
+    text: &'a str,
+    root: Spanned<DeTable<'a>>,
+    findings: RefCell<FindingList>,
+}
+
+impl<'a> TomlDocument<'a> {
+    /// Parses `text`; `file` is the name used in findings. Syntax errors become findings.
+    pub fn parse(file: &'a str, text: &'a str) -> Self {
+        let (root, errors) = DeTable::parse_recoverable(text);
+        let document = Self {
+            file,
+            text,
+            root,
+            findings: RefCell::default(),
+        };
+        for error in errors {
+            let span = error.span().unwrap_or(0..0);
+            document.note(&span, error.message());
+        }
+        document
+    }
+
+    /// The table at the root of the document.
+    pub fn root(&self) -> TableReader<'_> {
+        TableReader {
+            document: self,
+            table: self.root.get_ref(),
+            span: self.root.span(),
+            seen: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a finding at a place in the text.
+    pub fn note(&self, span: &Range<usize>, message: impl Into<String>) {
+        let (line, column) = self.place(span.start);
+        let file = self.file.to_owned();
+        self.findings.borrow_mut().push(Finding {
+            file,
+            line,
+            column,
+            message: message.into(),
+        });
+    }
+
+    /// Ends reading.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings if there are any.
+    pub fn finish(self) -> Result<(), FindingList> {
+        let findings = self.findings.into_inner();
+        if findings.is_empty() {
+            Ok(())
+        } else {
+            Err(findings)
+        }
+    }
+
+    fn place(&self, offset: usize) -> (usize, usize) {
+        let before = self.text.get(..offset).unwrap_or(self.text);
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        let line = before.matches('\n').count() + 1;
+        (line, before[line_start..].chars().count() + 1)
+    }
+}
+
+/// Reads the keys of one table; keys that were not asked for are findings.
+#[derive(Debug)]
+pub struct TableReader<'a> {
+    document: &'a TomlDocument<'a>,
+    table: &'a DeTable<'a>,
+    span: Range<usize>,
+    seen: BTreeSet<String>,
+}
+
+impl<'a> TableReader<'a> {
+    /// Place of the table in the text.
+    pub fn span(&self) -> Range<usize> {
+        self.span.clone()
+    }
+
+    /// Place of the value of `key`, or of the table if the key is absent.
+    pub fn span_of(&self, key: &str) -> Range<usize> {
+        self.table
+            .get(key)
+            .map_or_else(|| self.span(), Spanned::span)
+    }
+
+    /// Adds a finding at the value of `key`.
+    pub fn note(&self, key: &str, message: impl Into<String>) {
+        self.document.note(&self.span_of(key), message);
+    }
+
+    /// Whether the table has `key`.
+    pub fn has(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
+    fn value(&mut self, key: &str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.seen.insert(key.to_owned());
+        self.table.get(key)
+    }
+
+    fn wrong_type(&self, key: &str, expected: &str) {
+        self.note(key, format!("`{key}` must be {expected}"));
+    }
+
+    /// Notes that `key` is missing.
+    pub fn missing(&self, key: &str) {
+        self.document
+            .note(&self.span, format!("`{key}` is missing"));
+    }
+
+    /// The string at `key`, if any.
+    pub fn text(&mut self, key: &str) -> Option<&'a str> {
+        let value = self.value(key)?;
+        let text = value.get_ref().as_str();
+        if text.is_none() {
+            self.wrong_type(key, "a string");
+        }
+        text
+    }
+
+    /// The string at `key`, which must be there and not be empty.
+    pub fn required_text(&mut self, key: &str) -> Option<&'a str> {
+        if !self.has(key) {
+            self.missing(key);
+            return None;
+        }
+        let text = self.text(key)?;
+        if text.is_empty() {
+            self.note(key, format!("`{key}` must not be empty"));
+            return None;
+        }
+        Some(text)
+    }
+
+    /// The string at `key` parsed as `T`; `expected` names the form in the finding.
+    pub fn parsed<T: FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
+        let text = self.text(key)?;
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.note(key, format!("`{key}` must be {expected}, not `{text}`"));
+        }
+        parsed
+    }
+
+    /// The whole number at `key`, which must lie in `range`.
+    pub fn integer(&mut self, key: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.value(key)?;
+        let number = value
+            .get_ref()
+            .as_integer()
+            .and_then(|integer| u64::from_str_radix(integer.as_str(), integer.radix()).ok());
+        let valid = number.filter(|number| range.contains(number));
+        if valid.is_none() {
+            let (low, high) = (range.start(), range.end());
+            self.note(
+                key,
+                format!("`{key}` must be a whole number from {low} to {high}"),
+            );
+        }
+        valid
+    }
+
+    /// The boolean at `key`, if any.
+    pub fn boolean(&mut self, key: &str) -> Option<bool> {
+        let value = self.value(key)?;
+        let boolean = value.get_ref().as_bool();
+        if boolean.is_none() {
+            self.wrong_type(key, "true or false");
+        }
+        boolean
+    }
+
+    /// The array of strings at `key`; empty if the key is absent.
+    pub fn texts(&mut self, key: &str) -> Vec<&'a str> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong_type(key, "an array of strings");
+            return Vec::new();
+        };
+        let texts: Vec<&str> = array
+            .iter()
+            .filter_map(|item| item.get_ref().as_str())
+            .collect();
+        if texts.len() != array.len() {
+            self.wrong_type(key, "an array of strings");
+        }
+        texts
+    }
+
+    /// The table at `key`, if any.
+    pub fn table(&mut self, key: &str) -> Option<TableReader<'a>> {
+        let value = self.value(key)?;
+        let table = self.reader(value);
+        if table.is_none() {
+            self.wrong_type(key, "a table");
+        }
+        table
+    }
+
+    /// The array of tables at `key`; empty if the key is absent.
+    pub fn tables(&mut self, key: &str) -> Vec<TableReader<'a>> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong_type(key, "an array of tables");
+            return Vec::new();
+        };
+        let tables: Vec<_> = array.iter().filter_map(|item| self.reader(item)).collect();
+        if tables.len() != array.len() {
+            self.wrong_type(key, "an array of tables");
+        }
+        tables
+    }
+
+    fn reader(&self, value: &'a Spanned<DeValue<'a>>) -> Option<TableReader<'a>> {
+        let table = value.get_ref().as_table()?;
+        let (document, span) = (self.document, value.span());
+        Some(TableReader {
+            document,
+            table,
+            span,
+            seen: BTreeSet::new(),
+        })
+    }
+
+    /// Ends reading the table; every key that was not asked for is a finding.
+    pub fn finish(self) {
+        for key in self.table.keys() {
+            if !self.seen.contains(key.get_ref().as_ref()) {
+                let message = format!("unknown key `{}`", key.get_ref());
+                self.document.note(&key.span(), message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http_store.rs
@@ -0,0 +1,278 @@
+//! The platform's protocol: JSON over HTTP, with row values in base64.
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use futures::future::BoxFuture;
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout_at};
+
+use crate::store::{
+    PlatformStore, RowCondition, RowWrite, StoreError, StoreTransaction, StoredRow,
+    TransactionOutcome,
+};
+
+/// Settings of [`HttpStore`].
+#[derive(Clone, Debug)]
+pub struct HttpStoreSettings {
+    /// Base address, as `http://IP:PORT`.
+    pub base_url: String,
+    /// Connections kept open while idle.
+    pub idle_connections: usize,
+}
+
+impl Default for HttpStoreSettings {
+    fn default() -> Self {
+        Self {
+            base_url: "http://127.0.0.1:7400".to_owned(),
+            idle_connections: 4,
+        }
+    }
+}
+
+/// Speaks the platform's HTTP protocol.
+#[derive(Debug)]
+pub struct HttpStore {
+    client: Client,
+    base_url: String,
+}
+
+#[derive(Deserialize)]
+struct RowBody {
+    key: String,
+    value: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct RowsBody {
+    rows: Vec<RowBody>,
+}
+
+#[derive(Serialize)]
+struct TransactionBody<'a> {
+    conditions: Vec<ConditionBody<'a>>,
+    writes: Vec<WriteBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct ConditionBody<'a> {
+    key: &'a str,
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct WriteBody<'a> {
+    key: &'a str,
+    value: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct CommittedBody {
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct RefusedBody {
+    failed: Vec<String>,
+}
+
+impl HttpStore {
+    /// A client of the platform. No connection is opened until the first request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client cannot be set up.
+    pub fn new(settings: &HttpStoreSettings) -> Result<Self, StoreError> {
+        let client = Client::builder()
+            .no_proxy()
+            .pool_max_idle_per_host(settings.idle_connections)
+            .build()
+            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        Ok(Self {
+            client,
+            base_url: settings.base_url.trim_end_matches('/').to_owned(),
+        })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base_url)
+    }
+}
+
+/// Sends a request and reads the whole answer before the deadline.
+async fn exchange(
+    request: RequestBuilder,
+    deadline: Instant,
+) -> Result<(StatusCode, Vec<u8>), StoreError> {
+    let answer = async {
+        let response = request.send().await.map_err(|error| send_error(&error))?;
+        read_body(response).await
+    };
+    match timeout_at(deadline, answer).await {
+        Ok(answer) => answer,
+        Err(_) => Err(StoreError::Unanswered("the deadline passed".to_owned())),
+    }
+}
+
+async fn read_body(response: Response) -> Result<(StatusCode, Vec<u8>), StoreError> {
+    let status = response.status();
+    let body = response.bytes().await;
+    let body = body.map_err(|error| StoreError::Unanswered(error.to_string()))?;
+    match status {
+        // The platform answers 503 before it runs a request.
+        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unreachable(
+            "the platform is out of service".to_owned(),
+        )),
+        status if status.is_server_error() => {
+            Err(StoreError::Unanswered(format!("status {status}")))
+        }
+        status => Ok((status, body.to_vec())),
+    }
+}
+
+fn send_error(error: &reqwest::Error) -> StoreError {
+    if error.is_connect() || error.is_builder() {
+        StoreError::Unreachable(error.to_string())
+    } else {
+        StoreError::Unanswered(error.to_string())
+    }
+}
+
+fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Unusable(error.to_string()))
+}
+
+fn unexpected(status: StatusCode) -> StoreError {
+    StoreError::Unusable(format!("status {status}"))
+}
+
+impl TryFrom<RowBody> for StoredRow {
+    type Error = StoreError;
+
+    fn try_from(body: RowBody) -> Result<Self, StoreError> {
+        let value = BASE64_STANDARD.decode(&body.value);
+        let value = value.map_err(|error| StoreError::Unusable(error.to_string()))?;
+        Ok(Self {
+            key: body.key,
+            value,
+            revision: body.revision,
+        })
+    }
+}
+
+impl<'a> From<&'a StoreTransaction> for TransactionBody<'a> {
+    fn from(transaction: &'a StoreTransaction) -> Self {
+        let condition = |condition: &'a RowCondition| ConditionBody {
+            key: &condition.key,
+            revision: condition.revision,
+        };
+        let write = |write: &'a RowWrite| WriteBody {
+            key: &write.key,
+            value: write
+                .value
+                .as_ref()
+                .map(|value| BASE64_STANDARD.encode(value)),
+        };
+        Self {
+            conditions: transaction.conditions.iter().map(condition).collect(),
+            writes: transaction.writes.iter().map(write).collect(),
+        }
+    }
+}
+
+impl PlatformStore for HttpStore {
+    fn read_row<'a>(
+        &'a self,
+        key: &'a str,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<Option<StoredRow>, StoreError>> {
+        Box::pin(async move {
+            let request = self
+                .client
+                .get(self.url("/table/row"))
+                .query(&[("key", key)]);
+            match exchange(request, deadline).await? {
+                (StatusCode::OK, body) => decode::<RowBody>(&body)?.try_into().map(Some),
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (status, _) => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn scan_rows<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<Vec<StoredRow>, StoreError>> {
+        Box::pin(async move {
+            let limit = limit.to_string();
+            let query = [
+                ("prefix", prefix),
+                ("after", after),
+                ("limit", limit.as_str()),
+            ];
+            let request = self.client.get(self.url("/table/rows")).query(&query);
+            match exchange(request, deadline).await? {
+                (StatusCode::OK, body) => decode::<RowsBody>(&body)?
+                    .rows
+                    .into_iter()
+                    .map(TryInto::try_into)
+                    .collect(),
+                (status, _) => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a StoreTransaction,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<TransactionOutcome, StoreError>> {
+        Box::pin(async move {
+            let body = TransactionBody::from(transaction);
+            let request = self.client.post(self.url("/table/transaction")).json(&body);
+            match exchange(request, deadline).await? {
+                (StatusCode::OK, body) => Ok(TransactionOutcome::Committed(
+                    decode::<CommittedBody>(&body)?.revision,
+                )),
+                (StatusCode::CONFLICT, body) => Ok(TransactionOutcome::Refused(
+                    decode::<RefusedBody>(&body)?.failed,
+                )),
+                (status, _) => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn read_object<'a>(
+        &'a self,
+        key: &'a str,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<Option<Vec<u8>>, StoreError>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/object")).query(&[("key", key)]);
+            match exchange(request, deadline).await? {
+                (StatusCode::OK, body) => Ok(Some(body)),
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (status, _) => Err(unexpected(status)),
+            }
+        })
+    }
+
+    fn write_object<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a [u8],
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            let request = self.client.put(self.url("/object")).query(&[("key", key)]);
+            match exchange(request.body(value.to_vec()), deadline).await? {
+                (status, _) if status.is_success() => Ok(()),
+                (status, _) => Err(unexpected(status)),
+            }
+        })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,14 @@
-//! Client of the platform's table service and object store.
+//! Client of the platform's transactional table service and object store.
+//!
+//! The rest of the system sees only the trait [`PlatformStore`], so that a test can put its own
+//! store in place and an adopter can connect another service. `docs/platform.md` describes the
+//! protocol that [`HttpStore`] speaks.
+
+mod http_store;
+mod store;
+
+pub use http_store::{HttpStore, HttpStoreSettings};
+pub use store::{
+    PlatformStore, RowCondition, RowWrite, StoreError, StoreTransaction, StoredRow,
+    TransactionOutcome,
+};
--- /dev/null
+++ b/crates/records/src/change.rs
@@ -0,0 +1,169 @@
+//! Works out the version that a change leads to, or why the change is refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use agatedeck_wire::{Change, Delta, Record, RecordName, RecordWrite};
+use derive_more::{Display, Error};
+
+use crate::check::{RecordFault, record_faults, references};
+use crate::key::RecordKey;
+use crate::snapshot::ConfigSnapshot;
+
+/// A change that is ready to be written to the store.
+#[derive(Clone, Debug)]
+pub struct PlannedChange {
+    /// The version that results.
+    pub snapshot: ConfigSnapshot,
+    /// What differs from the version before.
+    pub delta: Delta,
+}
+
+/// A record whose revision is not the one that the operator's edit is based on.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{key} is at revision {current}, the change is based on revision {base}")]
+pub struct RecordConflict {
+    /// The record.
+    pub key: RecordKey,
+    /// Revision that the edit is based on; 0 for a new record.
+    pub base: u64,
+    /// Revision now; 0 if the record does not exist.
+    pub current: u64,
+}
+
+/// Why a change is refused. Nothing is written.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum ChangeRefusal {
+    /// Another change got to the same records first.
+    #[display("conflict: {}", join(_0))]
+    #[error(ignore)]
+    Conflict(Vec<RecordConflict>),
+    /// The version that would result breaks rules.
+    #[display("the resulting version breaks rules: {}", join(_0))]
+    #[error(ignore)]
+    Faulty(Vec<RecordFault>),
+    /// The change names a record twice.
+    #[display("the change names {_0} more than once")]
+    #[error(ignore)]
+    Repeated(RecordKey),
+    /// The change would leave the configuration as it is.
+    #[display("the change does not alter anything")]
+    Unchanged,
+}
+
+fn join<T: ToString>(items: &[T]) -> String {
+    items
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
+}
+
+/// Applies `change` to `snapshot`.
+///
+/// Retiring a record that others refer to is refused with one fault for each referrer.
+///
+/// # Errors
+///
+/// Returns why the change is refused, with every conflict or fault.
+pub fn plan_change(
+    snapshot: &ConfigSnapshot,
+    change: &Change,
+    accepted_unix_ms: u64,
+) -> Result<PlannedChange, ChangeRefusal> {
+    check_repeated(&change.writes)?;
+    check_conflicts(snapshot, &change.writes)?;
+    let version = snapshot.version() + 1;
+    let mut records = snapshot.record_map().clone();
+    let mut puts = Vec::new();
+    let mut retired = Vec::new();
+    for write in &change.writes {
+        let key = write_key(write);
+        if write.forms.is_empty() {
+            if records.remove(&key).is_some() {
+                retired.push(RecordName::from(&key));
+            }
+        } else if records
+            .get(&key)
+            .is_none_or(|record| record.forms != write.forms)
+        {
+            let record = new_record(&key, write, version);
+            puts.push(record.clone());
+            records.insert(key, Arc::new(record));
+        }
+    }
+    if puts.is_empty() && retired.is_empty() {
+        return Err(ChangeRefusal::Unchanged);
+    }
+    check_references(&records)?;
+    let snapshot = ConfigSnapshot::from_records(version, records);
+    let delta = Delta {
+        version,
+        puts,
+        retired,
+        change_id: change.change_id.clone(),
+        operator: change.operator.clone(),
+        accepted_unix_ms,
+        digest: snapshot.digest().as_bytes().to_vec(),
+    };
+    Ok(PlannedChange { snapshot, delta })
+}
+
+fn write_key(write: &RecordWrite) -> RecordKey {
+    RecordKey::from(&write.name.clone().unwrap_or_default())
+}
+
+fn new_record(key: &RecordKey, write: &RecordWrite, revision: u64) -> Record {
+    let forms = write.forms.clone();
+    Record {
+        kind: key.kind.into(),
+        name: key.name.clone(),
+        revision,
+        forms,
+    }
+}
+
+fn check_repeated(writes: &[RecordWrite]) -> Result<(), ChangeRefusal> {
+    let mut seen = BTreeSet::new();
+    let repeated = writes
+        .iter()
+        .map(write_key)
+        .find(|key| !seen.insert(key.clone()));
+    repeated.map_or(Ok(()), |key| Err(ChangeRefusal::Repeated(key)))
+}
+
+fn check_conflicts(snapshot: &ConfigSnapshot, writes: &[RecordWrite]) -> Result<(), ChangeRefusal> {
+    let conflicts: Vec<RecordConflict> = writes
+        .iter()
+        .filter_map(|write| {
+            let key = write_key(write);
+            let current = snapshot.get(&key).map_or(0, |record| record.revision);
+            let base = write.base_revision;
+            (base != current).then_some(RecordConflict { key, base, current })
+        })
+        .collect();
+    if conflicts.is_empty() {
+        Ok(())
+    } else {
+        Err(ChangeRefusal::Conflict(conflicts))
+    }
+}
+
+fn check_references(records: &BTreeMap<RecordKey, Arc<Record>>) -> Result<(), ChangeRefusal> {
+    let faults = record_faults(records);
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(ChangeRefusal::Faulty(faults))
+    }
+}
+
+/// Keys of the records in `snapshot` that refer to `key`.
+pub fn referrers(snapshot: &ConfigSnapshot, key: &RecordKey) -> Vec<RecordKey> {
+    let refers = |record: &&Record| references(record).any(|target| target == *key);
+    snapshot
+        .records()
+        .filter(refers)
+        .map(RecordKey::of)
+        .collect()
+}
--- /dev/null
+++ b/crates/records/src/file.rs
@@ -0,0 +1,236 @@
+//! Reads record files in TOML.
+
+use std::ops::RangeInclusive;
+
+use agatedeck_findings::{FindingList, TableReader, TomlDocument};
+use agatedeck_wire::record_form::Body;
+use agatedeck_wire::{
+    PolicyForm, RecordForm, RecordKind, RecordName, RecordWrite, RepeatRule, RouteForm, ServiceForm,
+};
+
+use crate::key::kind_name;
+use crate::{NEWEST_SCHEMA, OLDEST_SCHEMA};
+
+/// Default time for a call without a deadline of its own.
+const DEFAULT_TIMEOUT_MS: u32 = 1_000;
+/// Default number of calls that a target runs at the same time.
+const DEFAULT_SLOTS: u32 = 10;
+/// Default number of connections that a target accepts.
+const DEFAULT_CONNECTIONS: u32 = 130;
+/// Default number of attempts, the first included.
+const DEFAULT_ATTEMPTS: u32 = 3;
+
+const TIMEOUT_RANGE_MS: RangeInclusive<u64> = 1..=600_000;
+const SLOT_RANGE: RangeInclusive<u64> = 1..=10_000;
+const QUEUE_RANGE: RangeInclusive<u64> = 0..=10_000;
+const ATTEMPT_RANGE: RangeInclusive<u64> = 1..=10;
+const SHARE_RANGE: RangeInclusive<u64> = 1..=100;
+const WARM_UP_RANGE_MS: RangeInclusive<u64> = 0..=600_000;
+
+/// Reads the records of a file. Each becomes a write with the revision that the file states, or
+/// without one.
+///
+/// # Errors
+///
+/// Returns everything that is wrong with the file, each with its place.
+pub fn read_record_file(file: &str, text: &str) -> Result<Vec<RecordWrite>, FindingList> {
+    let document = TomlDocument::parse(file, text);
+    let mut root = document.root();
+    let mut writes = Vec::new();
+    for kind in [RecordKind::Policy, RecordKind::Service, RecordKind::Route] {
+        for mut table in root.tables(kind_name(kind)) {
+            writes.extend(read_record(kind, &mut table));
+            table.finish();
+        }
+    }
+    root.finish();
+    document.finish()?;
+    Ok(writes)
+}
+
+fn read_record(kind: RecordKind, table: &mut TableReader<'_>) -> Option<RecordWrite> {
+    let name = table.required_text("name").map(str::to_owned);
+    let base_revision = table.integer("revision", 0..=u64::MAX).unwrap_or(0);
+    let forms = read_forms(kind, table);
+    if let Some(name) = &name
+        && !is_name(name)
+    {
+        table.note(
+            "name",
+            "`name` must be 1 to 63 of a-z, 0-9 and `-`, starting with a letter",
+        );
+    }
+    let name = RecordName {
+        kind: kind.into(),
+        name: name?,
+    };
+    Some(RecordWrite {
+        name: Some(name),
+        forms,
+        base_revision,
+    })
+}
+
+fn is_name(name: &str) -> bool {
+    let letter = |byte: u8| byte.is_ascii_lowercase();
+    name.len() <= 63
+        && name.bytes().next().is_some_and(letter)
+        && name
+            .bytes()
+            .all(|byte| letter(byte) || byte.is_ascii_digit() || byte == b'-')
+}
+
+fn read_forms(kind: RecordKind, table: &mut TableReader<'_>) -> Vec<RecordForm> {
+    let mut forms: Vec<RecordForm> = Vec::new();
+    let tables = table.tables("form");
+    if tables.is_empty() {
+        table.missing("form");
+    }
+    for mut form_table in tables {
+        let schema = read_schema(&mut form_table);
+        let body = match kind {
+            RecordKind::Route => Body::Route(read_route(&mut form_table)),
+            RecordKind::Service => Body::Service(read_service(&mut form_table)),
+            RecordKind::Policy | RecordKind::Unspecified => {
+                Body::Policy(read_policy(&mut form_table))
+            }
+        };
+        check_schema_keys(&form_table, schema);
+        if forms.last().is_some_and(|last| last.schema >= schema) {
+            form_table.note("schema", "forms must be in ascending order of `schema`");
+        }
+        forms.push(RecordForm {
+            schema,
+            body: Some(body),
+        });
+        form_table.finish();
+    }
+    forms
+}
+
+fn read_schema(table: &mut TableReader<'_>) -> u32 {
+    if !table.has("schema") {
+        table.missing("schema");
+    }
+    let range = u64::from(OLDEST_SCHEMA)..=u64::from(NEWEST_SCHEMA);
+    let schema = table
+        .integer("schema", range)
+        .unwrap_or(u64::from(NEWEST_SCHEMA));
+    u32::try_from(schema).unwrap_or(NEWEST_SCHEMA)
+}
+
+/// Keys that came with schema version 2.
+const SCHEMA_2_KEYS: [&str; 4] = ["host", "load_path", "tenant_share_percent", "warm_up_ms"];
+
+fn check_schema_keys(table: &TableReader<'_>, schema: u32) {
+    for key in SCHEMA_2_KEYS
+        .iter()
+        .filter(|key| schema < 2 && table.has(key))
+    {
+        table.note(key, format!("`{key}` needs schema 2 or later"));
+    }
+}
+
+fn required(table: &mut TableReader<'_>, key: &str) -> String {
+    table.required_text(key).unwrap_or_default().to_owned()
+}
+
+fn optional(table: &mut TableReader<'_>, key: &str) -> String {
+    table.text(key).unwrap_or_default().to_owned()
+}
+
+fn path(table: &TableReader<'_>, key: &str, path: String) -> String {
+    if !path.is_empty() && !path.starts_with('/') {
+        table.note(key, format!("`{key}` must start with `/`"));
+    }
+    path
+}
+
+fn read_route(table: &mut TableReader<'_>) -> RouteForm {
+    let prefix = required(table, "prefix");
+    let prefix = path(table, "prefix", prefix);
+    let service = required(table, "service");
+    let class = table.text("class").unwrap_or("default").to_owned();
+    let host = optional(table, "host");
+    RouteForm {
+        prefix,
+        service,
+        class,
+        host,
+    }
+}
+
+fn read_service(table: &mut TableReader<'_>) -> ServiceForm {
+    let policy = required(table, "policy");
+    let depends_on = table
+        .texts("depends_on")
+        .into_iter()
+        .map(str::to_owned)
+        .collect();
+    let health_path = required(table, "health_path");
+    let health_path = path(table, "health_path", health_path);
+    let load_path = optional(table, "load_path");
+    let load_path = path(table, "load_path", load_path);
+    ServiceForm {
+        policy,
+        depends_on,
+        health_path,
+        load_path,
+    }
+}
+
+/// Name of a repeat rule in record files.
+pub(crate) fn repeat_name(rule: RepeatRule) -> &'static str {
+    match rule {
+        RepeatRule::SafeMethods => "safe-methods",
+        RepeatRule::Always => "always",
+        RepeatRule::Once => "once",
+    }
+}
+
+fn read_repeat(table: &mut TableReader<'_>) -> RepeatRule {
+    let rules = [
+        RepeatRule::SafeMethods,
+        RepeatRule::Always,
+        RepeatRule::Once,
+    ];
+    let Some(name) = table.text("repeat") else {
+        return RepeatRule::SafeMethods;
+    };
+    let rule = rules.into_iter().find(|rule| repeat_name(*rule) == name);
+    if rule.is_none() {
+        table.note(
+            "repeat",
+            "`repeat` must be `safe-methods`, `always` or `once`",
+        );
+    }
+    rule.unwrap_or_default()
+}
+
+fn read_policy(table: &mut TableReader<'_>) -> PolicyForm {
+    let repeat = read_repeat(table).into();
+    let timeout_ms = number(table, "timeout_ms", TIMEOUT_RANGE_MS, DEFAULT_TIMEOUT_MS);
+    let slots = number(table, "slots", SLOT_RANGE, DEFAULT_SLOTS);
+    let queue = number(table, "queue", QUEUE_RANGE, slots);
+    let connections = number(table, "connections", SLOT_RANGE, DEFAULT_CONNECTIONS);
+    let max_attempts = number(table, "max_attempts", ATTEMPT_RANGE, DEFAULT_ATTEMPTS);
+    let tenant_share_percent = number(table, "tenant_share_percent", SHARE_RANGE, 100);
+    let warm_up_ms = number(table, "warm_up_ms", WARM_UP_RANGE_MS, 0);
+    PolicyForm {
+        repeat,
+        timeout_ms,
+        slots,
+        queue,
+        connections,
+        max_attempts,
+        tenant_share_percent,
+        warm_up_ms,
+    }
+}
+
+fn number(table: &mut TableReader<'_>, key: &str, range: RangeInclusive<u64>, default: u32) -> u32 {
+    let number = table
+        .integer(key, range)
+        .and_then(|number| u32::try_from(number).ok());
+    number.unwrap_or(default)
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,1 +1,26 @@
-//! Configuration records, snapshots and deltas.
+//! Configuration records, snapshots and the differences between them.
+//!
+//! Every rule on what a configuration may hold is in this crate, so that the operators' command
+//! line, the node that accepts a change and each node that puts a version in force decide alike.
+
+mod change;
+mod check;
+mod file;
+mod key;
+mod render;
+mod snapshot;
+mod view;
+
+pub use change::{ChangeRefusal, PlannedChange, RecordConflict, plan_change, referrers};
+pub use check::{RecordFault, record_faults};
+pub use file::read_record_file;
+pub use key::{RecordKey, kind_from_name, kind_name};
+pub use render::render_record;
+pub use snapshot::{ApplyError, ConfigSnapshot, SnapshotDigest, compress, decompress};
+pub use view::{PolicyView, RouteView, ServiceView, SnapshotView};
+
+/// Oldest schema version of any record.
+pub const OLDEST_SCHEMA: u32 = 1;
+
+/// Newest schema version that this release reads and writes.
+pub const NEWEST_SCHEMA: u32 = 2;
--- /dev/null
+++ b/crates/records/src/render.rs
@@ -0,0 +1,67 @@
+//! Writes a record in the form that [`crate::read_record_file`] reads.
+
+use agatedeck_wire::record_form::Body;
+use agatedeck_wire::{Record, RecordForm};
+use toml::{Table, Value};
+
+use crate::file::repeat_name;
+use crate::key::kind_name;
+
+/// The record as part of a TOML record file, with its revision.
+pub fn render_record(record: &Record) -> String {
+    let mut table = Table::new();
+    table.insert("name".to_owned(), Value::from(record.name.as_str()));
+    let revision = i64::try_from(record.revision).unwrap_or(i64::MAX);
+    table.insert("revision".to_owned(), Value::from(revision));
+    let forms = record
+        .forms
+        .iter()
+        .map(|form| Value::Table(form_table(form)))
+        .collect();
+    table.insert("form".to_owned(), Value::Array(forms));
+    let mut root = Table::new();
+    let kind = kind_name(record.kind()).to_owned();
+    root.insert(kind, Value::Array(vec![Value::Table(table)]));
+    root.to_string()
+}
+
+fn form_table(form: &RecordForm) -> Table {
+    let mut table = Table::new();
+    let mut put = |key: &str, value: Value| table.insert(key.to_owned(), value);
+    put("schema", Value::from(form.schema));
+    match &form.body {
+        Some(Body::Route(route)) => {
+            put("prefix", Value::from(route.prefix.as_str()));
+            put("service", Value::from(route.service.as_str()));
+            put("class", Value::from(route.class.as_str()));
+            if !route.host.is_empty() {
+                put("host", Value::from(route.host.as_str()));
+            }
+        }
+        Some(Body::Service(service)) => {
+            put("policy", Value::from(service.policy.as_str()));
+            put("depends_on", Value::from(service.depends_on.clone()));
+            put("health_path", Value::from(service.health_path.as_str()));
+            if !service.load_path.is_empty() {
+                put("load_path", Value::from(service.load_path.as_str()));
+            }
+        }
+        Some(Body::Policy(policy)) => {
+            put("repeat", Value::from(repeat_name(policy.repeat())));
+            put("timeout_ms", Value::from(policy.timeout_ms));
+            put("slots", Value::from(policy.slots));
+            put("queue", Value::from(policy.queue));
+            put("connections", Value::from(policy.connections));
+            put("max_attempts", Value::from(policy.max_attempts));
+            if form.schema >= 2 {
+                put(
+                    "tenant_share_percent",
+                    Value::from(policy.tenant_share_percent),
+                );
+                put("warm_up_ms", Value::from(policy.warm_up_ms));
+            }
+        }
+        None => {}
+    }
+    table
+}
--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,212 @@
+//! The state of the platform stand-in, owned by one actor.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use serde::{Deserialize, Serialize};
+
+use crate::faults::PlatformFaults;
+use crate::platform_server::PlatformCounters;
+
+/// Rows, objects, counters and faults.
+#[derive(Actor, Debug, Default)]
+pub(crate) struct TableKeeper {
+    rows: BTreeMap<String, TableRow>,
+    objects: BTreeMap<String, Vec<u8>>,
+    revision: u64,
+    counters: PlatformCounters,
+    faults: PlatformFaults,
+}
+
+/// A row; the value is kept in base64 as it came.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct TableRow {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) revision: u64,
+}
+
+/// A transaction as the protocol states it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct TransactionBody {
+    pub(crate) conditions: Vec<ConditionBody>,
+    pub(crate) writes: Vec<WriteBody>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ConditionBody {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct WriteBody {
+    key: String,
+    value: Option<String>,
+}
+
+/// A request to the platform.
+#[derive(Debug)]
+pub(crate) enum TableRequest {
+    ReadRow(String),
+    ScanRows {
+        prefix: String,
+        after: String,
+        limit: usize,
+    },
+    Transact(TransactionBody),
+    ReadObject(String),
+    WriteObject(String, Vec<u8>),
+}
+
+/// What the platform found or did.
+#[derive(Debug)]
+pub(crate) enum TableAnswer {
+    Row(Option<TableRow>),
+    Rows(Vec<TableRow>),
+    Committed(u64),
+    Refused(Vec<String>),
+    Object(Option<Vec<u8>>),
+    Written,
+}
+
+/// The answer to a request and how its way back to the client is disturbed.
+#[derive(Debug, kameo::Reply)]
+pub(crate) struct TableReply {
+    /// `None` if the request was not run.
+    pub(crate) answer: Option<TableAnswer>,
+    pub(crate) delay: Duration,
+    pub(crate) lost: bool,
+}
+
+impl Message<TableRequest> for TableKeeper {
+    type Reply = TableReply;
+
+    async fn handle(
+        &mut self,
+        request: TableRequest,
+        _: &mut Context<Self, TableReply>,
+    ) -> TableReply {
+        let delay = Duration::from_millis(self.faults.delay_ms);
+        if self.faults.outage || count_down(&mut self.faults.refuse_requests) {
+            self.counters.refused += 1;
+            return TableReply {
+                answer: None,
+                delay,
+                lost: false,
+            };
+        }
+        let writes = matches!(
+            request,
+            TableRequest::Transact(_) | TableRequest::WriteObject(..)
+        );
+        if writes {
+            self.counters.writes += 1;
+        } else {
+            self.counters.reads += 1;
+        }
+        let lost = writes && count_down(&mut self.faults.lose_answers);
+        TableReply {
+            answer: Some(self.run(request)),
+            delay,
+            lost,
+        }
+    }
+}
+
+fn count_down(count: &mut u32) -> bool {
+    let hit = *count > 0;
+    *count = count.saturating_sub(1);
+    hit
+}
+
+impl TableKeeper {
+    fn run(&mut self, request: TableRequest) -> TableAnswer {
+        match request {
+            TableRequest::ReadRow(key) => TableAnswer::Row(self.rows.get(&key).cloned()),
+            TableRequest::ScanRows {
+                prefix,
+                after,
+                limit,
+            } => TableAnswer::Rows(self.scan(&prefix, &after, limit)),
+            TableRequest::Transact(transaction) => self.transact(transaction),
+            TableRequest::ReadObject(key) => TableAnswer::Object(self.objects.get(&key).cloned()),
+            TableRequest::WriteObject(key, value) => {
+                self.objects.insert(key, value);
+                TableAnswer::Written
+            }
+        }
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Vec<TableRow> {
+        let rows = self.rows.range(prefix.to_owned()..);
+        let rows = rows
+            .map(|(_, row)| row)
+            .take_while(|row| row.key.starts_with(prefix));
+        rows.filter(|row| row.key.as_str() > after)
+            .take(limit)
+            .cloned()
+            .collect()
+    }
+
+    fn transact(&mut self, transaction: TransactionBody) -> TableAnswer {
+        let revision = |key: &str| self.rows.get(key).map_or(0, |row| row.revision);
+        let failed: Vec<String> = transaction
+            .conditions
+            .into_iter()
+            .filter(|condition| revision(&condition.key) != condition.revision)
+            .map(|condition| condition.key)
+            .collect();
+        if !failed.is_empty() {
+            return TableAnswer::Refused(failed);
+        }
+        self.revision += 1;
+        for WriteBody { key, value } in transaction.writes {
+            match value {
+                Some(value) => {
+                    let row = TableRow {
+                        key: key.clone(),
+                        value,
+                        revision: self.revision,
+                    };
+                    self.rows.insert(key, row);
+                }
+                None => {
+                    self.rows.remove(&key);
+                }
+            }
+        }
+        TableAnswer::Committed(self.revision)
+    }
+}
+
+/// Replaces the faults in effect.
+pub(crate) struct SetFaults(pub(crate) PlatformFaults);
+
+impl Message<SetFaults> for TableKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, SetFaults(faults): SetFaults, _: &mut Context<Self, ()>) {
+        self.faults = faults;
+    }
+}
+
+/// Asks for the counters.
+pub(crate) struct ReadCounters;
+
+impl Message<ReadCounters> for TableKeeper {
+    type Reply = PlatformCounters;
+
+    async fn handle(
+        &mut self,
+        ReadCounters: ReadCounters,
+        _: &mut Context<Self, PlatformCounters>,
+    ) -> PlatformCounters {
+        self.counters.clone()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target_server.rs
@@ -0,0 +1,309 @@
+//! A target stand-in: answers calls, counts how often each request ran, reports health and load.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Json, Request, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::message::{Context, Message};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Header that identifies a request in the counters and in the answer.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Largest request body that the stand-in takes, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// How a target stand-in behaves. The default answers at once and is healthy.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize, kameo::Reply)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetBehaviour {
+    /// Time that a call takes, in milliseconds.
+    pub work_ms: u64,
+    /// The health endpoint answers 503.
+    pub unhealthy: bool,
+    /// The load endpoint reports this many calls in place of the true number.
+    pub false_load: Option<u32>,
+    /// Calls are answered with 500.
+    pub failing: bool,
+}
+
+/// Settings of a target stand-in.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// Address to listen at; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Service that the target answers for.
+    pub service: String,
+    /// Name in the answers.
+    pub name: String,
+    /// Behaviour at the start.
+    pub behaviour: TargetBehaviour,
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            service: "service".to_owned(),
+            name: "target".to_owned(),
+            behaviour: TargetBehaviour::default(),
+        }
+    }
+}
+
+/// What a target stand-in ran so far.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize, kameo::Reply)]
+pub struct TargetCounters {
+    /// Calls started.
+    pub started: u64,
+    /// Calls answered.
+    pub finished: u64,
+    /// Largest number of calls at the same time.
+    pub peak: u64,
+    /// How often each request ran, by its `x-request-id` header.
+    pub runs: BTreeMap<String, u64>,
+}
+
+/// A running target stand-in. It stops when dropped, which resets its connections.
+#[derive(Debug)]
+pub struct TargetServer {
+    address: SocketAddr,
+    keeper: ActorRef<RunKeeper>,
+    task: JoinHandle<()>,
+}
+
+impl TargetServer {
+    /// Starts a target stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(settings: TargetSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.address).await?;
+        let address = listener.local_addr()?;
+        let keeper = RunKeeper::spawn(RunKeeper {
+            service: settings.service,
+            name: settings.name,
+            behaviour: settings.behaviour,
+            counters: TargetCounters::default(),
+        });
+        let app = router(keeper.clone());
+        let task = tokio::spawn(async move {
+            // See `PlatformServer::start`: a failed listener looks like a target that is gone.
+            let _ = axum::serve(listener, app).await;
+        });
+        Ok(Self {
+            address,
+            keeper,
+            task,
+        })
+    }
+
+    /// Address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the behaviour.
+    pub async fn set_behaviour(&self, behaviour: TargetBehaviour) {
+        // The keeper runs as long as the server; a failure means that the server is being dropped.
+        let _ = self.keeper.ask(SetBehaviour(behaviour)).await;
+    }
+
+    /// What the target ran so far.
+    pub async fn counters(&self) -> TargetCounters {
+        self.keeper.ask(ReadCounters).await.unwrap_or_default()
+    }
+}
+
+impl Drop for TargetServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Owns the behaviour and the counters.
+#[derive(Actor, Debug)]
+struct RunKeeper {
+    service: String,
+    name: String,
+    behaviour: TargetBehaviour,
+    counters: TargetCounters,
+}
+
+/// What a call needs to know to run.
+#[derive(Debug, kameo::Reply)]
+struct RunOrder {
+    service: String,
+    name: String,
+    behaviour: TargetBehaviour,
+    run: u64,
+}
+
+struct StartRun(String);
+
+impl Message<StartRun> for RunKeeper {
+    type Reply = RunOrder;
+
+    async fn handle(
+        &mut self,
+        StartRun(id): StartRun,
+        _: &mut Context<Self, RunOrder>,
+    ) -> RunOrder {
+        self.counters.started += 1;
+        let running = self.counters.started - self.counters.finished;
+        self.counters.peak = self.counters.peak.max(running);
+        let run = self.counters.runs.entry(id).or_default();
+        *run += 1;
+        RunOrder {
+            service: self.service.clone(),
+            name: self.name.clone(),
+            behaviour: self.behaviour.clone(),
+            run: *run,
+        }
+    }
+}
+
+struct FinishRun;
+
+impl Message<FinishRun> for RunKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, FinishRun: FinishRun, _: &mut Context<Self, ()>) {
+        self.counters.finished += 1;
+    }
+}
+
+struct SetBehaviour(TargetBehaviour);
+
+impl Message<SetBehaviour> for RunKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, SetBehaviour(behaviour): SetBehaviour, _: &mut Context<Self, ()>) {
+        self.behaviour = behaviour;
+    }
+}
+
+struct ReadCounters;
+
+impl Message<ReadCounters> for RunKeeper {
+    type Reply = TargetCounters;
+
+    async fn handle(
+        &mut self,
+        ReadCounters: ReadCounters,
+        _: &mut Context<Self, TargetCounters>,
+    ) -> TargetCounters {
+        self.counters.clone()
+    }
+}
+
+struct ReadState;
+
+impl Message<ReadState> for RunKeeper {
+    type Reply = (TargetBehaviour, u64);
+
+    async fn handle(
+        &mut self,
+        ReadState: ReadState,
+        _: &mut Context<Self, (TargetBehaviour, u64)>,
+    ) -> (TargetBehaviour, u64) {
+        (
+            self.behaviour.clone(),
+            self.counters.started - self.counters.finished,
+        )
+    }
+}
+
+type Keeper = State<ActorRef<RunKeeper>>;
+
+fn router(keeper: ActorRef<RunKeeper>) -> Router {
+    Router::new()
+        .route("/health", get(health))
+        .route("/load", get(load))
+        .route("/standin/behaviour", post(set_behaviour))
+        .route("/standin/counters", get(read_counters))
+        .fallback(run)
+        .with_state(keeper)
+}
+
+async fn health(State(keeper): Keeper) -> StatusCode {
+    match keeper.ask(ReadState).await {
+        Ok((behaviour, _)) if !behaviour.unhealthy => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn load(State(keeper): Keeper) -> Response {
+    match keeper.ask(ReadState).await {
+        Ok((behaviour, running)) => {
+            let running = behaviour.false_load.map_or(running, u64::from);
+            Json(json!({ "running": running })).into_response()
+        }
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+async fn set_behaviour(
+    State(keeper): Keeper,
+    Json(behaviour): Json<TargetBehaviour>,
+) -> StatusCode {
+    match keeper.ask(SetBehaviour(behaviour)).await {
+        Ok(()) => StatusCode::NO_CONTENT,
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn read_counters(State(keeper): Keeper) -> Response {
+    match keeper.ask(ReadCounters).await {
+        Ok(counters) => Json(counters).into_response(),
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+fn request_id(headers: &HeaderMap) -> String {
+    let id = headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    id.unwrap_or("none").to_owned()
+}
+
+async fn run(State(keeper): Keeper, request: Request) -> Response {
+    let id = request_id(request.headers());
+    let path = request.uri().path().to_owned();
+    let Ok(order) = keeper.ask(StartRun(id.clone())).await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let body = axum::body::to_bytes(request.into_body(), MAX_BODY_BYTES).await;
+    tokio::time::sleep(Duration::from_millis(order.behaviour.work_ms)).await;
+    // A keeper that is gone counts nothing any more.
+    let _ = keeper.tell(FinishRun).await;
+    if order.behaviour.failing {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let received = body.as_ref().map_or(0, Bytes::len);
+    let RunOrder {
+        service, name, run, ..
+    } = order;
+    Json(json!({
+        "service": service,
+        "target": name,
+        "request": id,
+        "path": path,
+        "run": run,
+        "received_bytes": received,
+    }))
+    .into_response()
+}
