--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,8 +3,20 @@
 //! No sockets, tasks or clocks: the caller passes in the time and what arrived, and carries out the
 //! effects that are returned.
 
+mod acceptance;
 mod member;
 mod rendezvous;
+mod spread;
+mod version;
 
+pub use acceptance::{
+    AcceptAction, AcceptEvent, AcceptOutcome, AcceptProcess, AcceptState, DELTA_PREFIX, HEAD_KEY,
+    SNAPSHOT_INTERVAL, UnreadableNode, acceptance_chart, change_key, delta_key, snapshot_key,
+    unreadable_nodes,
+};
 pub use member::{MemberEntry, MemberKey, MemberTable, MergeOutcome};
 pub use rendezvous::{rank_by, score};
+pub use spread::{PollSpread, SpreadDelivery, SpreadOrder, SpreadPolicy, SpreadReach, TreeSpread};
+pub use version::{
+    HolderSettings, OfferVerdict, PullReply, StageState, VersionEffect, VersionHolder, stage_chart,
+};
--- /dev/null
+++ b/crates/control/src/version/holder.rs
@@ -0,0 +1,365 @@
+//! Holds the version in force and the versions on their way to it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_chart::ChartError;
+use agatedeck_clock::Instant;
+use agatedeck_records::{ConfigSnapshot, SnapshotView, decompress};
+use agatedeck_wire::Delta;
+
+use super::stage::{self, StageAction, StageEvent, StageState, StageTable};
+
+/// Settings of a [`VersionHolder`].
+#[derive(Clone, Debug)]
+pub struct HolderSettings {
+    /// Highest schema version the node reads.
+    pub reads_schema: u32,
+    /// Time given to the witnesses to answer.
+    pub witness_timeout: Duration,
+    /// Number of recent deltas kept for nodes that are behind.
+    pub kept_deltas: usize,
+    /// Number of versions kept that arrived before the one they follow.
+    pub kept_ahead: usize,
+}
+
+impl Default for HolderSettings {
+    fn default() -> Self {
+        Self {
+            reads_schema: agatedeck_records::NEWEST_SCHEMA,
+            witness_timeout: Duration::from_millis(150),
+            kept_deltas: 256,
+            kept_ahead: 64,
+        }
+    }
+}
+
+/// What became of a version that was offered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OfferVerdict {
+    /// The version is in force or is being put in force.
+    Held,
+    /// The node already had this version.
+    Stale,
+    /// The version before it is missing.
+    Behind,
+    /// The version is not usable; the reason.
+    Refused(String),
+}
+
+/// What the owner of a [`VersionHolder`] must carry out.
+#[derive(Clone, Debug)]
+pub enum VersionEffect {
+    /// Record the version with the witnesses, then call [`VersionHolder::witnessed`].
+    AskWitnesses {
+        /// The version about to be put in force.
+        version: u64,
+        /// When to stop waiting; [`VersionHolder::tick`] then puts the version in force.
+        deadline: Instant,
+    },
+    /// Serve calls by this snapshot from now on.
+    PutInForce(Arc<ConfigSnapshot>),
+    /// Ask a node that is ahead for what follows the version held.
+    PullFrom(u64),
+}
+
+/// What a node that is behind is sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PullReply {
+    /// Compressed deltas in ascending order; empty if there is nothing newer.
+    Deltas(Vec<Vec<u8>>),
+    /// A whole compressed snapshot.
+    Snapshot(Vec<u8>),
+}
+
+/// A version that was checked and is not yet in force.
+#[derive(Debug)]
+struct CandidateVersion {
+    snapshot: Arc<ConfigSnapshot>,
+    state: StageState,
+    deadline: Instant,
+}
+
+/// The version in force and the versions on their way to it.
+///
+/// Invariants: the version in force never decreases; `candidates` ascend and each is newer than the
+/// version in force; a version below the floor is never in force once the floor is known.
+#[derive(Debug)]
+pub struct VersionHolder {
+    settings: HolderSettings,
+    chart: StageTable,
+    current: Arc<ConfigSnapshot>,
+    floor: Option<u64>,
+    candidates: VecDeque<CandidateVersion>,
+    ahead: BTreeMap<u64, Vec<u8>>,
+    deltas: VecDeque<(u64, Vec<u8>)>,
+    refusal: Option<(u64, String)>,
+}
+
+impl VersionHolder {
+    /// A holder of the empty configuration that does not know its floor yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the chart file is not sound.
+    pub fn new(settings: HolderSettings) -> Result<Self, ChartError> {
+        Ok(Self {
+            settings,
+            chart: stage::load()?,
+            current: Arc::default(),
+            floor: None,
+            candidates: VecDeque::new(),
+            ahead: BTreeMap::new(),
+            deltas: VecDeque::new(),
+            refusal: None,
+        })
+    }
+
+    /// The snapshot in force.
+    pub fn current(&self) -> &Arc<ConfigSnapshot> {
+        &self.current
+    }
+
+    /// The newest snapshot that passed its check, in force or not.
+    pub fn tip(&self) -> &Arc<ConfigSnapshot> {
+        self.candidates
+            .back()
+            .map_or(&self.current, |candidate| &candidate.snapshot)
+    }
+
+    /// The last version refused and why, until a newer version is in force.
+    pub fn refusal(&self) -> Option<(u64, &str)> {
+        self.refusal
+            .as_ref()
+            .map(|(version, reason)| (*version, reason.as_str()))
+    }
+
+    /// Sets the lowest version the node may serve. A floor that is known never decreases.
+    pub fn raise_floor(&mut self, floor: u64) {
+        self.floor = Some(self.floor.unwrap_or(0).max(floor));
+    }
+
+    /// The lowest version the node may serve, once it is known.
+    pub fn floor(&self) -> Option<u64> {
+        self.floor
+    }
+
+    /// Whether the node may serve calls by the snapshot in force.
+    pub fn may_serve(&self) -> bool {
+        self.floor
+            .is_some_and(|floor| self.current.version() >= floor)
+    }
+
+    /// Takes in a version with its compressed delta.
+    pub fn offer(
+        &mut self,
+        version: u64,
+        delta: &[u8],
+        now: Instant,
+    ) -> (OfferVerdict, Vec<VersionEffect>) {
+        let tip = self.tip().version();
+        if version <= tip {
+            return (OfferVerdict::Stale, Vec::new());
+        }
+        if version > tip + 1 {
+            self.keep_ahead(version, delta);
+            return (OfferVerdict::Behind, vec![VersionEffect::PullFrom(tip)]);
+        }
+        let mut effects = Vec::new();
+        let verdict = self.take_next(version, delta, now, &mut effects);
+        if verdict == OfferVerdict::Held {
+            self.take_ahead(now, &mut effects);
+        }
+        (verdict, effects)
+    }
+
+    fn keep_ahead(&mut self, version: u64, delta: &[u8]) {
+        self.ahead.insert(version, delta.to_vec());
+        while self.ahead.len() > self.settings.kept_ahead {
+            // The farthest version is the one most likely to be pulled again anyway.
+            self.ahead.pop_last();
+        }
+    }
+
+    fn take_ahead(&mut self, now: Instant, effects: &mut Vec<VersionEffect>) {
+        let next = self.tip().version() + 1;
+        self.ahead = self.ahead.split_off(&next);
+        while let Some(delta) = self.ahead.remove(&(self.tip().version() + 1)) {
+            let version = self.tip().version() + 1;
+            if self.take_next(version, &delta, now, effects) != OfferVerdict::Held {
+                break;
+            }
+        }
+    }
+
+    /// Checks the version that follows the tip.
+    fn take_next(
+        &mut self,
+        version: u64,
+        bytes: &[u8],
+        now: Instant,
+        effects: &mut Vec<VersionEffect>,
+    ) -> OfferVerdict {
+        let checked = decompress::<Delta>(bytes).and_then(|delta| self.tip().apply(&delta));
+        let checked = checked.map_err(|error| error.to_string());
+        let checked = checked.and_then(|snapshot| self.readable(snapshot));
+        match checked {
+            Ok(snapshot) => {
+                self.keep_delta(version, bytes);
+                self.stage(snapshot, now, effects);
+                OfferVerdict::Held
+            }
+            Err(reason) => {
+                self.refuse(version, &reason);
+                OfferVerdict::Refused(reason)
+            }
+        }
+    }
+
+    fn readable(&self, snapshot: ConfigSnapshot) -> Result<ConfigSnapshot, String> {
+        let unreadable = SnapshotView::new(&snapshot, self.settings.reads_schema).unreadable();
+        if unreadable.is_empty() {
+            return Ok(snapshot);
+        }
+        let keys: Vec<String> = unreadable.iter().map(ToString::to_string).collect();
+        let schema = self.settings.reads_schema;
+        Err(format!(
+            "no form up to schema {schema} in {}",
+            keys.join(", ")
+        ))
+    }
+
+    fn refuse(&mut self, version: u64, reason: &str) {
+        let mut state = self.chart.initial();
+        let actions = self.chart.advance(&mut state, StageEvent::CheckFailed);
+        if actions.contains(&StageAction::ReportRefusal) {
+            self.refusal = Some((version, reason.to_owned()));
+        }
+    }
+
+    fn keep_delta(&mut self, version: u64, bytes: &[u8]) {
+        self.deltas.push_back((version, bytes.to_vec()));
+        while self.deltas.len() > self.settings.kept_deltas {
+            self.deltas.pop_front();
+        }
+    }
+
+    fn stage(&mut self, snapshot: ConfigSnapshot, now: Instant, effects: &mut Vec<VersionEffect>) {
+        let version = snapshot.version();
+        let mut state = self.chart.initial();
+        let deadline = now.after(self.settings.witness_timeout);
+        for action in self.chart.advance(&mut state, StageEvent::CheckPassed) {
+            if *action == StageAction::AskWitnesses {
+                effects.push(VersionEffect::AskWitnesses { version, deadline });
+            }
+        }
+        let snapshot = Arc::new(snapshot);
+        self.candidates.push_back(CandidateVersion {
+            snapshot,
+            state,
+            deadline,
+        });
+    }
+
+    /// Takes in a whole snapshot, for a node that is too far behind for deltas.
+    pub fn offer_snapshot(
+        &mut self,
+        bytes: &[u8],
+        digest: &[u8],
+        now: Instant,
+    ) -> (OfferVerdict, Vec<VersionEffect>) {
+        let decoded = ConfigSnapshot::decode(bytes, digest).map_err(|error| error.to_string());
+        let decoded = decoded.and_then(|snapshot| self.readable(snapshot));
+        match decoded {
+            Ok(snapshot) if snapshot.version() <= self.tip().version() => {
+                (OfferVerdict::Stale, Vec::new())
+            }
+            Ok(snapshot) => {
+                // The deltas kept lead to the old tip and would leave a gap.
+                self.deltas.clear();
+                let mut effects = Vec::new();
+                self.stage(snapshot, now, &mut effects);
+                self.take_ahead(now, &mut effects);
+                (OfferVerdict::Held, effects)
+            }
+            Err(reason) => {
+                let version = self.tip().version() + 1;
+                self.refuse(version, &reason);
+                (OfferVerdict::Refused(reason), Vec::new())
+            }
+        }
+    }
+
+    /// Notes that the witnesses recorded `version`. Older candidates are passed over with it.
+    pub fn witnessed(&mut self, version: u64) -> Vec<VersionEffect> {
+        self.advance_to(version, StageEvent::Witnessed)
+    }
+
+    /// Puts candidates in force whose witnesses did not answer in time.
+    pub fn tick(&mut self, now: Instant) -> Vec<VersionEffect> {
+        let late = self
+            .candidates
+            .iter()
+            .rev()
+            .find(|candidate| candidate.deadline.is_past(now));
+        let version = late.map(|candidate| candidate.snapshot.version());
+        version.map_or_else(Vec::new, |version| {
+            self.advance_to(version, StageEvent::WitnessDeadline)
+        })
+    }
+
+    fn advance_to(&mut self, version: u64, event: StageEvent) -> Vec<VersionEffect> {
+        let mut effects = Vec::new();
+        while self
+            .candidates
+            .front()
+            .is_some_and(|first| first.snapshot.version() <= version)
+        {
+            let Some(mut candidate) = self.candidates.pop_front() else {
+                break;
+            };
+            let actions = self.chart.advance(&mut candidate.state, event);
+            if actions.contains(&StageAction::PutInForce) {
+                self.put_in_force(candidate.snapshot, &mut effects);
+            }
+        }
+        effects
+    }
+
+    fn put_in_force(&mut self, snapshot: Arc<ConfigSnapshot>, effects: &mut Vec<VersionEffect>) {
+        if snapshot.version() <= self.current.version() {
+            return;
+        }
+        if self
+            .refusal
+            .as_ref()
+            .is_some_and(|(version, _)| *version <= snapshot.version())
+        {
+            self.refusal = None;
+        }
+        self.current = Arc::clone(&snapshot);
+        effects.push(VersionEffect::PutInForce(snapshot));
+    }
+
+    /// What a node that holds version `held` needs to catch up with the version in force here.
+    pub fn pull(&self, held: u64) -> PullReply {
+        let current = self.current.version();
+        if held >= current {
+            return PullReply::Deltas(Vec::new());
+        }
+        let wanted = self
+            .deltas
+            .iter()
+            .filter(|(version, _)| *version > held && *version <= current);
+        let wanted: Vec<Vec<u8>> = wanted.map(|(_, bytes)| bytes.clone()).collect();
+        let complete = wanted.len() as u64 == current - held;
+        let snapshot = self.current.compressed();
+        let delta_bytes: usize = wanted.iter().map(Vec::len).sum();
+        if complete && delta_bytes <= snapshot.len() {
+            PullReply::Deltas(wanted)
+        } else {
+            PullReply::Snapshot(snapshot)
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin/api.rs
@@ -0,0 +1,243 @@
+//! The admin API; `docs/design.md` section 6.1 lists its requests.
+
+use std::time::Duration;
+
+use agatedeck_control::{AcceptOutcome, DELTA_PREFIX, delta_key};
+use agatedeck_records::{
+    ChangeRefusal, RecordConflict, RecordKey, decompress, kind_from_name, kind_name,
+};
+use agatedeck_wire::{Change, Delta, Record, SpreadScope};
+use axum::Router;
+use axum::extract::{Json, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use kameo::actor::ActorRef;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::survey::{own_report, survey};
+use crate::config::ConfigKeeper;
+use crate::context::NodeContext;
+use crate::peer::LinkMeters;
+use crate::store::{AcceptChange, AcceptReply, ChangeAcceptor, LookedUp, look_up};
+
+/// Time after which an operator is told that the outcome of a change is not yet known.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Changes listed when the request states no number.
+const DEFAULT_HISTORY: usize = 20;
+
+/// Most changes listed in one answer.
+const MAX_HISTORY: usize = 200;
+
+/// What the handlers work with.
+#[derive(Clone)]
+pub(crate) struct AdminState {
+    pub(crate) context: NodeContext,
+    pub(crate) config: ActorRef<ConfigKeeper>,
+    pub(crate) acceptor: ActorRef<ChangeAcceptor>,
+    pub(crate) meters: LinkMeters,
+}
+
+/// The routes of the admin API.
+pub(crate) fn admin_router(state: AdminState) -> Router {
+    Router::new()
+        .route("/v1/changes", post(accept_change))
+        .route("/v1/changes/{id}", get(look_up_change))
+        .route("/v1/records", get(read_records))
+        .route("/v1/history", get(read_history))
+        .route("/v1/status", get(read_status))
+        .route("/v1/node", get(read_node))
+        .with_state(state)
+}
+
+async fn accept_change(State(state): State<AdminState>, Json(change): Json<Change>) -> Response {
+    if change.change_id.is_empty() {
+        let body = json!({ "outcome": "refused", "reasons": ["the change has no id"] });
+        return (StatusCode::CONFLICT, Json(body)).into_response();
+    }
+    let id = change.change_id.clone();
+    let accept = AcceptChange {
+        change,
+        deadline: Instant::now() + ACCEPT_TIMEOUT,
+    };
+    match state.acceptor.ask(accept).await {
+        Ok(AcceptReply(Some(outcome))) => accept_response(&id, outcome),
+        // The node is stopping and may have written the change.
+        Ok(AcceptReply(None)) | Err(_) => not_yet_known(StatusCode::ACCEPTED, &id),
+    }
+}
+
+fn accept_response(id: &str, outcome: AcceptOutcome) -> Response {
+    match outcome {
+        AcceptOutcome::Accepted(version) => accepted(version),
+        AcceptOutcome::Refused(refusal) => refused(&refusal),
+        AcceptOutcome::Unreadable(nodes) => {
+            let reasons: Vec<String> = nodes.iter().map(ToString::to_string).collect();
+            let body = json!({ "outcome": "refused", "reasons": reasons, "conflicts": [] });
+            (StatusCode::CONFLICT, Json(body)).into_response()
+        }
+        AcceptOutcome::Unreachable => {
+            let reasons = ["the store cannot be reached; nothing was written"];
+            let body = json!({ "outcome": "unreachable", "reasons": reasons });
+            (StatusCode::SERVICE_UNAVAILABLE, Json(body)).into_response()
+        }
+        AcceptOutcome::NotYetKnown => not_yet_known(StatusCode::ACCEPTED, id),
+    }
+}
+
+fn accepted(version: u64) -> Response {
+    Json(json!({ "outcome": "accepted", "version": version })).into_response()
+}
+
+fn not_yet_known(status: StatusCode, id: &str) -> Response {
+    (
+        status,
+        Json(json!({ "outcome": "not-yet-known", "change_id": id })),
+    )
+        .into_response()
+}
+
+fn refused(refusal: &ChangeRefusal) -> Response {
+    let reasons: Vec<String> = match refusal {
+        ChangeRefusal::Conflict(conflicts) => conflicts.iter().map(ToString::to_string).collect(),
+        ChangeRefusal::Faulty(faults) => faults.iter().map(ToString::to_string).collect(),
+        other => vec![other.to_string()],
+    };
+    let conflicts: Vec<Value> = match refusal {
+        ChangeRefusal::Conflict(conflicts) => conflicts.iter().map(conflict).collect(),
+        _ => Vec::new(),
+    };
+    let body = json!({ "outcome": "refused", "reasons": reasons, "conflicts": conflicts });
+    (StatusCode::CONFLICT, Json(body)).into_response()
+}
+
+fn conflict(conflict: &RecordConflict) -> Value {
+    let RecordConflict { key, base, current } = conflict;
+    json!({ "kind": kind_name(key.kind), "name": key.name, "base": base, "current": current })
+}
+
+async fn look_up_change(State(state): State<AdminState>, Path(id): Path<String>) -> Response {
+    match look_up(&state.context, &id).await {
+        LookedUp::Accepted(version) => accepted(version),
+        LookedUp::Absent => (
+            StatusCode::NOT_FOUND,
+            Json(json!({ "outcome": "not-accepted" })),
+        )
+            .into_response(),
+        LookedUp::NotKnown => not_yet_known(StatusCode::SERVICE_UNAVAILABLE, &id),
+    }
+}
+
+#[derive(Deserialize)]
+struct RecordQuery {
+    kind: Option<String>,
+    name: Option<String>,
+}
+
+async fn read_records(
+    State(state): State<AdminState>,
+    Query(query): Query<RecordQuery>,
+) -> Response {
+    let kind = match query.kind.as_deref().map(kind_from_name) {
+        Some(None) => return (StatusCode::BAD_REQUEST, "unknown kind").into_response(),
+        Some(kind) => kind,
+        None => None,
+    };
+    let snapshot = state.context.served().snapshot;
+    let wanted = |record: &&Record| {
+        kind.is_none_or(|kind| record.kind() == kind)
+            && query.name.as_ref().is_none_or(|name| record.name == *name)
+    };
+    let records: Vec<&Record> = snapshot.records().filter(wanted).collect();
+    Json(json!({ "version": snapshot.version(), "records": records })).into_response()
+}
+
+#[derive(Deserialize)]
+struct HistoryQuery {
+    before: Option<u64>,
+    limit: Option<usize>,
+}
+
+async fn read_history(
+    State(state): State<AdminState>,
+    Query(query): Query<HistoryQuery>,
+) -> Response {
+    let limit = query.limit.unwrap_or(DEFAULT_HISTORY).min(MAX_HISTORY);
+    let newest = state.context.served().snapshot.version();
+    let before = query.before.unwrap_or(u64::MAX).min(newest + 1);
+    let first = before.saturating_sub(u64::try_from(limit).unwrap_or(0) + 1);
+    let (context, after) = (&state.context, delta_key(first));
+    let rows = context
+        .store
+        .scan_rows(DELTA_PREFIX, &after, limit, context.store_deadline())
+        .await;
+    match rows {
+        Ok(rows) => {
+            let deltas = rows
+                .iter()
+                .filter_map(|row| decompress::<Delta>(&row.value).ok());
+            let mut changes: Vec<Value> = deltas
+                .filter(|delta| delta.version < before)
+                .map(|delta| history_entry(&delta))
+                .collect();
+            changes.reverse();
+            Json(json!({ "changes": changes })).into_response()
+        }
+        Err(error) => (StatusCode::SERVICE_UNAVAILABLE, error.to_string()).into_response(),
+    }
+}
+
+fn history_entry(delta: &Delta) -> Value {
+    let puts: Vec<String> = delta
+        .puts
+        .iter()
+        .map(|record| RecordKey::of(record).to_string())
+        .collect();
+    let retired: Vec<String> = delta
+        .retired
+        .iter()
+        .map(|name| RecordKey::from(name).to_string())
+        .collect();
+    json!({
+        "version": delta.version,
+        "change_id": delta.change_id,
+        "operator": delta.operator,
+        "accepted_unix_ms": delta.accepted_unix_ms,
+        "puts": puts,
+        "retired": retired,
+    })
+}
+
+async fn read_status(State(state): State<AdminState>) -> Response {
+    let nodes = survey(&state.context, &state.config, SpreadScope::Region)
+        .await
+        .nodes;
+    let version = state.context.served().snapshot.version();
+    let body = json!({
+        "version": version,
+        "nodes": nodes,
+        "histograms": [],
+        "refused_requests": [],
+    });
+    Json(body).into_response()
+}
+
+async fn read_node(State(state): State<AdminState>) -> Response {
+    let report = own_report(&state.context, &state.config).await;
+    let table = state.context.table();
+    let mut members: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+    for member in table.members() {
+        *members.entry(member.status().as_str_name()).or_default() += 1;
+    }
+    let meters = &state.meters;
+    let body = json!({
+        "report": report,
+        "members": members,
+        "control_bytes": meters.all.sent() + meters.all.received(),
+        "cross_region_control_bytes": meters.cross_region.sent() + meters.cross_region.received(),
+    });
+    Json(body).into_response()
+}
--- /dev/null
+++ b/crates/node/src/answer.rs
@@ -0,0 +1,5 @@
+//! Carries a message type of another crate as the reply of an actor.
+
+/// A reply whose type is not of this crate.
+#[derive(Debug, Default, kameo::Reply)]
+pub(crate) struct Answer<T: Send + 'static>(pub(crate) T);
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,37 @@
+//! The clocks of the process.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use agatedeck_clock::Instant;
+
+/// Translates between the runtime's clock and the instants that decisions use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProcessClock {
+    start: tokio::time::Instant,
+}
+
+impl ProcessClock {
+    pub(crate) fn start() -> Self {
+        Self {
+            start: tokio::time::Instant::now(),
+        }
+    }
+
+    pub(crate) fn now(self) -> Instant {
+        let micros = self.start.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// The runtime's instant for a deadline that a decision gave.
+    pub(crate) fn runtime_instant(self, deadline: Instant) -> tokio::time::Instant {
+        self.start + deadline.since(Instant::default())
+    }
+}
+
+/// Unix time in milliseconds. Used only for incarnations, leases and what operators read.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/config/keeper.rs
@@ -0,0 +1,369 @@
+//! The actor that owns the version in force, the versions on their way and the floors witnessed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use agatedeck_control::{
+    HolderSettings, OfferVerdict, PullReply, VersionEffect, VersionHolder, rank_by,
+};
+use agatedeck_records::ConfigSnapshot;
+use agatedeck_wire::{
+    ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, Member, MemberStatus,
+    Offer, OfferAnswer, OfferOutcome, Pull, PullAnswer,
+};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use tokio::sync::watch;
+
+use crate::answer::Answer;
+use crate::context::{NodeContext, ServedConfig};
+use crate::peer::PeerAddress;
+
+/// Number of nodes that remember which version this node puts in force.
+const WITNESSES: usize = 2;
+
+/// Salt of the ranks that select the witnesses.
+const WITNESS_SALT: u64 = 0x7769_746e;
+
+/// Time allowed for one request for missing versions.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Number of nodes asked for missing versions before it is left to the next probe.
+const PULL_ATTEMPTS: usize = 3;
+
+/// Owns the [`VersionHolder`] and publishes what is in force.
+#[derive(Actor)]
+pub(crate) struct ConfigKeeper {
+    context: NodeContext,
+    holder: VersionHolder,
+    floors: BTreeMap<String, u64>,
+    published: watch::Sender<ServedConfig>,
+    pulling: bool,
+}
+
+impl ConfigKeeper {
+    pub(crate) fn new(
+        context: NodeContext,
+        published: watch::Sender<ServedConfig>,
+    ) -> Result<Self, agatedeck_chart::ChartError> {
+        let reads_schema = context.own.reads_schema;
+        let holder = VersionHolder::new(HolderSettings {
+            reads_schema,
+            ..Default::default()
+        })?;
+        Ok(Self {
+            context,
+            holder,
+            floors: BTreeMap::new(),
+            published,
+            pulling: false,
+        })
+    }
+
+    fn publish(&self) {
+        let snapshot = Arc::clone(self.holder.current());
+        let may_serve = self.holder.may_serve();
+        self.published.send_replace(ServedConfig {
+            snapshot,
+            may_serve,
+        });
+    }
+
+    fn carry_out(&mut self, effects: Vec<VersionEffect>, keeper: &ActorRef<Self>) {
+        for effect in effects {
+            match effect {
+                VersionEffect::AskWitnesses { version, deadline } => {
+                    self.ask_witnesses(version, deadline, keeper);
+                }
+                VersionEffect::PutInForce(snapshot) => {
+                    log::info!("version {} is in force", snapshot.version());
+                    self.publish();
+                }
+                VersionEffect::PullFrom(version) => self.pull_missing(version, keeper),
+            }
+        }
+    }
+
+    fn witnesses(&self) -> Vec<PeerAddress> {
+        let own = &self.context.own;
+        let table = self.context.table();
+        let alive = |member: &&Member| {
+            member.domain == own.domain
+                && member.node != own.node
+                && member.status() == MemberStatus::Alive
+        };
+        let mut candidates: Vec<&Member> = table.live().filter(alive).collect();
+        rank_by(WITNESS_SALT, &mut candidates, |member| &member.node);
+        candidates
+            .into_iter()
+            .filter_map(PeerAddress::of)
+            .take(WITNESSES)
+            .collect()
+    }
+
+    fn ask_witnesses(&self, version: u64, deadline: Instant, keeper: &ActorRef<Self>) {
+        let (context, keeper, witnesses) = (self.context.clone(), keeper.clone(), self.witnesses());
+        tokio::spawn(async move {
+            let record = FloorRecord {
+                node: context.own.node.clone(),
+                version,
+            };
+            let runtime_deadline = context.clock.runtime_instant(deadline);
+            let mut answers: FuturesUnordered<_> = witnesses
+                .iter()
+                .map(|witness| {
+                    let request = ControlPlaneRequest::RecordFloor {
+                        record: record.clone(),
+                    };
+                    context.transport.send(witness, request, runtime_deadline)
+                })
+                .collect();
+            while let Some(answer) = answers.next().await {
+                if let Err(error) = answer {
+                    log::debug!("a witness did not record version {version}: {error}");
+                }
+            }
+            // Sent also when a witness failed: its share of the deadline is used up by then.
+            let _ = keeper.tell(WitnessesAsked { version }).await;
+        });
+    }
+
+    fn pull_missing(&mut self, version: u64, keeper: &ActorRef<Self>) {
+        if self.pulling {
+            return;
+        }
+        self.pulling = true;
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let answer = pull_from_peers(&context, version).await;
+            let _ = keeper.tell(PullEnded(answer)).await;
+        });
+    }
+
+    fn take_pulled(&mut self, pulled: &PullAnswer, keeper: &ActorRef<Self>) {
+        let now = self.context.clock.now();
+        if pulled.snapshot.is_empty() {
+            for delta in &pulled.deltas {
+                let version = self.holder.tip().version() + 1;
+                let (_, effects) = self.holder.offer(version, delta, now);
+                self.carry_out(effects, keeper);
+            }
+        } else {
+            let (_, effects) = self
+                .holder
+                .offer_snapshot(&pulled.snapshot, &pulled.digest, now);
+            self.carry_out(effects, keeper);
+        }
+    }
+}
+
+/// Asks nodes that are ahead for what follows `version`, the nearest and newest first.
+async fn pull_from_peers(context: &NodeContext, version: u64) -> Option<PullAnswer> {
+    let table = context.table();
+    let own = &context.own;
+    let mut ahead: Vec<&Member> = table
+        .live()
+        .filter(|member| member.node != own.node)
+        .collect();
+    ahead.sort_by_key(|member| {
+        let far = (member.region != own.region, member.domain != own.domain);
+        (
+            std::cmp::Reverse(member.version > version),
+            far,
+            std::cmp::Reverse(member.version),
+        )
+    });
+    for peer in ahead
+        .into_iter()
+        .filter_map(PeerAddress::of)
+        .take(PULL_ATTEMPTS)
+    {
+        let request = ControlPlaneRequest::Pull {
+            pull: Pull { version },
+        };
+        let deadline = tokio::time::Instant::now() + PULL_TIMEOUT;
+        match context.transport.send(&peer, request, deadline).await {
+            Ok(ControlPlaneResponse::Pull(answer)) if answer.version > version => {
+                return Some(answer);
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!("no versions came from {}: {error}", peer.address),
+        }
+    }
+    None
+}
+
+/// A version offered by another node, the store or the acceptance of a change here.
+pub(crate) struct OfferVersion(pub(crate) Offer);
+
+impl Message<OfferVersion> for ConfigKeeper {
+    type Reply = Answer<OfferAnswer>;
+
+    async fn handle(
+        &mut self,
+        OfferVersion(offer): OfferVersion,
+        context: &mut Context<Self, Answer<OfferAnswer>>,
+    ) -> Answer<OfferAnswer> {
+        let now = self.context.clock.now();
+        let (verdict, effects) = self.holder.offer(offer.version, &offer.delta, now);
+        self.carry_out(effects, context.actor_ref());
+        let (outcome, reason) = match verdict {
+            OfferVerdict::Held => (OfferOutcome::Held, String::new()),
+            OfferVerdict::Stale => (OfferOutcome::Stale, String::new()),
+            OfferVerdict::Behind => (OfferOutcome::Behind, String::new()),
+            OfferVerdict::Refused(reason) => {
+                log::warn!("version {} is refused: {reason}", offer.version);
+                (OfferOutcome::Refused, reason)
+            }
+        };
+        let version = self.holder.current().version();
+        Answer(OfferAnswer {
+            outcome: outcome.into(),
+            version,
+            reason,
+        })
+    }
+}
+
+/// A whole snapshot from the store.
+pub(crate) struct OfferSnapshot {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) digest: Vec<u8>,
+}
+
+impl Message<OfferSnapshot> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, offer: OfferSnapshot, context: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        let (verdict, effects) = self.holder.offer_snapshot(&offer.bytes, &offer.digest, now);
+        if let OfferVerdict::Refused(reason) = verdict {
+            log::warn!("a snapshot is refused: {reason}");
+        }
+        self.carry_out(effects, context.actor_ref());
+    }
+}
+
+struct WitnessesAsked {
+    version: u64,
+}
+
+impl Message<WitnessesAsked> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, asked: WitnessesAsked, context: &mut Context<Self, ()>) {
+        let effects = self.holder.witnessed(asked.version);
+        self.carry_out(effects, context.actor_ref());
+    }
+}
+
+struct PullEnded(Option<PullAnswer>);
+
+impl Message<PullEnded> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, PullEnded(answer): PullEnded, context: &mut Context<Self, ()>) {
+        self.pulling = false;
+        if let Some(answer) = answer {
+            self.take_pulled(&answer, context.actor_ref());
+        }
+    }
+}
+
+/// A node that is behind asks for what it lacks.
+pub(crate) struct PullVersions(pub(crate) Pull);
+
+impl Message<PullVersions> for ConfigKeeper {
+    type Reply = Answer<PullAnswer>;
+
+    async fn handle(
+        &mut self,
+        PullVersions(pull): PullVersions,
+        _: &mut Context<Self, Answer<PullAnswer>>,
+    ) -> Answer<PullAnswer> {
+        let current = self.holder.current();
+        let (version, digest) = (current.version(), current.digest().as_bytes().to_vec());
+        let (deltas, snapshot) = match self.holder.pull(pull.version) {
+            PullReply::Deltas(deltas) => (deltas, Vec::new()),
+            PullReply::Snapshot(snapshot) => (Vec::new(), snapshot),
+        };
+        Answer(PullAnswer {
+            version,
+            deltas,
+            snapshot,
+            digest,
+        })
+    }
+}
+
+/// Another node is about to put a version in force and asks this one to remember it.
+pub(crate) struct RecordFloor(pub(crate) FloorRecord);
+
+impl Message<RecordFloor> for ConfigKeeper {
+    type Reply = Answer<FloorAnswer>;
+
+    async fn handle(
+        &mut self,
+        RecordFloor(record): RecordFloor,
+        _: &mut Context<Self, Answer<FloorAnswer>>,
+    ) -> Answer<FloorAnswer> {
+        let floor = self.floors.entry(record.node).or_default();
+        *floor = (*floor).max(record.version);
+        Answer(FloorAnswer { version: *floor })
+    }
+}
+
+/// Another node holds a newer version, which the tree did not bring.
+pub(crate) struct NoteAhead;
+
+impl Message<NoteAhead> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: NoteAhead, context: &mut Context<Self, ()>) {
+        let version = self.holder.tip().version();
+        self.pull_missing(version, context.actor_ref());
+    }
+}
+
+/// The lowest version that this node may serve is known.
+pub(crate) struct RaiseFloor(pub(crate) u64);
+
+impl Message<RaiseFloor> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, RaiseFloor(floor): RaiseFloor, context: &mut Context<Self, ()>) {
+        self.holder.raise_floor(floor);
+        self.publish();
+        if !self.holder.may_serve() {
+            let version = self.holder.tip().version();
+            self.pull_missing(version, context.actor_ref());
+        }
+    }
+}
+
+/// Asks what this node holds.
+pub(crate) struct ReadHeld;
+
+/// The newest snapshot that passed its check, and what is known about later ones.
+#[derive(Clone, Debug, kameo::Reply)]
+pub(crate) struct HeldTip {
+    pub(crate) tip: Arc<ConfigSnapshot>,
+    pub(crate) refusal: Option<(u64, String)>,
+}
+
+impl Message<ReadHeld> for ConfigKeeper {
+    type Reply = HeldTip;
+
+    async fn handle(&mut self, _: ReadHeld, _: &mut Context<Self, HeldTip>) -> HeldTip {
+        let refusal = self.holder.refusal();
+        HeldTip {
+            tip: Arc::clone(self.holder.tip()),
+            refusal: refusal.map(|(version, reason)| (version, reason.to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/mod.rs
@@ -0,0 +1,8 @@
+//! The configuration that this node holds.
+
+mod keeper;
+
+pub(crate) use keeper::{
+    ConfigKeeper, NoteAhead, OfferSnapshot, OfferVersion, PullVersions, RaiseFloor, ReadHeld,
+    RecordFloor,
+};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,27 @@
-//! The node daemon: actors, sockets and settings.
+//! The node daemon: settings, actors and sockets around the decisions of the other crates.
+//!
+//! Each actor owns one part of the node's state and its handlers are the only code that changes it.
+//! What many tasks read (the configuration in force, the member table) is published as an immutable
+//! value over a watch channel.
+
+mod admin;
+mod answer;
+mod calls;
+mod clock;
+mod config;
+mod context;
+mod logging;
+mod member;
+mod peer;
+mod runtime;
+mod settings;
+mod spread;
+mod store;
+
+pub use logging::{LogError, start_logging};
+pub use peer::link_chart;
+pub use runtime::{Node, NodeAddresses, NodeError};
+pub use settings::{
+    EmulationSettings, ListenSettings, LogLevel, NodeSettings, SpreadChoice, StoreSettings,
+    TargetSettings,
+};
--- /dev/null
+++ b/crates/node/src/peer/server.rs
@@ -0,0 +1,168 @@
+//! The answering side of the control protocol.
+
+use agatedeck_wire::{
+    ControlPlane, ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord,
+    IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer, OfferOutcome, Probe,
+    ProbeAnswer, Pull, PullAnswer, Rumor, RumorAnswer, Survey, SurveyAnswer, Sync, SyncAnswer,
+    control_transport,
+};
+use futures::StreamExt;
+use kameo::actor::ActorRef;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use crate::admin::survey;
+use crate::config::{ConfigKeeper, OfferVersion, PullVersions, RecordFloor};
+use crate::context::NodeContext;
+use crate::member::{
+    AnswerJoin, AnswerProbe, AnswerSync, MemberKeeper, MergeMembers, PROBE_TIMEOUT,
+};
+use crate::peer::PeerAddress;
+use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
+
+/// Hands requests of other nodes to the actors that own the state.
+#[derive(Clone)]
+pub(crate) struct ControlServer {
+    pub(crate) context: NodeContext,
+    pub(crate) config: ActorRef<ConfigKeeper>,
+    pub(crate) members: ActorRef<MemberKeeper>,
+    pub(crate) relay: ActorRef<SpreadRelay>,
+}
+
+/// Accepts connections until the task is aborted. Each connection is owned by a task of its own.
+pub(crate) async fn serve_control(listener: TcpListener, server: ControlServer) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, server.clone()));
+            }
+            Err(error) => {
+                log::warn!("a control connection was not accepted: {error}");
+                // Out of file descriptors, most likely; some are freed when connections close.
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, server: ControlServer) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a control connection was lost at once: {error}");
+        return;
+    }
+    let channel = BaseChannel::with_defaults(control_transport(stream));
+    let requests = channel.execute(server.serve());
+    requests
+        .for_each(|request| async {
+            tokio::spawn(request);
+        })
+        .await;
+}
+
+impl ControlServer {
+    /// Probes a node that the sender could not reach; `None` if this node cannot reach it either.
+    async fn probe_third(&self, probe: &IndirectProbe) -> Option<ControlPlaneResponse> {
+        let table = self.context.table();
+        let peer = PeerAddress::of(table.get(&probe.node)?)?;
+        let own = &self.context.own;
+        let probe = Probe {
+            node: own.node.clone(),
+            incarnation: own.incarnation,
+            version: self.context.served().snapshot.version(),
+            ..Probe::default()
+        };
+        let request = ControlPlaneRequest::Probe { probe };
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        self.context
+            .transport
+            .send(&peer, request, deadline)
+            .await
+            .ok()
+    }
+}
+
+impl ControlPlane for ControlServer {
+    async fn offer(self, _: Context, offer: Offer) -> OfferAnswer {
+        let payload = SpreadPayload::Version {
+            version: offer.version,
+            delta: offer.delta.clone(),
+        };
+        let start =
+            StartSpread::from_message(offer.version, offer.scope(), offer.position, payload);
+        let answer = self
+            .config
+            .ask(OfferVersion(offer))
+            .await
+            .unwrap_or_default()
+            .0;
+        if answer.outcome() != OfferOutcome::Refused {
+            // The relay is gone only when the node is stopping; the sender's probes repair it.
+            let _ = self.relay.tell(start).await;
+        }
+        answer
+    }
+
+    async fn pull(self, _: Context, pull: Pull) -> PullAnswer {
+        self.config
+            .ask(PullVersions(pull))
+            .await
+            .unwrap_or_default()
+            .0
+    }
+
+    async fn probe(self, _: Context, probe: Probe) -> ProbeAnswer {
+        self.members
+            .ask(AnswerProbe(probe))
+            .await
+            .unwrap_or_default()
+            .0
+    }
+
+    async fn probe_through(self, _: Context, probe: IndirectProbe) -> IndirectAnswer {
+        let reached = self.probe_third(&probe).await.is_some();
+        IndirectAnswer { reached }
+    }
+
+    async fn sync(self, _: Context, sync: Sync) -> SyncAnswer {
+        self.members
+            .ask(AnswerSync(sync))
+            .await
+            .unwrap_or_default()
+            .0
+    }
+
+    async fn rumor(self, _: Context, rumor: Rumor) -> RumorAnswer {
+        let payload = SpreadPayload::Rumor {
+            members: rumor.members.clone(),
+            crashes: rumor.crashes.clone(),
+        };
+        let start = StartSpread::from_message(rumor.salt, rumor.scope(), rumor.position, payload);
+        let _ = self.members.tell(MergeMembers(rumor.members)).await;
+        let _ = self.relay.tell(start).await;
+        RumorAnswer {
+            version: self.context.served().snapshot.version(),
+        }
+    }
+
+    async fn record_floor(self, _: Context, record: FloorRecord) -> FloorAnswer {
+        self.config
+            .ask(RecordFloor(record))
+            .await
+            .unwrap_or_default()
+            .0
+    }
+
+    async fn join(self, _: Context, join: Join) -> JoinAnswer {
+        self.members
+            .ask(AnswerJoin(join))
+            .await
+            .unwrap_or_default()
+            .0
+    }
+
+    async fn survey(self, _: Context, request: Survey) -> SurveyAnswer {
+        survey(&self.context, &self.config, request.scope()).await
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/transport.rs
@@ -0,0 +1,66 @@
+//! The border to other nodes.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+
+use agatedeck_control::SpreadDelivery;
+use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member};
+use derive_more::{Display, Error};
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+
+/// Where a node is reached and where it stands.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PeerAddress {
+    pub(crate) address: SocketAddr,
+    pub(crate) region: String,
+    pub(crate) domain: String,
+}
+
+impl PeerAddress {
+    /// Address of a member; `None` if its entry states no usable one.
+    pub(crate) fn of(member: &Member) -> Option<Self> {
+        let address = member.control_address.parse().ok()?;
+        Some(Self {
+            address,
+            region: member.region.clone(),
+            domain: member.domain.clone(),
+        })
+    }
+
+    /// Address of the receiver of a delivery.
+    pub(crate) fn of_delivery(delivery: &SpreadDelivery) -> Option<Self> {
+        let address = delivery.address.parse().ok()?;
+        let (region, domain) = (delivery.region.clone(), delivery.domain.clone());
+        Some(Self {
+            address,
+            region,
+            domain,
+        })
+    }
+}
+
+/// Why a node gave no answer.
+#[derive(Clone, Debug, Display, Error)]
+pub(crate) enum PeerError {
+    /// No connection could be opened, or the node is in the backoff after a failed attempt.
+    #[display("the node cannot be reached")]
+    Unreachable,
+    /// No answer came before the deadline.
+    #[display("the node did not answer in time")]
+    Deadline,
+    /// The connection broke before the answer came.
+    #[display("the connection was lost")]
+    Lost,
+}
+
+/// Sends requests to other nodes.
+pub(crate) trait PeerTransport: Debug + Send + Sync {
+    /// Sends `request` and waits for the answer until `deadline`.
+    fn send<'a>(
+        &'a self,
+        peer: &'a PeerAddress,
+        request: ControlPlaneRequest,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<ControlPlaneResponse, PeerError>>;
+}
--- /dev/null
+++ b/crates/node/src/runtime.rs
@@ -0,0 +1,297 @@
+//! Puts the parts of a node together and takes them down in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_chart::ChartError;
+use agatedeck_control::{MemberTable, PollSpread, SpreadPolicy, TreeSpread};
+use agatedeck_platform::{HttpStore, HttpStoreSettings, StoreError};
+use agatedeck_records::NEWEST_SCHEMA;
+use agatedeck_wire::{Member, MemberStatus};
+use axum::Router;
+use derive_more::{Display, Error, From};
+use kameo::actor::{ActorRef, Spawn};
+use reqwest::Client;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::admin::{AdminState, admin_router};
+use crate::calls::{GatewayState, TargetState, gateway_router, target_router};
+use crate::clock::{ProcessClock, unix_ms};
+use crate::config::ConfigKeeper;
+use crate::context::{NodeContext, ServedConfig};
+use crate::member::{Leave, MemberKeeper, ProbeTick, announce};
+use crate::peer::{
+    ControlServer, DelayedTransport, LinkMeters, LinkTransport, PeerTransport, serve_control,
+};
+use crate::settings::{EmulationSettings, NodeSettings, SpreadChoice};
+use crate::spread::SpreadRelay;
+use crate::store::{ChangeAcceptor, StoreReader, run_reader};
+
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a node did not start.
+#[derive(Debug, Display, Error, From)]
+pub enum NodeError {
+    /// An address cannot be bound.
+    #[display("cannot listen at {address}: {source}")]
+    #[from(ignore)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// A state chart is not sound.
+    #[display("{_0}")]
+    Chart(ChartError),
+    /// The client of the store cannot be set up.
+    #[display("the client of the store cannot be set up: {_0}")]
+    Store(StoreError),
+    /// The HTTP client for calls cannot be set up.
+    #[display("the HTTP client cannot be set up: {_0}")]
+    Client(reqwest::Error),
+}
+
+/// Addresses at which a node listens.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddresses {
+    /// Calls of local callers.
+    pub calls: SocketAddr,
+    /// Calls that other nodes send to the target here.
+    pub peer: SocketAddr,
+    /// Control protocol.
+    pub control: SocketAddr,
+    /// Operators.
+    pub admin: SocketAddr,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    addresses: NodeAddresses,
+    members: ActorRef<MemberKeeper>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+struct Listeners {
+    calls: TcpListener,
+    peer: TcpListener,
+    control: TcpListener,
+    admin: TcpListener,
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| NodeError::Listen { address, source })
+}
+
+impl Listeners {
+    async fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            calls: bind(listen.calls).await?,
+            peer: bind(listen.peer).await?,
+            control: bind(listen.control).await?,
+            admin: bind(listen.admin).await?,
+        })
+    }
+
+    fn addresses(&self) -> io::Result<NodeAddresses> {
+        Ok(NodeAddresses {
+            calls: self.calls.local_addr()?,
+            peer: self.peer.local_addr()?,
+            control: self.control.local_addr()?,
+            admin: self.admin.local_addr()?,
+        })
+    }
+}
+
+fn own_member(settings: &NodeSettings, addresses: &NodeAddresses) -> Member {
+    Member {
+        node: settings.name.clone(),
+        incarnation: unix_ms(),
+        status: MemberStatus::Alive.into(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        service: settings
+            .target
+            .as_ref()
+            .map_or(String::new(), |target| target.service.clone()),
+        control_address: addresses.control.to_string(),
+        peer_address: addresses.peer.to_string(),
+        reads_schema: NEWEST_SCHEMA,
+        version: 0,
+    }
+}
+
+fn spread_policy(settings: &NodeSettings) -> Arc<dyn SpreadPolicy> {
+    match settings.spread {
+        SpreadChoice::Tree => {
+            let store_region = settings.store.region.clone();
+            Arc::new(TreeSpread {
+                store_region,
+                ..Default::default()
+            })
+        }
+        SpreadChoice::Poll => Arc::new(PollSpread::default()),
+    }
+}
+
+fn transport(settings: &NodeSettings, meters: &LinkMeters) -> Arc<dyn PeerTransport> {
+    let links = Arc::new(LinkTransport::start(&settings.region, meters.clone()));
+    if settings.emulation == EmulationSettings::default() {
+        return links;
+    }
+    let (region, domain) = (&settings.region, &settings.domain);
+    Arc::new(DelayedTransport::new(
+        links,
+        region,
+        domain,
+        settings.emulation,
+    ))
+}
+
+fn serve(listener: TcpListener, router: Router) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            log::error!("a listener failed: {error}");
+        }
+    })
+}
+
+impl Node {
+    /// Starts a node. It returns once every listener is open; joining the mesh goes on after that.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or a client cannot be set up.
+    pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let unbound = |source| NodeError::Listen {
+            address: settings.listen.calls,
+            source,
+        };
+        let addresses = listeners.addresses().map_err(unbound)?;
+        let meters = LinkMeters::default();
+        let base_url = settings.store.url.clone();
+        let store = HttpStore::new(&HttpStoreSettings {
+            base_url,
+            ..Default::default()
+        })?;
+        let (published_config, config) = watch::channel(ServedConfig::default());
+        let (published_members, members) = watch::channel(Arc::new(MemberTable::default()));
+        let context = NodeContext {
+            own: Arc::new(own_member(&settings, &addresses)),
+            clock: ProcessClock::start(),
+            store: Arc::new(store),
+            transport: transport(&settings, &meters),
+            policy: spread_policy(&settings),
+            settings: Arc::new(settings),
+            config,
+            members,
+        };
+        let config = ConfigKeeper::spawn(ConfigKeeper::new(context.clone(), published_config)?);
+        let relay = SpreadRelay::spawn(SpreadRelay::new(context.clone()));
+        let members = MemberKeeper::spawn(MemberKeeper::new(
+            context.clone(),
+            published_members,
+            relay.clone(),
+            config.clone(),
+        ));
+        let acceptor = ChangeAcceptor::spawn(ChangeAcceptor {
+            context: context.clone(),
+            config: config.clone(),
+            relay: relay.clone(),
+        });
+        let client = Client::builder().no_proxy().build()?;
+        let target = context
+            .settings
+            .target
+            .as_ref()
+            .map(|target| target.address);
+        let server = ControlServer {
+            context: context.clone(),
+            config: config.clone(),
+            members: members.clone(),
+            relay: relay.clone(),
+        };
+        let admin = AdminState {
+            context: context.clone(),
+            config: config.clone(),
+            acceptor,
+            meters,
+        };
+        let gateway = GatewayState {
+            context: context.clone(),
+            client: client.clone(),
+        };
+        let mut tasks = vec![
+            tokio::spawn(serve_control(listeners.control, server)),
+            serve(listeners.admin, admin_router(admin)),
+            serve(listeners.calls, gateway_router(gateway)),
+            serve(
+                listeners.peer,
+                target_router(TargetState { client, target }),
+            ),
+        ];
+        let reader = StoreReader {
+            context: context.clone(),
+            config,
+            relay,
+        };
+        tasks.push(tokio::spawn(join_mesh(context, members.clone(), reader)));
+        tasks.push(tokio::spawn(probe(members.clone())));
+        log::info!(
+            "listening: calls {}, peer {}, control {}, admin {}",
+            addresses.calls,
+            addresses.peer,
+            addresses.control,
+            addresses.admin
+        );
+        Ok(Self {
+            addresses,
+            members,
+            tasks,
+        })
+    }
+
+    /// Addresses at which the node listens.
+    pub fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// Leaves the mesh and stops.
+    pub async fn shutdown(self) {
+        // The keeper runs until it is dropped below.
+        let _ = self.members.ask(Leave(MemberStatus::Left)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        log::info!("stopped");
+    }
+}
+
+async fn join_mesh(context: NodeContext, members: ActorRef<MemberKeeper>, reader: StoreReader) {
+    announce(&context, &members).await;
+    let head = reader.start_from_store().await;
+    log::info!("the floor is version {}", head.version);
+    run_reader(reader).await;
+}
+
+async fn probe(members: ActorRef<MemberKeeper>) {
+    let mut interval = tokio::time::interval(PROBE_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if members.tell(ProbeTick).await.is_err() {
+            break;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/spread/relay.rs
@@ -0,0 +1,159 @@
+//! The actor that sends this node's part of each tree.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use agatedeck_control::{SpreadDelivery, SpreadOrder, SpreadReach};
+use agatedeck_wire::{ControlPlaneRequest, CrashReport, Member, Offer, Rumor, SpreadScope};
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use tokio::time::Instant;
+
+use crate::context::NodeContext;
+use crate::peer::PeerAddress;
+
+/// Time allowed for a message to be acknowledged before its receiver is replaced. A few times the
+/// round trip between regions.
+const DELIVERY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Number of orders remembered, so that one that arrives twice is passed on once.
+const REMEMBERED_ORDERS: usize = 1024;
+
+/// What is spread.
+#[derive(Clone, Debug)]
+pub(crate) enum SpreadPayload {
+    /// A version with its compressed delta.
+    Version { version: u64, delta: Vec<u8> },
+    /// Member updates and crash reports.
+    Rumor {
+        members: Vec<Member>,
+        crashes: Vec<CrashReport>,
+    },
+}
+
+impl SpreadPayload {
+    fn request(&self, salt: u64, reach: SpreadReach) -> ControlPlaneRequest {
+        let (scope, position) = reach.to_message();
+        let scope = scope.into();
+        match self {
+            Self::Version { version, delta } => {
+                let offer = Offer {
+                    version: *version,
+                    delta: delta.clone(),
+                    scope,
+                    position,
+                };
+                ControlPlaneRequest::Offer { offer }
+            }
+            Self::Rumor { members, crashes } => {
+                let (members, crashes) = (members.clone(), crashes.clone());
+                let rumor = Rumor {
+                    salt,
+                    scope,
+                    position,
+                    members,
+                    crashes,
+                };
+                ControlPlaneRequest::Rumor { rumor }
+            }
+        }
+    }
+}
+
+/// Passes something on to the part of the fleet that the order names.
+#[derive(Clone, Debug)]
+pub(crate) struct StartSpread {
+    pub(crate) order: SpreadOrder,
+    pub(crate) payload: SpreadPayload,
+}
+
+impl StartSpread {
+    /// The order that came with a message.
+    pub(crate) fn from_message(
+        salt: u64,
+        scope: SpreadScope,
+        position: u32,
+        payload: SpreadPayload,
+    ) -> Self {
+        let reach = SpreadReach::from_message(scope, position);
+        Self {
+            order: SpreadOrder { salt, reach },
+            payload,
+        }
+    }
+}
+
+/// Owns the memory of orders carried out. Each delivery is a task of its own.
+#[derive(Actor)]
+pub(crate) struct SpreadRelay {
+    context: NodeContext,
+    seen: BTreeSet<(bool, SpreadOrder)>,
+    seen_order: VecDeque<(bool, SpreadOrder)>,
+}
+
+impl SpreadRelay {
+    pub(crate) fn new(context: NodeContext) -> Self {
+        Self {
+            context,
+            seen: BTreeSet::new(),
+            seen_order: VecDeque::new(),
+        }
+    }
+
+    /// Whether the order came for the first time.
+    fn remember(&mut self, start: &StartSpread) -> bool {
+        let key = (
+            matches!(start.payload, SpreadPayload::Version { .. }),
+            start.order,
+        );
+        if !self.seen.insert(key) {
+            return false;
+        }
+        self.seen_order.push_back(key);
+        if self.seen_order.len() > REMEMBERED_ORDERS
+            && let Some(oldest) = self.seen_order.pop_front()
+        {
+            self.seen.remove(&oldest);
+        }
+        true
+    }
+}
+
+impl Message<StartSpread> for SpreadRelay {
+    type Reply = ();
+
+    async fn handle(&mut self, start: StartSpread, _: &mut Context<Self, ()>) {
+        if !self.remember(&start) {
+            return;
+        }
+        let context = &self.context;
+        let table = context.table();
+        for delivery in context.policy.deliveries(&table, &context.own, start.order) {
+            let (context, payload) = (context.clone(), start.payload.clone());
+            tokio::spawn(async move {
+                deliver(&context, start.order.salt, &payload, delivery).await;
+            });
+        }
+    }
+}
+
+/// Sends one message, and its replacements if it is not acknowledged.
+async fn deliver(context: &NodeContext, salt: u64, payload: &SpreadPayload, first: SpreadDelivery) {
+    let mut open = vec![first];
+    while let Some(delivery) = open.pop() {
+        let Some(peer) = PeerAddress::of_delivery(&delivery) else {
+            continue;
+        };
+        let request = payload.request(salt, delivery.reach);
+        let deadline = Instant::now() + DELIVERY_TIMEOUT;
+        if let Err(error) = context.transport.send(&peer, request, deadline).await {
+            log::debug!("node `{}` did not take a message: {error}", delivery.node);
+            let table = context.table();
+            open.extend(
+                context
+                    .policy
+                    .replacements(&table, &context.own, salt, &delivery),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/acceptor.rs
@@ -0,0 +1,326 @@
+//! The actor that accepts operators' changes, one at a time.
+
+use std::time::Duration;
+
+use agatedeck_control::{
+    AcceptAction, AcceptEvent, AcceptOutcome, AcceptProcess, HEAD_KEY, SNAPSHOT_INTERVAL,
+    SpreadOrder, SpreadReach, change_key, delta_key, snapshot_key, unreadable_nodes,
+};
+use agatedeck_platform::{
+    RowCondition, RowWrite, StoreError, StoreTransaction, TransactionOutcome,
+};
+use agatedeck_records::{PlannedChange, compress, plan_change};
+use agatedeck_wire::{Change, Head, Offer, SpreadScope};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use prost::Message as _;
+use rand::Rng;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::fetch::{CatchUpError, catch_up, read_head};
+use crate::clock::unix_ms;
+use crate::config::{ConfigKeeper, OfferVersion, ReadHeld};
+use crate::context::NodeContext;
+use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
+
+/// Longest pause between two attempts to reach the store.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Owns the changes that are being accepted on this node. Its mailbox is the queue of changes.
+#[derive(Actor)]
+pub(crate) struct ChangeAcceptor {
+    pub(crate) context: NodeContext,
+    pub(crate) config: ActorRef<ConfigKeeper>,
+    pub(crate) relay: ActorRef<SpreadRelay>,
+}
+
+/// A change with the time by which its operator wants an answer.
+pub(crate) struct AcceptChange {
+    pub(crate) change: Change,
+    pub(crate) deadline: Instant,
+}
+
+/// Outcome of a change; `None` if the node is stopping.
+#[derive(Debug, kameo::Reply)]
+pub(crate) struct AcceptReply(pub(crate) Option<AcceptOutcome>);
+
+impl Message<AcceptChange> for ChangeAcceptor {
+    type Reply = AcceptReply;
+
+    async fn handle(
+        &mut self,
+        AcceptChange { change, deadline }: AcceptChange,
+        _: &mut Context<Self, AcceptReply>,
+    ) -> AcceptReply {
+        let Ok(process) = AcceptProcess::new() else {
+            return AcceptReply(None);
+        };
+        let mut course = AcceptCourse {
+            acceptor: self,
+            change: &change,
+            process,
+            head: None,
+            plan: None,
+            written: None,
+        };
+        let outcome = course.run(deadline).await;
+        if let (Some(AcceptOutcome::Accepted(_)), Some(plan)) = (&outcome, course.written.take()) {
+            self.put_in_force(plan).await;
+        }
+        AcceptReply(outcome)
+    }
+}
+
+impl ChangeAcceptor {
+    async fn put_in_force(&self, plan: PlannedChange) {
+        let version = plan.delta.version;
+        let delta = compress(&plan.delta);
+        log::info!(
+            "change `{}` is accepted as version {version}",
+            plan.delta.change_id
+        );
+        let scope = SpreadScope::Self_.into();
+        let offer = Offer {
+            version,
+            delta: delta.clone(),
+            scope,
+            position: 0,
+        };
+        let order = SpreadOrder {
+            salt: version,
+            reach: SpreadReach::Everywhere,
+        };
+        let payload = SpreadPayload::Version { version, delta };
+        // Both actors are gone only when the node is stopping; the readers of the store then spread
+        // the version.
+        let _ = self.relay.tell(StartSpread { order, payload }).await;
+        let _ = self.config.ask(OfferVersion(offer)).await;
+    }
+}
+
+/// Carries out the actions of one change.
+struct AcceptCourse<'a> {
+    acceptor: &'a ChangeAcceptor,
+    change: &'a Change,
+    process: AcceptProcess,
+    head: Option<(Head, u64)>,
+    plan: Option<PlannedChange>,
+    written: Option<PlannedChange>,
+}
+
+impl AcceptCourse<'_> {
+    async fn run(&mut self, deadline: Instant) -> Option<AcceptOutcome> {
+        let mut next = Some(AcceptAction::ReadHead);
+        while let Some(action) = next.take() {
+            if action == AcceptAction::Answer {
+                break;
+            }
+            let event = tokio::select! {
+                event = self.carry_out(action) => event,
+                () = sleep_until(deadline) => AcceptEvent::Deadline,
+            };
+            next = self.process.advance(event).first().copied();
+        }
+        self.process.outcome()
+    }
+
+    async fn carry_out(&mut self, action: AcceptAction) -> AcceptEvent {
+        match action {
+            AcceptAction::RetryRead => {
+                pause().await;
+                self.read_head().await
+            }
+            AcceptAction::ReadHead => self.read_head().await,
+            AcceptAction::MakePlan => self.make_plan().await,
+            AcceptAction::Write => self.write().await,
+            AcceptAction::RetryLookUp => {
+                pause().await;
+                self.look_up().await
+            }
+            AcceptAction::LookUp | AcceptAction::Answer => self.look_up().await,
+        }
+    }
+
+    async fn read_head(&mut self) -> AcceptEvent {
+        let context = &self.acceptor.context;
+        let read = async {
+            let (head, revision) = read_head(context).await?;
+            catch_up(context, &self.acceptor.config, &head).await?;
+            Ok::<_, CatchUpError>((head, revision))
+        };
+        match read.await {
+            Ok(head) => {
+                self.head = Some(head);
+                AcceptEvent::HeadRead
+            }
+            Err(error) => {
+                log::warn!("the newest version could not be read: {error}");
+                AcceptEvent::Unreachable
+            }
+        }
+    }
+
+    async fn make_plan(&mut self) -> AcceptEvent {
+        let Ok(held) = self.acceptor.config.ask(ReadHeld).await else {
+            return AcceptEvent::Deadline;
+        };
+        let plan = match plan_change(&held.tip, self.change, unix_ms()) {
+            Ok(plan) => plan,
+            Err(refusal) => {
+                self.process.note_refusal(AcceptOutcome::Refused(refusal));
+                return AcceptEvent::PlanRefused;
+            }
+        };
+        let table = self.acceptor.context.table();
+        let unreadable = unreadable_nodes(&plan.snapshot, table.live());
+        if !unreadable.is_empty() && !self.change.insist {
+            self.process
+                .note_refusal(AcceptOutcome::Unreadable(unreadable));
+            return AcceptEvent::PlanRefused;
+        }
+        self.plan = Some(plan);
+        AcceptEvent::PlanMade
+    }
+
+    async fn write(&mut self) -> AcceptEvent {
+        let (Some(plan), Some((head, revision))) = (self.plan.take(), self.head.take()) else {
+            return AcceptEvent::Unreachable;
+        };
+        // The tip moved on after the head was read, so the transaction would fail anyway.
+        if plan.delta.version != head.version + 1 {
+            return AcceptEvent::ConditionFailed;
+        }
+        let context = &self.acceptor.context;
+        let head = match self.next_head(&plan, &head).await {
+            Ok(head) => head,
+            Err(error) => {
+                log::warn!("a snapshot could not be stored: {error}");
+                return AcceptEvent::Unreachable;
+            }
+        };
+        let transaction = transaction(&plan, &head, revision);
+        let written = context
+            .store
+            .transact(&transaction, context.store_deadline())
+            .await;
+        match written {
+            Ok(TransactionOutcome::Committed(_)) => {
+                self.process.note_version(plan.delta.version);
+                self.written = Some(plan);
+                AcceptEvent::Committed
+            }
+            Ok(TransactionOutcome::Refused(_)) => AcceptEvent::ConditionFailed,
+            Err(StoreError::Unreachable(_)) => AcceptEvent::Unreachable,
+            Err(error) => {
+                log::warn!("a change was written without an answer: {error}");
+                self.written = Some(plan);
+                AcceptEvent::Unanswered
+            }
+        }
+    }
+
+    /// The head row for `plan`. Stores a snapshot first when one is due, so that the head never
+    /// names an object that is not there.
+    async fn next_head(&self, plan: &PlannedChange, head: &Head) -> Result<Head, StoreError> {
+        let (version, digest) = (plan.delta.version, plan.delta.digest.clone());
+        if version < head.stored_snapshot + SNAPSHOT_INTERVAL {
+            return Ok(Head {
+                version,
+                digest,
+                ..head.clone()
+            });
+        }
+        let context = &self.acceptor.context;
+        let bytes = plan.snapshot.compressed();
+        let key = snapshot_key(version, &digest);
+        context
+            .store
+            .write_object(&key, &bytes, context.store_deadline())
+            .await?;
+        Ok(Head {
+            version,
+            stored_snapshot: version,
+            stored_digest: digest.clone(),
+            digest,
+        })
+    }
+
+    async fn look_up(&mut self) -> AcceptEvent {
+        match look_up(&self.acceptor.context, &self.change.change_id).await {
+            LookedUp::Accepted(version) => {
+                self.process.note_version(version);
+                let own = self
+                    .written
+                    .as_ref()
+                    .is_some_and(|plan| plan.delta.version == version);
+                if !own {
+                    self.written = None;
+                }
+                AcceptEvent::ChangeFound
+            }
+            LookedUp::Absent => AcceptEvent::ChangeAbsent,
+            LookedUp::NotKnown => AcceptEvent::Unreachable,
+        }
+    }
+}
+
+async fn pause() {
+    let pause = rand::rng().random_range(Duration::ZERO..MAX_RETRY_PAUSE);
+    sleep(pause).await;
+}
+
+fn transaction(plan: &PlannedChange, head: &Head, head_revision: u64) -> StoreTransaction {
+    let version = plan.delta.version;
+    let change = change_key(&plan.delta.change_id);
+    let write = |key: String, value: Vec<u8>| RowWrite {
+        key,
+        value: Some(value),
+    };
+    StoreTransaction {
+        conditions: vec![
+            RowCondition {
+                key: HEAD_KEY.to_owned(),
+                revision: head_revision,
+            },
+            RowCondition {
+                key: change.clone(),
+                revision: 0,
+            },
+        ],
+        writes: vec![
+            write(HEAD_KEY.to_owned(), head.encode_to_vec()),
+            write(delta_key(version), compress(&plan.delta)),
+            write(change, version.to_string().into_bytes()),
+        ],
+    }
+}
+
+/// What the store says of a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LookedUp {
+    /// It was accepted as this version.
+    Accepted(u64),
+    /// It was not accepted so far.
+    Absent,
+    /// The store gave no usable answer.
+    NotKnown,
+}
+
+/// Looks a change up by its id.
+pub(crate) async fn look_up(context: &NodeContext, change_id: &str) -> LookedUp {
+    let key = change_key(change_id);
+    match context.store.read_row(&key, context.store_deadline()).await {
+        Ok(None) => LookedUp::Absent,
+        Ok(Some(row)) => {
+            let version = std::str::from_utf8(&row.value)
+                .ok()
+                .and_then(|text| text.parse().ok());
+            version.map_or(LookedUp::NotKnown, LookedUp::Accepted)
+        }
+        Err(error) => {
+            log::warn!("change `{change_id}` could not be looked up: {error}");
+            LookedUp::NotKnown
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/fetch.rs
@@ -0,0 +1,144 @@
+//! Brings the configuration held up to the head of the store.
+
+use agatedeck_control::{DELTA_PREFIX, HEAD_KEY, delta_key, snapshot_key};
+use agatedeck_platform::{StoreError, StoredRow};
+use agatedeck_wire::{Head, Offer, OfferOutcome, SpreadScope};
+use derive_more::{Display, Error, From};
+use kameo::actor::ActorRef;
+use prost::Message as _;
+
+use crate::answer::Answer;
+use crate::config::{ConfigKeeper, OfferSnapshot, OfferVersion, ReadHeld};
+use crate::context::NodeContext;
+
+/// Deltas read in one request.
+const DELTAS_PER_READ: usize = 64;
+
+/// Why the versions in the store could not be taken in.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum CatchUpError {
+    /// The store gave no answer.
+    #[display("{_0}")]
+    Store(StoreError),
+    /// A row or object in the store is not what it should be.
+    #[display("{_0}")]
+    #[from(ignore)]
+    Damaged(#[error(not(source))] String),
+    /// The node is stopping.
+    #[display("the node is stopping")]
+    #[from(ignore)]
+    Stopping,
+}
+
+/// Reads the head row; the revision is 0 if there is no such row yet.
+pub(crate) async fn read_head(context: &NodeContext) -> Result<(Head, u64), CatchUpError> {
+    match context
+        .store
+        .read_row(HEAD_KEY, context.store_deadline())
+        .await?
+    {
+        None => Ok((Head::default(), 0)),
+        Some(row) => {
+            let head = Head::decode(row.value.as_slice());
+            let head =
+                head.map_err(|error| CatchUpError::Damaged(format!("row `head`: {error}")))?;
+            Ok((head, row.revision))
+        }
+    }
+}
+
+/// Takes in every version up to that of `head`. Returns the versions taken in with their compressed
+/// deltas, oldest first; none if a whole snapshot was read.
+pub(crate) async fn catch_up(
+    context: &NodeContext,
+    config: &ActorRef<ConfigKeeper>,
+    head: &Head,
+) -> Result<Vec<(u64, Vec<u8>)>, CatchUpError> {
+    let mut taken = Vec::new();
+    loop {
+        let tip = tip_version(config).await?;
+        if tip >= head.version {
+            return Ok(taken);
+        }
+        if head.stored_snapshot > tip {
+            fetch_snapshot(context, config, head).await?;
+            continue;
+        }
+        let after = delta_key(tip);
+        let rows = context
+            .store
+            .scan_rows(
+                DELTA_PREFIX,
+                &after,
+                DELTAS_PER_READ,
+                context.store_deadline(),
+            )
+            .await?;
+        if rows.is_empty() {
+            let message = format!("version {} is missing from the store", tip + 1);
+            return Err(CatchUpError::Damaged(message));
+        }
+        for row in rows {
+            taken.push(take_row(config, row).await?);
+        }
+    }
+}
+
+/// The newest version that passed its check.
+pub(super) async fn tip_version(config: &ActorRef<ConfigKeeper>) -> Result<u64, CatchUpError> {
+    let held = config
+        .ask(ReadHeld)
+        .await
+        .map_err(|_| CatchUpError::Stopping)?;
+    Ok(held.tip.version())
+}
+
+async fn take_row(
+    config: &ActorRef<ConfigKeeper>,
+    row: StoredRow,
+) -> Result<(u64, Vec<u8>), CatchUpError> {
+    let version = row
+        .key
+        .strip_prefix(DELTA_PREFIX)
+        .and_then(|digits| digits.parse().ok());
+    let version: u64 =
+        version.ok_or_else(|| CatchUpError::Damaged(format!("row `{}`", row.key)))?;
+    let scope = SpreadScope::Self_.into();
+    let offer = Offer {
+        version,
+        delta: row.value.clone(),
+        scope,
+        position: 0,
+    };
+    let answer = config.ask(OfferVersion(offer)).await;
+    let Answer(answer) = answer.map_err(|_| CatchUpError::Stopping)?;
+    if answer.outcome() == OfferOutcome::Refused {
+        return Err(CatchUpError::Damaged(format!(
+            "version {version}: {}",
+            answer.reason
+        )));
+    }
+    Ok((version, row.value))
+}
+
+async fn fetch_snapshot(
+    context: &NodeContext,
+    config: &ActorRef<ConfigKeeper>,
+    head: &Head,
+) -> Result<(), CatchUpError> {
+    let key = snapshot_key(head.stored_snapshot, &head.stored_digest);
+    let bytes = context
+        .store
+        .read_object(&key, context.store_deadline())
+        .await?;
+    let bytes = bytes.ok_or_else(|| CatchUpError::Damaged(format!("object `{key}` is missing")))?;
+    let digest = head.stored_digest.clone();
+    config
+        .ask(OfferSnapshot { bytes, digest })
+        .await
+        .map_err(|_| CatchUpError::Stopping)?;
+    if tip_version(config).await? < head.stored_snapshot {
+        return Err(CatchUpError::Damaged(format!("object `{key}` is refused")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/store/mod.rs
@@ -0,0 +1,8 @@
+//! Reading versions from the platform's store and writing them to it.
+
+mod acceptor;
+mod fetch;
+mod reader;
+
+pub(crate) use acceptor::{AcceptChange, AcceptReply, ChangeAcceptor, LookedUp, look_up};
+pub(crate) use reader::{StoreReader, run_reader};
--- /dev/null
+++ b/crates/node/src/store/reader.rs
@@ -0,0 +1,119 @@
+//! Polls the head of the store when this node is one of its readers.
+//!
+//! Polling repairs what the accepting node could not spread. A wrong view of the membership makes a
+//! second node poll, or none until the view is right again.
+
+use std::time::Duration;
+
+use agatedeck_control::{SpreadOrder, SpreadReach};
+use agatedeck_wire::Head;
+use kameo::actor::ActorRef;
+use rand::Rng;
+use tokio::time::sleep;
+
+use super::fetch::{CatchUpError, catch_up, read_head, tip_version};
+use crate::config::{ConfigKeeper, RaiseFloor};
+use crate::context::NodeContext;
+use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
+
+/// Pause before a node that is not a reader looks again whether it has become one.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time that a version found in the store is given to arrive over the tree. Reading it at once would
+/// send most changes through each region twice.
+const TREE_GRACE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed reads.
+const MAX_BACKOFF: Duration = Duration::from_secs(10);
+
+/// What a reader works with.
+#[derive(Clone)]
+pub(crate) struct StoreReader {
+    pub(crate) context: NodeContext,
+    pub(crate) config: ActorRef<ConfigKeeper>,
+    pub(crate) relay: ActorRef<SpreadRelay>,
+}
+
+/// Polls until the task is aborted.
+pub(crate) async fn run_reader(reader: StoreReader) {
+    let mut failures = 0;
+    loop {
+        let interval = reader.poll_interval();
+        let Some(interval) = interval else {
+            failures = 0;
+            sleep(jittered(ROLE_CHECK_INTERVAL)).await;
+            continue;
+        };
+        let backoff = interval
+            .saturating_mul(1 << u32::min(failures, 8))
+            .min(MAX_BACKOFF);
+        sleep(jittered(backoff.max(interval))).await;
+        match reader.poll().await {
+            Ok(()) => failures = 0,
+            Err(error) => {
+                failures += 1;
+                log::warn!("the store could not be read: {error}");
+            }
+        }
+    }
+}
+
+/// Between half of `pause` and one and a half times as long, so that readers spread out.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+impl StoreReader {
+    fn poll_interval(&self) -> Option<Duration> {
+        let context = &self.context;
+        context.policy.poll_interval(&context.table(), &context.own)
+    }
+
+    async fn poll(&self) -> Result<(), CatchUpError> {
+        let (head, _) = read_head(&self.context).await?;
+        if tip_version(&self.config).await? >= head.version {
+            return Ok(());
+        }
+        sleep(TREE_GRACE).await;
+        let found = catch_up(&self.context, &self.config, &head).await?;
+        for (version, delta) in found {
+            self.spread(version, delta).await;
+        }
+        Ok(())
+    }
+
+    async fn spread(&self, version: u64, delta: Vec<u8>) {
+        let order = SpreadOrder {
+            salt: version,
+            reach: SpreadReach::Region,
+        };
+        let payload = SpreadPayload::Version { version, delta };
+        // The relay is gone only when the node is stopping.
+        let _ = self.relay.tell(StartSpread { order, payload }).await;
+    }
+
+    /// Reads the floor and the versions up to it, until it succeeds.
+    pub(crate) async fn start_from_store(&self) -> Head {
+        let mut failures = 0;
+        loop {
+            match self.try_start().await {
+                Ok(head) => return head,
+                Err(error) => log::warn!("the floor could not be read from the store: {error}"),
+            }
+            let backoff = Duration::from_millis(200).saturating_mul(1 << u32::min(failures, 6));
+            failures += 1;
+            sleep(jittered(backoff.min(MAX_BACKOFF))).await;
+        }
+    }
+
+    async fn try_start(&self) -> Result<Head, CatchUpError> {
+        let (head, _) = read_head(&self.context).await?;
+        catch_up(&self.context, &self.config, &head).await?;
+        let floor = RaiseFloor(head.version);
+        self.config
+            .ask(floor)
+            .await
+            .map_err(|_| CatchUpError::Stopping)?;
+        Ok(head)
+    }
+}
--- /dev/null
+++ b/src/bin/agatedeck-node.rs
@@ -0,0 +1,115 @@
+//! The node daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use agatedeck::{Node, NodeSettings, start_logging};
+use lexopt::prelude::*;
+use log::LevelFilter;
+use miette::{IntoDiagnostic, Result, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+
+const HELP: &str = "\
+Runs the node beside a target.
+
+Usage: agatedeck-node --config FILE [--check]
+
+Options:
+  --config FILE  settings in TOML; docs/operations.md lists them
+  --check        check the settings and exit
+  --help         print this text
+  --version      print the version
+
+Exit codes:
+  0  the node was stopped, or the settings are in order
+  1  the node could not start
+  2  the command line or the settings are wrong
+";
+
+const BAD_INPUT: u8 = 2;
+
+struct Arguments {
+    config: PathBuf,
+    check: bool,
+}
+
+enum Invocation {
+    Run(Arguments),
+    Print(String),
+}
+
+fn parse_arguments() -> Result<Invocation, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let (mut config, mut check) = (None, false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("config") => config = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("help") | Short('h') => return Ok(Invocation::Print(HELP.to_owned())),
+            Long("version") => {
+                let version = concat!("agatedeck-node ", env!("CARGO_PKG_VERSION"), "\n");
+                return Ok(Invocation::Print(version.to_owned()));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    let config = config.ok_or("`--config FILE` is missing")?;
+    Ok(Invocation::Run(Arguments { config, check }))
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse_arguments() {
+        Ok(Invocation::Run(arguments)) => arguments,
+        Ok(Invocation::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("agatedeck-node: {error}\n\n{HELP}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    let settings = match read_settings(&arguments) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    if arguments.check {
+        println!("{}: the settings are in order", arguments.config.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(arguments: &Arguments) -> Result<NodeSettings, String> {
+    let file = arguments.config.display().to_string();
+    let text = std::fs::read_to_string(&arguments.config);
+    let text = text.map_err(|error| format!("{file}: {error}"))?;
+    NodeSettings::parse(&file, &text).map_err(|findings| findings.to_string())
+}
+
+#[tokio::main]
+async fn run(settings: NodeSettings) -> Result<()> {
+    let level = settings.log_level.unwrap_or(LevelFilter::Info);
+    start_logging(&settings.name, level).into_diagnostic()?;
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let node = Node::start(settings)
+        .await
+        .into_diagnostic()
+        .wrap_err("the node did not start")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    node.shutdown().await;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,14 @@
-//! agatedeck.
+//! agatedeck distributes versioned configuration to every proxy of a service mesh and carries calls
+//! to healthy targets by that configuration.
+//!
+//! `docs/design.md` describes the system. The daemon `agatedeck-node` and the command line
+//! `agatedeckctl` are thin programs over what is listed here.
+
+pub use agatedeck_node::{
+    EmulationSettings, ListenSettings, LogLevel, Node, NodeAddresses, NodeError, NodeSettings,
+    SpreadChoice, StoreSettings, TargetSettings, start_logging,
+};
+pub use agatedeck_records::{
+    ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, RecordConflict, RecordFault,
+    RecordKey, SnapshotView, plan_change, read_record_file, render_record,
+};
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,258 @@
+//! Starts real node processes around the stand-ins of the platform and of the targets.
+
+#![allow(dead_code, reason = "each test file uses a part of the support code")]
+
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use agatedeck_standin::{PlatformServer, TargetServer, TargetSettings};
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// Time allowed for a node to open its listeners.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Places and services of the fleet that a test starts.
+pub(crate) struct FleetSettings {
+    /// Region, failure domain and service of each node.
+    pub(crate) nodes: Vec<(&'static str, &'static str, &'static str)>,
+    /// Region of the store.
+    pub store_region: &'static str,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            nodes: vec![
+                ("kolkata", "kolkata-a", "slotfinder"),
+                ("kolkata", "kolkata-b", "slotfinder"),
+                ("mumbai", "mumbai-a", "slotfinder"),
+                ("mumbai", "mumbai-b", "depositdesk"),
+            ],
+            store_region: "kolkata",
+        }
+    }
+}
+
+/// Addresses that a node wrote to its log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NodeAddresses {
+    pub(crate) calls: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) admin: SocketAddr,
+}
+
+/// A node process. It is killed when dropped.
+pub(crate) struct NodeProcess {
+    pub(crate) name: String,
+    pub(crate) addresses: NodeAddresses,
+    pub(crate) child: Child,
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A platform, targets and node processes.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformServer,
+    pub(crate) targets: Vec<TargetServer>,
+    pub(crate) nodes: Vec<NodeProcess>,
+    pub(crate) client: reqwest::Client,
+    folder: TempDir,
+}
+
+/// Answer to a call.
+#[derive(Debug)]
+pub(crate) struct CallAnswer {
+    pub(crate) status: u16,
+    pub(crate) outcome: String,
+    pub(crate) body: Value,
+}
+
+impl Fleet {
+    pub(crate) async fn start(settings: FleetSettings) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any).await.expect("platform stand-in");
+        let folder = tempfile::tempdir().expect("temporary folder");
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .build()
+            .expect("HTTP client");
+        let mut fleet = Self {
+            platform,
+            targets: Vec::new(),
+            nodes: Vec::new(),
+            client,
+            folder,
+        };
+        for (index, (region, domain, service)) in settings.nodes.iter().enumerate() {
+            let name = format!("node-{index}");
+            let target = TargetServer::start(TargetSettings {
+                service: (*service).to_owned(),
+                name: name.clone(),
+                ..Default::default()
+            })
+            .await
+            .expect("target stand-in");
+            let file = fleet.write_settings(
+                &name,
+                region,
+                domain,
+                service,
+                target.address(),
+                settings.store_region,
+            );
+            fleet.targets.push(target);
+            fleet.nodes.push(start_node(name, &file));
+        }
+        fleet
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        region: &str,
+        domain: &str,
+        service: &str,
+        target: SocketAddr,
+        store_region: &str,
+    ) -> PathBuf {
+        let text = format!(
+            r#"
+[node]
+name = "{name}"
+region = "{region}"
+domain = "{domain}"
+
+[listen]
+calls = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+control = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+
+[store]
+url = "{}"
+region = "{store_region}"
+
+[target]
+service = "{service}"
+address = "{target}"
+"#,
+            self.platform.base_url()
+        );
+        let file = self.folder.path().join(format!("{name}.toml"));
+        std::fs::write(&file, text).expect("settings are written");
+        file
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    pub(crate) async fn post_change(&self, node: usize, change: &Value) -> Value {
+        let url = format!("http://{}/v1/changes", self.nodes[node].addresses.admin);
+        let answer = self
+            .client
+            .post(url)
+            .json(change)
+            .send()
+            .await
+            .expect("admin answers");
+        answer.json().await.expect("JSON answer")
+    }
+
+    pub(crate) async fn version(&self, node: usize) -> Option<u64> {
+        let url = format!("http://{}/v1/node", self.nodes[node].addresses.admin);
+        let state: Value = self.client.get(url).send().await.ok()?.json().await.ok()?;
+        (state["report"]["phase"] == "serving").then(|| state["report"]["version"].as_u64())?
+    }
+
+    pub(crate) async fn call(&self, node: usize, path: &str, id: &str) -> CallAnswer {
+        let url = format!("http://{}{path}", self.nodes[node].addresses.calls);
+        let request = self.client.get(url).header("x-request-id", id);
+        let answer = request.send().await.expect("the node answers");
+        let outcome = answer.headers().get("agatedeck-outcome");
+        let outcome = outcome
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let status = answer.status().as_u16();
+        let body = answer.bytes().await.unwrap_or_default();
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        CallAnswer {
+            status,
+            outcome,
+            body,
+        }
+    }
+}
+
+/// Starts a node process and waits until it wrote its addresses to its log.
+pub(crate) fn start_node(name: String, settings: &PathBuf) -> NodeProcess {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_agatedeck-node"))
+        .arg("--config")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the node starts");
+    let stdout = child.stdout.take().expect("standard output");
+    let (sender, receiver) = mpsc::channel();
+    // Reads the log to its end, so that the node never blocks on a full pipe.
+    std::thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            let line: Value = serde_json::from_str(&line).unwrap_or(Value::Null);
+            if let Some(addresses) = line["message"].as_str().and_then(read_addresses) {
+                // The receiver is gone once the addresses are known.
+                let _ = sender.send(addresses);
+            }
+        }
+    });
+    let addresses = receiver
+        .recv_timeout(START_TIMEOUT)
+        .expect("the node opens its listeners");
+    NodeProcess {
+        name,
+        addresses,
+        child,
+    }
+}
+
+fn read_addresses(message: &str) -> Option<NodeAddresses> {
+    let parts = message.strip_prefix("listening: ")?;
+    let mut addresses = parts
+        .split(", ")
+        .map(|part| part.split(' ').nth(1)?.parse().ok());
+    Some(NodeAddresses {
+        calls: addresses.next()??,
+        peer: addresses.next()??,
+        control: addresses.next()??,
+        admin: addresses.next()??,
+    })
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn eventually<F, C>(timeout: Duration, condition: F)
+where
+    F: Fn() -> C,
+    C: Future<Output = bool>,
+{
+    let deadline = Instant::now() + timeout;
+    while !condition().await {
+        assert!(
+            Instant::now() < deadline,
+            "the condition did not hold within {timeout:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,56 @@
+//! Guards the whole path over separate processes: a change accepted by one node is in force on
+//! every node, and a call to any node is answered by a target of the service.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use support::{Fleet, FleetSettings, eventually};
+
+const RECORDS: &str = r#"
+[[policy]]
+name = "standard"
+[[policy.form]]
+schema = 1
+
+[[service]]
+name = "slotfinder"
+[[service.form]]
+schema = 1
+policy = "standard"
+health_path = "/health"
+
+[[route]]
+name = "slots"
+[[route.form]]
+schema = 1
+prefix = "/slots"
+service = "slotfinder"
+"#;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_every_node_and_calls_are_answered() {
+    let fleet = Fleet::start(FleetSettings::default()).await;
+    let writes = agatedeck::read_record_file("records.toml", RECORDS).expect("records are valid");
+    let change = json!({
+        "change_id": "first", "operator": "test", "writes": writes, "insist": false,
+    });
+    let accepted = fleet.post_change(0, &change).await;
+    assert_eq!(accepted["outcome"], "accepted", "{accepted}");
+    assert_eq!(accepted["version"], 1);
+
+    for node in 0..fleet.len() {
+        eventually(Duration::from_secs(10), || async {
+            fleet.version(node).await == Some(1)
+        })
+        .await;
+        eventually(Duration::from_secs(10), || async {
+            let answer = fleet.call(node, "/slots/today", "call-1").await;
+            answer.outcome == "answered" && answer.body["request"] == "call-1"
+        })
+        .await;
+        let missing = fleet.call(node, "/nothing", "call-2").await;
+        assert_eq!((missing.status, missing.outcome.as_str()), (404, "not-run"));
+    }
+}
