Add routing, admission and retry decisions

A caller's node needs to choose a target from what it measures itself, since reported load lags; a target's node needs to refuse what it cannot finish.

Ruled out: plain rendezvous ranks for subsets, because they bound the connections of a target only on average. Callers take targets in rounds instead, which bounds them exactly where views agree. Ruled out: refusing at the caller when all targets look full, because only the target's own node knows.

Retries take a token only when nothing else forbids them. Only the retry decisions have tests so far; board and admission follow.

--- /dev/null
+++ b/crates/calls/src/admission/queue.rs
@@ -0,0 +1,388 @@
+//! The slots and the queue of one target.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use derive_more::{Display, From, Into};
+
+use super::service_time::ServiceTime;
+use super::tenant::{TenantKey, TenantRing};
+
+/// Steps in which a warming target opens its slots.
+const WARM_UP_STEPS: u32 = 8;
+
+/// Number of a call at this node, given by its caller.
+#[derive(Clone, Copy, Debug, Display, Eq, From, Hash, Into, Ord, PartialEq, PartialOrd)]
+pub struct CallId(u64);
+
+/// Settings of an [`AdmissionQueue`], from the endpoint policy.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionSettings {
+    /// Calls that the target runs at the same time.
+    pub slots: u32,
+    /// Calls that may wait for a slot.
+    pub queue: u32,
+    /// Largest share of the slots and of the queue that one tenant holds while others want them,
+    /// in percent; 0 sets no limit, as in records of schema 1.
+    pub tenant_share_percent: u32,
+    /// Time over which the slots of a new target are opened, in milliseconds.
+    pub warm_up_ms: u32,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            slots: 10,
+            queue: 40,
+            tenant_share_percent: 50,
+            warm_up_ms: 0,
+        }
+    }
+}
+
+/// A call that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTicket<'a> {
+    /// Number of the call; not in use by another call here.
+    pub call: CallId,
+    /// Tenant that the call is counted for.
+    pub tenant: &'a str,
+    /// Deadline of the call.
+    pub deadline: Instant,
+}
+
+/// Why a call is refused as `not-run`.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+pub enum RefusalReason {
+    /// The queue is full.
+    #[display("the queue of the target is full")]
+    QueueFull,
+    /// The tenant holds its share of the queue and others want theirs.
+    #[display("the tenant holds its share of the queue")]
+    TenantShare,
+    /// The call cannot be answered by its deadline.
+    #[display("the call cannot be answered by its deadline")]
+    Deadline,
+    /// The target leaves.
+    #[display("the target is draining")]
+    Draining,
+}
+
+/// What the caller of an [`AdmissionQueue`] is to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionEffect {
+    /// Send the call to the target.
+    Run(CallId),
+    /// Answer `not-run`; the call has not been sent to the target.
+    Refuse(CallId, RefusalReason),
+    /// Stop the call at the target, then release it.
+    Stop(CallId),
+    /// The target drains and has no call left.
+    Drained,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CallEntry {
+    tenant: TenantKey,
+    deadline: Instant,
+    /// When the call was sent to the target; `None` while it is queued.
+    started_at: Option<Instant>,
+}
+
+/// The slots and the queue of one target.
+///
+/// Invariants: a call is refused only before it is run; at most
+/// [`slots`](AdmissionSettings::slots) calls run and [`queue`](AdmissionSettings::queue) calls
+/// wait; no call waits while a slot is open; no call is run after its deadline.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    settings: AdmissionSettings,
+    calls: HashMap<CallId, CallEntry>,
+    ring: TenantRing,
+    /// Queued calls by deadline.
+    deadlines: BTreeSet<(Instant, CallId)>,
+    running: u32,
+    service_time: ServiceTime,
+    warm_at: Instant,
+    draining: bool,
+    told_drained: bool,
+}
+
+impl AdmissionQueue {
+    /// The queue of a target that starts, cold, at `now`.
+    pub fn new(settings: AdmissionSettings, now: Instant) -> Self {
+        Self {
+            warm_at: now.after(Duration::from_millis(settings.warm_up_ms.into())),
+            settings,
+            calls: HashMap::new(),
+            ring: TenantRing::default(),
+            deadlines: BTreeSet::new(),
+            running: 0,
+            service_time: ServiceTime::default(),
+            draining: false,
+            told_drained: false,
+        }
+    }
+
+    /// Sets the weight of a tenant in the turn; 1 if never set.
+    pub fn set_weight(&mut self, tenant: &str, weight: u32) {
+        self.ring.set_weight(tenant, weight);
+    }
+
+    /// Puts changed settings of the endpoint policy in force. Calls that run or wait stay.
+    pub fn set_settings(
+        &mut self,
+        settings: AdmissionSettings,
+        now: Instant,
+    ) -> Vec<AdmissionEffect> {
+        self.settings = settings;
+        self.tick(now)
+    }
+
+    /// Runs, queues or refuses a call. A queued call has no effect until it is run or refused.
+    pub fn admit(&mut self, ticket: &CallTicket<'_>, now: Instant) -> Vec<AdmissionEffect> {
+        let mut effects = self.tick(now);
+        if let Some(reason) = self.refusal(ticket, now) {
+            effects.push(AdmissionEffect::Refuse(ticket.call, reason));
+            return effects;
+        }
+        let tenant = self.ring.enter(ticket.tenant);
+        if self.running >= self.open_slots(now) {
+            let reason = self.make_room(tenant, &mut effects);
+            if let Some(reason) = reason {
+                self.ring.leave_if_idle(tenant);
+                effects.push(AdmissionEffect::Refuse(ticket.call, reason));
+                return effects;
+            }
+        }
+        let entry = CallEntry {
+            tenant,
+            deadline: ticket.deadline,
+            started_at: None,
+        };
+        self.calls.insert(ticket.call, entry);
+        self.ring.push(tenant, ticket.call);
+        self.deadlines.insert((ticket.deadline, ticket.call));
+        self.fill_slots(now, &mut effects);
+        effects
+    }
+
+    /// Frees the slot of a call that has ended at the target.
+    pub fn release(&mut self, call: CallId, now: Instant) -> Vec<AdmissionEffect> {
+        let running = self.calls.get(&call).and_then(|entry| entry.started_at);
+        if let Some(started_at) = running {
+            self.service_time.note(now.since(started_at));
+            self.free_slot(call);
+        }
+        self.tick(now)
+    }
+
+    /// Frees the slot of a call that the target did not finish: it was stopped, or the target
+    /// failed. Its time says nothing about the service time.
+    pub fn abandon(&mut self, call: CallId, now: Instant) -> Vec<AdmissionEffect> {
+        if self.is_running(call) {
+            self.free_slot(call);
+        }
+        self.tick(now)
+    }
+
+    /// Cancels a call. A queued call is forgotten; a running one is stopped and keeps its slot
+    /// until it is released, because the target still works on it.
+    pub fn cancel(&mut self, call: CallId, now: Instant) -> Vec<AdmissionEffect> {
+        if self.is_running(call) {
+            return vec![AdmissionEffect::Stop(call)];
+        }
+        self.unqueue(call);
+        self.tick(now)
+    }
+
+    /// Refuses new calls from now on. Queued and running calls go on;
+    /// [`AdmissionEffect::Drained`] follows when none is left.
+    pub fn drain(&mut self, now: Instant) -> Vec<AdmissionEffect> {
+        self.draining = true;
+        self.tick(now)
+    }
+
+    /// Warms the target up again after it has restarted.
+    pub fn restart_warm_up(&mut self, now: Instant) {
+        self.warm_at = now.after(Duration::from_millis(self.settings.warm_up_ms.into()));
+    }
+
+    /// Drops queued calls whose deadline has passed and fills open slots. To be called at
+    /// [`next_deadline`](Self::next_deadline).
+    pub fn tick(&mut self, now: Instant) -> Vec<AdmissionEffect> {
+        let mut effects = Vec::new();
+        while let Some(&(deadline, call)) = self.deadlines.first()
+            && deadline.is_past(now)
+        {
+            self.unqueue(call);
+            effects.push(AdmissionEffect::Refuse(call, RefusalReason::Deadline));
+        }
+        self.fill_slots(now, &mut effects);
+        if self.draining && self.calls.is_empty() && !self.told_drained {
+            self.told_drained = true;
+            effects.push(AdmissionEffect::Drained);
+        }
+        effects
+    }
+
+    /// When [`tick`](Self::tick) is due, if calls are queued.
+    pub fn next_deadline(&self, now: Instant) -> Option<Instant> {
+        let &(deadline, _) = self.deadlines.first()?;
+        if self.warm_at.is_past(now) {
+            return Some(deadline);
+        }
+        let step = Duration::from_millis(self.settings.warm_up_ms.into()) / WARM_UP_STEPS;
+        Some(deadline.min(now.after(step.max(Duration::from_millis(1)))))
+    }
+
+    /// Calls that run at the target.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Calls that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// Load to be reported to callers' nodes: calls here over slots, at most 1.
+    pub fn load(&self) -> f64 {
+        let slots = f64::from(self.settings.slots.max(1));
+        (f64::from(u32::try_from(self.calls.len()).unwrap_or(u32::MAX)) / slots).min(1.0)
+    }
+
+    /// Slots open now; fewer than all while the target warms up.
+    pub fn open_slots(&self, now: Instant) -> u32 {
+        let slots = self.settings.slots.max(1);
+        if self.warm_at.is_past(now) {
+            return slots;
+        }
+        let whole = u128::from(self.settings.warm_up_ms).max(1) * 1_000;
+        let left = self.warm_at.since(now).as_micros();
+        let steps_left = (left * u128::from(WARM_UP_STEPS)).div_ceil(whole);
+        let steps_left = u32::try_from(steps_left).unwrap_or(WARM_UP_STEPS);
+        let steps = (WARM_UP_STEPS + 1).saturating_sub(steps_left).max(1);
+        (slots * steps / WARM_UP_STEPS).max(1)
+    }
+
+    fn refusal(&self, ticket: &CallTicket<'_>, now: Instant) -> Option<RefusalReason> {
+        if self.draining {
+            return Some(RefusalReason::Draining);
+        }
+        // With nothing running, the call is let through to measure the service time anew; otherwise
+        // one slow period could refuse every later call.
+        let expected = if self.calls.is_empty() {
+            Duration::ZERO
+        } else {
+            self.expected_wait(ticket.tenant, now)
+        };
+        let done_at = now.after(expected);
+        let misses = ticket.deadline.is_past(now) || ticket.deadline < done_at;
+        misses.then_some(RefusalReason::Deadline)
+    }
+
+    /// Time until a call of `tenant` that arrives now is expected to be answered.
+    fn expected_wait(&self, tenant: &str, now: Instant) -> Duration {
+        let slots = self.open_slots(now);
+        if self.running < slots {
+            return self.service_time.mean();
+        }
+        // Each call of the tenant before it waits for one turn of the ring, but never for more
+        // calls than are queued.
+        let own = self.ring.queued_of(tenant) + 1;
+        let waiting = self.ring.waiting() + usize::from(own == 1);
+        let ahead = (own * waiting).min(self.queued() + 1);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let wait = self.service_time.mean().saturating_mul(ahead) / slots;
+        wait.saturating_add(self.service_time.cautious())
+    }
+
+    /// Makes room in the queue for a call of `tenant`, or says why there is none.
+    fn make_room(
+        &mut self,
+        tenant: TenantKey,
+        effects: &mut Vec<AdmissionEffect>,
+    ) -> Option<RefusalReason> {
+        let queue = usize::try_from(self.settings.queue).unwrap_or(usize::MAX);
+        let share = self.share_of(queue);
+        let held = self.ring.get(tenant).queued.len();
+        if held >= share && self.ring.others_wait(tenant) {
+            return Some(RefusalReason::TenantShare);
+        }
+        if self.queued() < queue {
+            return None;
+        }
+        // A tenant that filled the queue while it was alone gives way to one below its share.
+        let newest = (held < share).then(|| self.ring.newest_over(share));
+        let Some(newest) = newest.flatten() else {
+            return Some(RefusalReason::QueueFull);
+        };
+        self.unqueue(newest);
+        effects.push(AdmissionEffect::Refuse(newest, RefusalReason::TenantShare));
+        None
+    }
+
+    /// The part of `whole` that one tenant holds while others want it; at least 1.
+    fn share_of(&self, whole: usize) -> usize {
+        let percent = match self.settings.tenant_share_percent {
+            1..100 => self.settings.tenant_share_percent as usize,
+            _ => 100,
+        };
+        (whole.saturating_mul(percent) / 100).max(1)
+    }
+
+    fn fill_slots(&mut self, now: Instant, effects: &mut Vec<AdmissionEffect>) {
+        let slots = self.open_slots(now);
+        let cap = u32::try_from(self.share_of(slots as usize)).unwrap_or(slots);
+        while self.running < slots
+            && let Some(call) = self.ring.pop(cap)
+        {
+            let Some(entry) = self.calls.get_mut(&call) else {
+                continue;
+            };
+            let (tenant, deadline) = (entry.tenant, entry.deadline);
+            self.deadlines.remove(&(deadline, call));
+            // While other calls wait, a slot is not spent on a call that will miss its deadline.
+            let late = self.ring.waiting() > 0 && deadline < now.after(self.service_time.mean());
+            if late || deadline.is_past(now) {
+                self.calls.remove(&call);
+                self.ring.leave_if_idle(tenant);
+                effects.push(AdmissionEffect::Refuse(call, RefusalReason::Deadline));
+                continue;
+            }
+            entry.started_at = Some(now);
+            self.ring.get_mut(tenant).running += 1;
+            self.running += 1;
+            effects.push(AdmissionEffect::Run(call));
+        }
+    }
+
+    fn is_running(&self, call: CallId) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|entry| entry.started_at.is_some())
+    }
+
+    fn free_slot(&mut self, call: CallId) {
+        let Some(entry) = self.calls.remove(&call) else {
+            return;
+        };
+        self.running = self.running.saturating_sub(1);
+        let tenant = self.ring.get_mut(entry.tenant);
+        tenant.running = tenant.running.saturating_sub(1);
+        self.ring.leave_if_idle(entry.tenant);
+    }
+
+    fn unqueue(&mut self, call: CallId) {
+        if self.is_running(call) {
+            return;
+        }
+        if let Some(entry) = self.calls.remove(&call) {
+            self.deadlines.remove(&(entry.deadline, call));
+            self.ring.remove(entry.tenant, call);
+            self.ring.leave_if_idle(entry.tenant);
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/src/retry/decide.rs
@@ -0,0 +1,126 @@
+//! The decision on one retry.
+
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use rand::{Rng, RngCore};
+
+use super::budget::RetryBudget;
+use super::outcome::CallOutcome;
+
+/// Settings of retries.
+#[derive(Clone, Copy, Debug)]
+pub struct RetrySettings {
+    /// Attempts for one call, the first included.
+    pub max_attempts: u32,
+    /// Upper end of the first backoff, in milliseconds; each further one doubles it.
+    pub backoff_base_ms: u64,
+    /// Upper end of any backoff, in milliseconds.
+    pub backoff_cap_ms: u64,
+    /// Retries as a share of calls, in percent.
+    pub budget_percent: u32,
+    /// Retries that may be made before calls have filled the budget, and the most it holds. It
+    /// covers the attempts that find out that targets have failed.
+    pub budget_reserve: u32,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            backoff_base_ms: 5,
+            backoff_cap_ms: 250,
+            budget_percent: 10,
+            budget_reserve: 20,
+        }
+    }
+}
+
+/// What is asked after an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryQuestion {
+    /// Outcome of the attempt.
+    pub outcome: CallOutcome,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Whether the policy says that the call may run more than once.
+    pub idempotent: bool,
+    /// Whether the whole request can be sent again.
+    pub replayable: bool,
+    /// Whether this node owns the retries of the call; see [`owns_retries`].
+    pub owns_retries: bool,
+    /// Deadline of the call.
+    pub deadline: Instant,
+}
+
+/// Whether a call is tried again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryDecision {
+    /// Try again at this time, preferably at another target.
+    RetryAt(Instant),
+    /// Tell the caller the outcome.
+    Stop(RetryRefusal),
+}
+
+/// Why a call is not tried again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryRefusal {
+    /// The call was answered.
+    Answered,
+    /// The call may have run and must not run twice.
+    NotIdempotent,
+    /// Part of the request is gone.
+    NotReplayable,
+    /// An outer hop owns the retries.
+    NotOwner,
+    /// All attempts are used.
+    Attempts,
+    /// The backoff ends after the deadline.
+    Deadline,
+    /// Retries have reached their share of the calls.
+    Budget,
+}
+
+/// Whether the node at `depth` of a call chain owns the retries. Only the outermost hop, at depth
+/// 0, does; otherwise attempts would multiply with each hop.
+pub fn owns_retries(depth: u32) -> bool {
+    depth == 0
+}
+
+/// Decides whether a call is tried again, and takes the token for it from `budget`.
+pub fn decide_retry(
+    question: &RetryQuestion,
+    settings: &RetrySettings,
+    budget: &mut RetryBudget,
+    now: Instant,
+    rng: &mut dyn RngCore,
+) -> RetryDecision {
+    let refusal = match question.outcome {
+        CallOutcome::Answered => Some(RetryRefusal::Answered),
+        CallOutcome::Unknown if !question.idempotent => Some(RetryRefusal::NotIdempotent),
+        _ if !question.replayable => Some(RetryRefusal::NotReplayable),
+        _ if !question.owns_retries => Some(RetryRefusal::NotOwner),
+        _ if question.attempts >= settings.max_attempts => Some(RetryRefusal::Attempts),
+        _ => None,
+    };
+    if let Some(refusal) = refusal {
+        return RetryDecision::Stop(refusal);
+    }
+    let at = now.after(backoff(question.attempts, settings, rng));
+    if question.deadline.is_past(at) {
+        return RetryDecision::Stop(RetryRefusal::Deadline);
+    }
+    // Last, so that a call that is not tried again for another reason takes no token.
+    if !budget.try_take() {
+        return RetryDecision::Stop(RetryRefusal::Budget);
+    }
+    RetryDecision::RetryAt(at)
+}
+
+/// Full jitter: uniform between zero and a bound that doubles with each attempt.
+fn backoff(attempts: u32, settings: &RetrySettings, rng: &mut dyn RngCore) -> Duration {
+    let growth = 1_u64 << attempts.saturating_sub(1).min(16);
+    let bound = settings.backoff_base_ms.saturating_mul(growth);
+    let bound_us = bound.min(settings.backoff_cap_ms).saturating_mul(1_000);
+    Duration::from_micros(rng.random_range(0..=bound_us))
+}
--- /dev/null
+++ b/crates/calls/src/retry/mod.rs
@@ -0,0 +1,11 @@
+//! Whether a call is tried again.
+
+mod budget;
+mod decide;
+mod outcome;
+
+pub use budget::RetryBudget;
+pub use decide::{
+    RetryDecision, RetryQuestion, RetryRefusal, RetrySettings, decide_retry, owns_retries,
+};
+pub use outcome::{CallOutcome, OutcomeError};
--- /dev/null
+++ b/crates/calls/src/routing/board.rs
@@ -0,0 +1,585 @@
+//! The targets of each service as one caller's node uses them.
+//!
+//! Calls in flight, latency and failures are measured here; the load that a target reports is only
+//! a small addition, because reports lag and can be wrong. Picking a call's target scans the subset
+//! of its service, which is bounded by [`SubsetSettings::targets_per_node`].
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use derive_more::{Display, Error};
+use rand::RngCore;
+use slotmap::SlotMap;
+
+use super::life::{TARGET_CHART, TargetAction, TargetEvent, TargetState};
+use super::policy::{BalancePolicy, Candidate, REPORT_WEIGHT};
+use super::subset::{SubsetSettings, choose_subset};
+use super::target::{LocalityTier, NodePlace, TargetKey, TargetStatus, TargetView};
+
+/// Weight of the newest sample in the moving averages: about the last ten attempts count.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Steps in which a warming target gets its slots.
+const WARM_UP_STEPS: u64 = 8;
+
+/// Settings of a [`TargetBoard`].
+#[derive(Clone, Copy, Debug)]
+pub struct BoardSettings {
+    /// Bounds on connections.
+    pub subset: SubsetSettings,
+    /// Share of a target's slots, in percent, from which calls go to the next locality tier.
+    pub spill_percent: u32,
+    /// Failed attempts in a row after which a target is ejected.
+    pub failures_to_eject: u32,
+    /// Share of failed attempts, in percent, from which a target is ejected.
+    pub eject_failure_percent: u32,
+    /// Length of the first ejection, in milliseconds; each further one doubles it.
+    pub eject_base_ms: u64,
+    /// Longest ejection, in milliseconds.
+    pub eject_cap_ms: u64,
+    /// Largest share of the targets of a service that may be ejected at once, in percent.
+    pub max_ejected_percent: u32,
+    /// Calls that an ejected target must answer in a row before it is warmed up again.
+    pub trials_to_pass: u32,
+    /// Time after an ejection for which its trials are left to calls that may run twice, in
+    /// milliseconds. Afterwards any call may be the trial, so that a service whose calls must all
+    /// run at most once gets its targets back.
+    pub trial_wait_ms: u64,
+    /// Time for which a target that refused a call as full is avoided, in milliseconds.
+    pub busy_ms: u64,
+}
+
+impl Default for BoardSettings {
+    fn default() -> Self {
+        Self {
+            subset: SubsetSettings::default(),
+            spill_percent: 80,
+            failures_to_eject: 3,
+            eject_failure_percent: 60,
+            eject_base_ms: 1_000,
+            eject_cap_ms: 60_000,
+            // A third of the targets may fail at once, and half must stay in use if the failures
+            // lie elsewhere, for example on the caller's own link.
+            max_ejected_percent: 50,
+            trials_to_pass: 3,
+            trial_wait_ms: 5_000,
+            busy_ms: 20,
+        }
+    }
+}
+
+/// How an attempt at a target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptResult {
+    /// The target answered.
+    Answered,
+    /// No connection, lost connection, truncated answer, or no answer by the deadline.
+    Failed,
+    /// The target's node refused the call because the target is full, drains or crashes on it.
+    Refused,
+    /// The caller cancelled the call; this says nothing about the target.
+    Cancelled,
+}
+
+/// What a call asks of the board.
+#[derive(Clone, Copy, Debug)]
+pub struct PickRequest<'a> {
+    /// Service to be called.
+    pub service: &'a str,
+    /// Targets that earlier attempts of the call used; taken only if there is no other.
+    pub avoid: &'a [TargetKey],
+    /// Whether the call may run twice. Such calls are the first choice for the trial of an ejected
+    /// target, since a lost answer of theirs can be retried.
+    pub idempotent: bool,
+}
+
+/// The target of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PickedTarget {
+    /// Key to be passed to [`TargetBoard::finish`].
+    pub key: TargetKey,
+    /// Address of the target's node.
+    pub peer: SocketAddr,
+}
+
+/// Why no target was picked.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum PickError {
+    /// No target of the service has announced itself.
+    #[display("the service has no targets")]
+    NoTargets,
+    /// Each target of the service is draining.
+    #[display("all targets of the service are draining")]
+    AllDraining,
+}
+
+/// State of one target, for status pages and tests.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetSummary<'a> {
+    /// Key on the board.
+    pub key: TargetKey,
+    /// Name of the target's node.
+    pub node: &'a str,
+    /// State in its life cycle.
+    pub state: TargetState,
+    /// Calls of this node that the target has not finished.
+    pub in_flight: u32,
+    /// Slots open to this node when last changed.
+    pub slots: u32,
+    /// End of the ejection, if it is ejected.
+    pub ejected_until: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct TargetEntry {
+    service: String,
+    node: String,
+    peer: SocketAddr,
+    generation: u64,
+    slots: u32,
+    status: TargetStatus,
+    tier: LocalityTier,
+    warm_up_ms: u32,
+    state: TargetState,
+    in_flight: u32,
+    latency_us: f64,
+    failure_rate: f64,
+    reported_load: f64,
+    failures_in_row: u32,
+    ejections: u32,
+    trials_passed: u32,
+    warm_at: Instant,
+    ejected_until: Instant,
+    busy_until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct ServiceEntry {
+    /// The subset that this node connects to.
+    targets: Vec<TargetKey>,
+    picks: u64,
+}
+
+/// Preference classes of a target for one call; the lowest class with a target is used.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum PickClass {
+    /// The one trial of a probing target.
+    Trial,
+    /// Below the spill-over limit, by tier.
+    Room(LocalityTier),
+    /// Below its slots, by tier.
+    Tight(LocalityTier),
+    /// Suspected by membership.
+    Suspect,
+    /// At its slots or refused a call just now. The target's own node decides.
+    Full,
+    /// Used by an earlier attempt of the call.
+    Used,
+    /// Ejected, or in trial with another call.
+    Ejected,
+}
+
+/// The targets of each service that this node connects to.
+///
+/// Invariants: a draining target is never picked; a probing target gets a second call at a time
+/// only if all other targets are ejected or draining; at most
+/// [`BoardSettings::max_ejected_percent`] of the targets of a service are moved to ejected or
+/// probing, and never all of them.
+#[derive(Debug)]
+pub struct TargetBoard {
+    node: String,
+    domain: String,
+    region: String,
+    settings: BoardSettings,
+    policy: Box<dyn BalancePolicy>,
+    targets: SlotMap<TargetKey, TargetEntry>,
+    services: HashMap<String, ServiceEntry>,
+    /// Kept between picks so that a pick does not allocate.
+    candidates: Vec<Candidate>,
+}
+
+impl TargetBoard {
+    /// An empty board of the node at `own`.
+    pub fn new(
+        own: &NodePlace<'_>,
+        settings: BoardSettings,
+        policy: Box<dyn BalancePolicy>,
+    ) -> Self {
+        Self {
+            node: own.node.to_owned(),
+            domain: own.domain.to_owned(),
+            region: own.region.to_owned(),
+            settings,
+            policy,
+            targets: SlotMap::with_key(),
+            services: HashMap::new(),
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Replaces the targets of `service` by those of the membership view.
+    ///
+    /// `callers` are the nodes that call the service; they decide which of the targets this node
+    /// connects to. A target keeps its measurements unless its generation has changed. The cost
+    /// grows with callers times targets once there are more callers than connections at a target.
+    pub fn replace_targets(
+        &mut self,
+        service: &str,
+        views: &[TargetView<'_>],
+        callers: &[NodePlace<'_>],
+        warm_up_ms: u32,
+    ) {
+        let own = NodePlace {
+            node: &self.node,
+            domain: &self.domain,
+            region: &self.region,
+        };
+        // Draining targets stay in the subset only if they are in it already, so that their place
+        // is taken by others at once.
+        let (draining, live): (Vec<&TargetView<'_>>, Vec<&TargetView<'_>>) = views
+            .iter()
+            .partition(|view| view.status == TargetStatus::Draining);
+        let places: Vec<_> = live.iter().map(|view| view.place).collect();
+        let subset = choose_subset(&own, callers, &places, &self.settings.subset);
+        let old = self
+            .services
+            .get(service)
+            .map(|entry| entry.targets.clone())
+            .unwrap_or_default();
+        let mut by_node: HashMap<String, TargetKey> = old
+            .iter()
+            .map(|&key| (self.targets[key].node.clone(), key))
+            .collect();
+        let kept = draining
+            .into_iter()
+            .filter(|view| by_node.contains_key(view.place.node))
+            .collect::<Vec<_>>();
+        let mut keys = Vec::with_capacity(subset.len() + kept.len());
+        for view in subset.into_iter().map(|index| live[index]).chain(kept) {
+            let tier = LocalityTier::between(&own, &view.place);
+            let known = by_node
+                .get(view.place.node)
+                .copied()
+                .filter(|&key| self.targets[key].generation == view.generation);
+            let key = if let Some(key) = known {
+                by_node.remove(view.place.node);
+                key
+            } else {
+                self.targets
+                    .insert(TargetEntry::new(service, view, tier, warm_up_ms))
+            };
+            let entry = &mut self.targets[key];
+            entry.peer = view.peer;
+            entry.slots = view.slots.max(1);
+            entry.warm_up_ms = warm_up_ms;
+            entry.set_status(view.status);
+            keys.push(key);
+        }
+        for key in by_node.into_values() {
+            self.targets.remove(key);
+        }
+        if keys.is_empty() {
+            self.services.remove(service);
+        } else {
+            let entry = self.services.entry(service.to_owned()).or_default();
+            entry.targets = keys;
+        }
+    }
+
+    /// Notes the load that the target on `node` reports, as a share of its slots.
+    pub fn note_load(&mut self, service: &str, node: &str, load: f64) {
+        let Some(entry) = self.services.get(service) else {
+            return;
+        };
+        for &key in &entry.targets {
+            let target = &mut self.targets[key];
+            if target.node == node {
+                target.reported_load = if load.is_nan() {
+                    0.0
+                } else {
+                    load.clamp(0.0, 1.0)
+                };
+            }
+        }
+    }
+
+    /// Picks the target of an attempt and counts it as in flight there.
+    ///
+    /// Each pick must be followed by one [`TargetBoard::finish`].
+    pub fn pick(
+        &mut self,
+        request: &PickRequest<'_>,
+        now: Instant,
+        rng: &mut dyn RngCore,
+    ) -> Result<PickedTarget, PickError> {
+        let Some(service) = self.services.get_mut(request.service) else {
+            return Err(PickError::NoTargets);
+        };
+        self.candidates.clear();
+        let mut best: Option<PickClass> = None;
+        for &key in &service.targets {
+            let target = &mut self.targets[key];
+            target.pass_time(now, &self.settings);
+            let Some(class) = target.class(key, request, &self.settings, now) else {
+                continue;
+            };
+            if best.is_none_or(|best| class < best) {
+                best = Some(class);
+                self.candidates.clear();
+            }
+            if best == Some(class) {
+                self.candidates.push(target.candidate(key, now));
+            }
+        }
+        if self.candidates.is_empty() {
+            return Err(PickError::AllDraining);
+        }
+        let index = self.policy.choose(service.picks, &self.candidates, rng);
+        service.picks += 1;
+        let key = self.candidates[index.min(self.candidates.len() - 1)].key;
+        let target = &mut self.targets[key];
+        target.in_flight += 1;
+        let peer = target.peer;
+        Ok(PickedTarget { key, peer })
+    }
+
+    /// Notes how an attempt that was picked at `picked_at` ended.
+    ///
+    /// A target that has left the board since is passed over.
+    pub fn finish(
+        &mut self,
+        key: TargetKey,
+        picked_at: Instant,
+        result: AttemptResult,
+        now: Instant,
+    ) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        target.pass_time(now, &self.settings);
+        match result {
+            AttemptResult::Answered => {
+                target.note_answer(now.since(picked_at), now, &self.settings);
+            }
+            AttemptResult::Failed => self.note_failure(key, now),
+            AttemptResult::Refused => {
+                target.busy_until = now.after(Duration::from_millis(self.settings.busy_ms));
+            }
+            AttemptResult::Cancelled => {}
+        }
+    }
+
+    fn note_failure(&mut self, key: TargetKey, now: Instant) {
+        let target = &mut self.targets[key];
+        target.failures_in_row += 1;
+        target.failure_rate += SAMPLE_WEIGHT * (1.0 - target.failure_rate);
+        let settings = &self.settings;
+        if target.state == TargetState::Probing {
+            target.advance(TargetEvent::TrialFailed, now, settings);
+            return;
+        }
+        let failing = target.failure_rate * 100.0 >= f64::from(settings.eject_failure_percent);
+        if target.failures_in_row < settings.failures_to_eject && !failing {
+            return;
+        }
+        if self.may_eject(key) {
+            let target = &mut self.targets[key];
+            target.advance(TargetEvent::Outlier, now, &self.settings);
+        }
+    }
+
+    /// Whether one more target of the service may be ejected.
+    fn may_eject(&self, key: TargetKey) -> bool {
+        let Some(service) = self.services.get(&self.targets[key].service) else {
+            return false;
+        };
+        let (mut live, mut out) = (0_u64, 0_u64);
+        for &key in &service.targets {
+            match self.targets[key].state {
+                TargetState::Draining => {}
+                TargetState::Ejected | TargetState::Probing => {
+                    live += 1;
+                    out += 1;
+                }
+                _ => live += 1,
+            }
+        }
+        (out + 1) * 100 <= live * u64::from(self.settings.max_ejected_percent) && out + 1 < live
+    }
+
+    /// The targets of `service` that this node connects to.
+    pub fn summaries(&self, service: &str) -> impl Iterator<Item = TargetSummary<'_>> {
+        let entry = self.services.get(service);
+        let keys = entry.map(|entry| entry.targets.as_slice());
+        keys.unwrap_or_default().iter().map(|&key| {
+            let target = &self.targets[key];
+            let ejected = target.state == TargetState::Ejected;
+            TargetSummary {
+                key,
+                node: &target.node,
+                state: target.state,
+                in_flight: target.in_flight,
+                slots: target.slots,
+                ejected_until: ejected.then_some(target.ejected_until),
+            }
+        })
+    }
+}
+
+impl TargetEntry {
+    fn new(service: &str, view: &TargetView<'_>, tier: LocalityTier, warm_up_ms: u32) -> Self {
+        Self {
+            service: service.to_owned(),
+            node: view.place.node.to_owned(),
+            peer: view.peer,
+            generation: view.generation,
+            slots: view.slots.max(1),
+            status: TargetStatus::Alive,
+            tier,
+            warm_up_ms,
+            state: TARGET_CHART.initial(),
+            in_flight: 0,
+            // Lower than any real latency, so that a new target is measured soon. It is bounded by
+            // the slots open to a cold target, of which there is one.
+            latency_us: 0.0,
+            failure_rate: 0.0,
+            reported_load: 0.0,
+            failures_in_row: 0,
+            ejections: 0,
+            trials_passed: 0,
+            warm_at: Instant::default(),
+            ejected_until: Instant::default(),
+            busy_until: Instant::default(),
+        }
+    }
+
+    fn set_status(&mut self, status: TargetStatus) {
+        self.status = status;
+        let event = if status == TargetStatus::Draining {
+            TargetEvent::DrainStarted
+        } else {
+            TargetEvent::DrainEnded
+        };
+        TARGET_CHART.advance(&mut self.state, event);
+    }
+
+    /// Raises the events of deadlines that have passed.
+    fn pass_time(&mut self, now: Instant, settings: &BoardSettings) {
+        if self.state == TargetState::Ejected && self.ejected_until.is_past(now) {
+            self.advance(TargetEvent::EjectionEnded, now, settings);
+        }
+        if self.state == TargetState::Warming && self.warm_at.is_past(now) {
+            self.advance(TargetEvent::WarmUpEnded, now, settings);
+        }
+    }
+
+    fn advance(&mut self, event: TargetEvent, now: Instant, settings: &BoardSettings) {
+        for action in TARGET_CHART.advance(&mut self.state, event) {
+            match action {
+                TargetAction::StartWarmUp => {
+                    self.failures_in_row = 0;
+                    self.failure_rate = 0.0;
+                    self.warm_at = now.after(Duration::from_millis(self.warm_up_ms.into()));
+                }
+                TargetAction::StartEjection => {
+                    let growth = 1_u64 << self.ejections.min(16);
+                    let length = settings.eject_base_ms.saturating_mul(growth);
+                    let length = length.min(settings.eject_cap_ms);
+                    self.ejected_until = now.after(Duration::from_millis(length));
+                    self.ejections += 1;
+                }
+                TargetAction::StartTrials => self.trials_passed = 0,
+                TargetAction::ForgetEjections => self.ejections = 0,
+            }
+        }
+    }
+
+    fn note_answer(&mut self, latency: Duration, now: Instant, settings: &BoardSettings) {
+        let sample = latency.as_secs_f64() * 1e6;
+        if self.latency_us > 0.0 {
+            self.latency_us += SAMPLE_WEIGHT * (sample - self.latency_us);
+        } else {
+            self.latency_us = sample;
+        }
+        self.failures_in_row = 0;
+        self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate;
+        if self.state == TargetState::Probing {
+            self.trials_passed += 1;
+            if self.trials_passed >= settings.trials_to_pass {
+                self.advance(TargetEvent::TrialsPassed, now, settings);
+            }
+        }
+        self.advance(TargetEvent::Answered, now, settings);
+    }
+
+    /// Slots open to this node now. A cold target gets one call at a time.
+    fn open_slots(&self, now: Instant) -> u32 {
+        match self.state {
+            TargetState::Healthy => self.slots,
+            TargetState::Warming => {
+                let left = u64::try_from(self.warm_at.since(now).as_micros()).unwrap_or(u64::MAX);
+                let whole = u64::from(self.warm_up_ms).max(1) * 1_000;
+                let steps_left = (left * WARM_UP_STEPS).div_ceil(whole).min(WARM_UP_STEPS);
+                let steps = (WARM_UP_STEPS + 1 - steps_left).min(WARM_UP_STEPS);
+                let open = u64::from(self.slots) * steps / WARM_UP_STEPS;
+                u32::try_from(open).unwrap_or(self.slots).max(1)
+            }
+            _ => 1,
+        }
+    }
+
+    fn class(
+        &self,
+        key: TargetKey,
+        request: &PickRequest<'_>,
+        settings: &BoardSettings,
+        now: Instant,
+    ) -> Option<PickClass> {
+        match self.state {
+            TargetState::Draining => return None,
+            TargetState::Ejected => return Some(PickClass::Ejected),
+            TargetState::Probing => {
+                let wait = Duration::from_millis(settings.trial_wait_ms);
+                let fits = request.idempotent || self.ejected_until.after(wait).is_past(now);
+                let trial = fits && self.in_flight == 0 && !request.avoid.contains(&key);
+                return Some(if trial {
+                    PickClass::Trial
+                } else {
+                    PickClass::Ejected
+                });
+            }
+            TargetState::Cold | TargetState::Warming | TargetState::Healthy => {}
+        }
+        let slots = self.open_slots(now);
+        Some(if request.avoid.contains(&key) {
+            PickClass::Used
+        } else if self.in_flight >= slots || !self.busy_until.is_past(now) {
+            PickClass::Full
+        } else if self.status == TargetStatus::Suspect {
+            PickClass::Suspect
+        } else if self.load(slots) * 100.0 < f64::from(settings.spill_percent) {
+            PickClass::Room(self.tier)
+        } else {
+            PickClass::Tight(self.tier)
+        })
+    }
+
+    /// Share of the open slots in use. The reported load counts with a small weight only.
+    fn load(&self, slots: u32) -> f64 {
+        f64::from(self.in_flight) / f64::from(slots) + REPORT_WEIGHT * self.reported_load
+    }
+
+    fn candidate(&self, key: TargetKey, now: Instant) -> Candidate {
+        Candidate {
+            key,
+            in_flight: self.in_flight,
+            slots: self.open_slots(now),
+            latency_us: self.latency_us,
+            failure_rate: self.failure_rate,
+            reported_load: self.reported_load,
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/src/routing/subset.rs
@@ -0,0 +1,108 @@
+//! Which targets of a service a caller's node connects to.
+//!
+//! Every node computes the subsets of all callers from its own membership view, without agreement:
+//! each caller ranks the targets by rendezvous hash, and in each round every caller takes its
+//! first-ranked target that still has a connection free. Plain rendezvous ranks bound the
+//! connections of a target only on average; the rounds bound them exactly where views agree, and
+//! leave no caller without a target while connections suffice. The cost is one hash for each pair
+//! of caller and target, paid when the view changes and not on the path of a call.
+
+use std::cmp::Reverse;
+
+use super::target::{LocalityTier, NodePlace};
+
+/// Bounds on connections between nodes and targets.
+#[derive(Clone, Copy, Debug)]
+pub struct SubsetSettings {
+    /// Targets of one service that one node connects to.
+    pub targets_per_node: usize,
+    /// Connections that one target accepts.
+    pub connections_per_target: usize,
+}
+
+impl Default for SubsetSettings {
+    fn default() -> Self {
+        Self {
+            // Half of them serve the own failure domain; two random choices gain little from more.
+            targets_per_node: 12,
+            connections_per_target: 130,
+        }
+    }
+}
+
+fn score(caller: &str, target: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(caller.len() as u64).to_le_bytes());
+    hasher.update(caller.as_bytes());
+    hasher.update(target.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
+
+/// Order in which `caller` takes targets: half of the subset from its own failure domain, a
+/// quarter from its region and a quarter from beyond, so that a lost domain or region leaves
+/// connections elsewhere; then the rest, nearest first.
+fn preference(caller: &NodePlace<'_>, targets: &[NodePlace<'_>], size: usize) -> Vec<usize> {
+    let mut ranked: Vec<_> = targets
+        .iter()
+        .enumerate()
+        .map(|(index, target)| {
+            let tier = LocalityTier::between(caller, target);
+            (tier, Reverse(score(caller.node, target.node)), index)
+        })
+        .collect();
+    ranked.sort_unstable();
+    let mut taken = [0, 0, 0];
+    let quota = [size.div_ceil(2), size.div_ceil(4), size.div_ceil(4)];
+    let (mut order, mut rest) = (Vec::with_capacity(targets.len()), Vec::new());
+    for (tier, _, index) in ranked {
+        let tier = tier as usize;
+        if taken[tier] < quota[tier] {
+            taken[tier] += 1;
+            order.push(index);
+        } else {
+            rest.push(index);
+        }
+    }
+    order.extend(rest);
+    order
+}
+
+/// Returns the indices of the targets that `own` connects to.
+///
+/// `callers` are all nodes that call the service; `own` is added if it is not among them.
+pub fn choose_subset(
+    own: &NodePlace<'_>,
+    callers: &[NodePlace<'_>],
+    targets: &[NodePlace<'_>],
+    settings: &SubsetSettings,
+) -> Vec<usize> {
+    let size = settings.targets_per_node.min(targets.len());
+    let others = callers.iter().filter(|caller| caller.node != own.node);
+    if others.clone().count() < settings.connections_per_target {
+        let mut order = preference(own, targets, size);
+        order.truncate(size);
+        return order;
+    }
+    let mut everyone: Vec<&NodePlace<'_>> = others.chain([own]).collect();
+    everyone.sort_by_cached_key(|caller| (score(caller.node, ""), caller.node));
+    let own_index = everyone.iter().position(|caller| caller.node == own.node);
+    let mut orders: Vec<_> = everyone
+        .iter()
+        .map(|caller| preference(caller, targets, size).into_iter())
+        .collect();
+    let mut connections = vec![0; targets.len()];
+    let mut chosen = Vec::with_capacity(size);
+    for _ in 0..size {
+        for (caller, order) in orders.iter_mut().enumerate() {
+            let free = order.find(|&target| connections[target] < settings.connections_per_target);
+            let Some(target) = free else { continue };
+            connections[target] += 1;
+            if Some(caller) == own_index {
+                chosen.push(target);
+            }
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/calls/tests/retry.rs
@@ -0,0 +1,111 @@
+//! Retry decisions: which outcome may be tried again, and how often.
+
+use agatedeck_calls::{
+    CallOutcome, RetryBudget, RetryDecision, RetryQuestion, RetryRefusal, RetrySettings,
+    decide_retry, owns_retries,
+};
+use agatedeck_clock::Instant;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use yare::parameterized;
+
+fn question(outcome: CallOutcome) -> RetryQuestion {
+    RetryQuestion {
+        outcome,
+        attempts: 1,
+        idempotent: true,
+        replayable: true,
+        owns_retries: true,
+        deadline: Instant::from_millis(1_000),
+    }
+}
+
+fn decide(question: &RetryQuestion) -> RetryDecision {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(&settings);
+    let mut rng = SmallRng::seed_from_u64(1);
+    decide_retry(
+        question,
+        &settings,
+        &mut budget,
+        Instant::default(),
+        &mut rng,
+    )
+}
+
+/// Guards against a second run of a call that must run once, and against retries at inner hops.
+#[parameterized(
+    answered = { question(CallOutcome::Answered), RetryRefusal::Answered },
+    once_only = {
+        RetryQuestion { idempotent: false, ..question(CallOutcome::Unknown) },
+        RetryRefusal::NotIdempotent
+    },
+    body_gone = {
+        RetryQuestion { replayable: false, ..question(CallOutcome::NotRun) },
+        RetryRefusal::NotReplayable
+    },
+    inner_hop = {
+        RetryQuestion { owns_retries: owns_retries(1), ..question(CallOutcome::NotRun) },
+        RetryRefusal::NotOwner
+    },
+    attempts_used = {
+        RetryQuestion { attempts: 3, ..question(CallOutcome::NotRun) },
+        RetryRefusal::Attempts
+    },
+    too_late = {
+        RetryQuestion { deadline: Instant::default(), ..question(CallOutcome::NotRun) },
+        RetryRefusal::Deadline
+    },
+)]
+fn stops(question: RetryQuestion, refusal: RetryRefusal) {
+    assert_eq!(decide(&question), RetryDecision::Stop(refusal));
+}
+
+/// Guards against refusing retries that are safe.
+#[parameterized(
+    not_run_once_only = { RetryQuestion { idempotent: false, ..question(CallOutcome::NotRun) } },
+    unknown_idempotent = { question(CallOutcome::Unknown) },
+)]
+fn retries(question: RetryQuestion) {
+    let decision = decide(&question);
+    let RetryDecision::RetryAt(at) = decision else {
+        panic!("{decision:?}");
+    };
+    let base = RetrySettings::default().backoff_base_ms;
+    assert!(at <= Instant::from_millis(base), "{at}");
+}
+
+/// Guards against a retry storm: with every call failing, retries stay 10% of calls.
+#[test]
+fn budget_bounds_the_share_of_retries() {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(&settings);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let calls = 10_000_u32;
+    let mut retries = 0_u32;
+    for _ in 0..calls {
+        budget.note_call();
+        let question = question(CallOutcome::NotRun);
+        let now = Instant::default();
+        if let RetryDecision::RetryAt(_) =
+            decide_retry(&question, &settings, &mut budget, now, &mut rng)
+        {
+            retries += 1;
+        }
+    }
+    assert!(retries <= calls / 10 + settings.budget_reserve, "{retries}");
+    assert!(retries >= calls / 10, "{retries}");
+}
+
+/// Guards against a header text that the other node does not read.
+#[parameterized(
+    answered = { CallOutcome::Answered, "answered" },
+    not_run = { CallOutcome::NotRun, "not-run" },
+    unknown = { CallOutcome::Unknown, "unknown" },
+)]
+fn outcome_header_text(outcome: CallOutcome, text: &str) {
+    assert_eq!(outcome.header_text(), text);
+    assert_eq!(outcome.to_string(), text);
+    assert_eq!(text.parse(), Ok(outcome));
+    assert!(text.to_uppercase().parse::<CallOutcome>().is_err());
+}
