Add the life cycle of a call at the caller's node

The outcome that a caller is told has to follow from every event of an attempt, so it is interpreted from charts/call.toml. A state `connecting` is kept apart from `dispatched`: only there is a lost connection known to be not-run. A call that any attempt may have run stays unknown, whatever later attempts report.

Ruled out: retrying after the head of the answer was passed on, because the caller already holds part of an answer. Events carry the number of their attempt and are dropped when it is not the current one.

--- /dev/null
+++ b/crates/calls/src/call/chart.rs
@@ -0,0 +1,84 @@
+//! States, events and actions of `charts/call.toml`.
+
+use std::sync::LazyLock;
+
+use agatedeck_chart::ChartTable;
+use derive_more::{Display, FromStr};
+
+/// State of a call at the caller's node.
+#[derive(Clone, Copy, Debug, Display, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum CallState {
+    /// Nothing has been done for the call yet.
+    Received,
+    /// The claim of a call that must run at most once is being written.
+    Claiming,
+    /// A target is being picked.
+    Picking,
+    /// A connection to the target's node is being opened or taken from its pool.
+    Connecting,
+    /// The request is being or has been sent.
+    Dispatched,
+    /// The answer is passed on to the caller.
+    Answering,
+    /// An attempt has ended and the retry is being decided.
+    Deciding,
+    /// The call waits for its next attempt.
+    Backoff,
+    /// The caller has been told the outcome.
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[from_str(rename_all = "snake_case")]
+pub(crate) enum ChartEvent {
+    ClaimNeeded,
+    ClaimNotNeeded,
+    ClaimGranted,
+    ClaimRefused,
+    ClaimReplayed,
+    ClaimUnknown,
+    TargetPicked,
+    NoTarget,
+    ConnectFailed,
+    RequestSent,
+    Refused,
+    ConnectionLost,
+    AnswerStarted,
+    AnswerTruncated,
+    AnswerEnded,
+    RetryGranted,
+    RetryDenied,
+    BackoffEnded,
+    DeadlinePassed,
+    Cancelled,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
+#[from_str(rename_all = "snake_case")]
+pub(crate) enum ChartAction {
+    Claim,
+    Pick,
+    Send,
+    Stop,
+    PassAnswer,
+    CutAnswer,
+    NoteAnswered,
+    NoteNotRun,
+    NoteUnknown,
+    FinishAnswered,
+    FinishFailed,
+    FinishRefused,
+    FinishCancelled,
+    AskRetry,
+    Wait,
+    SettleClaim,
+    Tell,
+}
+
+pub(crate) static CALL_CHART: LazyLock<ChartTable<CallState, ChartEvent, ChartAction>> =
+    LazyLock::new(|| {
+        ChartTable::parse(include_str!("../../charts/call.toml"))
+            .expect("the embedded chart is sound")
+    });
--- /dev/null
+++ b/crates/calls/src/call/life.rs
@@ -0,0 +1,335 @@
+//! Interprets `charts/call.toml` for one call.
+
+use std::fmt;
+
+use agatedeck_clock::Instant;
+use rand::RngCore;
+
+use super::chart::{CALL_CHART, CallState, ChartAction, ChartEvent};
+use crate::retry::{
+    CallOutcome, RetryBudget, RetryDecision, RetryQuestion, RetrySettings, decide_retry,
+    owns_retries,
+};
+use crate::routing::{AttemptResult, PickedTarget, TargetKey};
+
+/// What is known of a call when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTerms {
+    /// Whether the endpoint policy says that the call may run more than once. A call that may not
+    /// is claimed before its first attempt.
+    pub idempotent: bool,
+    /// Whether the whole request is kept, so that it can be sent again.
+    pub replayable: bool,
+    /// Hops between the outermost caller's node and this one.
+    pub depth: u32,
+    /// Deadline of the call.
+    pub deadline: Instant,
+}
+
+/// Something that happened to a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEvent {
+    /// The call has arrived.
+    Started,
+    /// The claim was written; the call may run.
+    ClaimGranted,
+    /// The claim was not written, for example because the store is unavailable.
+    ClaimRefused,
+    /// The key was claimed before, and the stored answer is at hand.
+    ClaimReplayed,
+    /// The key was claimed before, and whether that call ran is not known.
+    ClaimUnknown,
+    /// The board picked a target.
+    TargetPicked(PickedTarget),
+    /// The board has no target.
+    NoTarget,
+    /// Something happened to the attempt of this number.
+    Attempt(u32, AttemptEvent),
+    /// The time of [`CallEffect::WakeAt`] has come.
+    BackoffEnded,
+    /// The deadline of the call has passed.
+    DeadlinePassed,
+    /// The caller has cancelled the call or closed its connection.
+    Cancelled,
+}
+
+/// Something that happened to one attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEvent {
+    /// There is no connection to the target's node.
+    ConnectFailed,
+    /// The request is about to be written. Raised before the first byte, so that every loss of the
+    /// connection before it is known to be `not-run`.
+    RequestSent,
+    /// The target's node answered `not-run`.
+    Refused,
+    /// The connection was lost before the answer, or the target's node answered `unknown`.
+    ConnectionLost,
+    /// The head of the answer has arrived.
+    AnswerStarted,
+    /// The answer ended before it was complete.
+    AnswerTruncated,
+    /// The answer is complete.
+    AnswerEnded,
+}
+
+impl AttemptEvent {
+    fn chart_event(self) -> ChartEvent {
+        match self {
+            Self::ConnectFailed => ChartEvent::ConnectFailed,
+            Self::RequestSent => ChartEvent::RequestSent,
+            Self::Refused => ChartEvent::Refused,
+            Self::ConnectionLost => ChartEvent::ConnectionLost,
+            Self::AnswerStarted => ChartEvent::AnswerStarted,
+            Self::AnswerTruncated => ChartEvent::AnswerTruncated,
+            Self::AnswerEnded => ChartEvent::AnswerEnded,
+        }
+    }
+}
+
+/// What the caller's node is to do for a call, in this order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEffect {
+    /// Claim the call under its idempotency key.
+    Claim,
+    /// Pick a target; [`CallLife::used_targets`] are to be avoided.
+    Pick,
+    /// Connect to the target and send the request as the attempt of this number.
+    Send(u32, PickedTarget),
+    /// Stop the attempt of this number and close its connection.
+    Stop(u32),
+    /// Pass to [`TargetBoard::finish`](crate::TargetBoard::finish).
+    Finish {
+        /// Target of the attempt.
+        key: TargetKey,
+        /// When the target was picked.
+        picked_at: Instant,
+        /// How the attempt ended.
+        result: AttemptResult,
+    },
+    /// Pass the answer of the attempt of this number on to the caller as it arrives.
+    PassAnswer(u32),
+    /// Break off the answer to the caller in a way that it cannot take for a complete one.
+    CutAnswer,
+    /// Raise [`CallEvent::BackoffEnded`] at this time.
+    WakeAt(Instant),
+    /// Settle the claim of the call: store the answer, release the claim after `not-run`, or leave
+    /// it as unknown.
+    SettleClaim(CallOutcome),
+    /// Tell the caller the outcome. Nothing else follows for the call.
+    Tell(CallOutcome),
+}
+
+/// What a call needs of its node to handle an event.
+pub struct CallContext<'a> {
+    /// Current time.
+    pub now: Instant,
+    /// Settings of retries.
+    pub settings: &'a RetrySettings,
+    /// Budget that the call shares with others.
+    pub budget: &'a mut RetryBudget,
+    /// Source of random numbers, as a trait object so that any generator fits.
+    pub rng: &'a mut (dyn RngCore + 'a),
+}
+
+impl fmt::Debug for CallContext<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallContext")
+            .field("now", &self.now)
+            .field("settings", &self.settings)
+            .field("budget", &self.budget)
+            .finish_non_exhaustive()
+    }
+}
+
+/// One call at the caller's node.
+///
+/// Invariants: the caller is told exactly once. It is told `not-run` only if no attempt can have
+/// reached a target, and `answered` only after a complete answer. Events of an attempt that is no
+/// longer the current one change nothing.
+#[derive(Debug)]
+pub struct CallLife {
+    terms: CallTerms,
+    state: CallState,
+    attempts: u32,
+    /// Outcome of the last attempt.
+    last: CallOutcome,
+    /// Whether any attempt can have reached a target.
+    may_have_run: bool,
+    answered: bool,
+    /// Target of the current attempt and when it was picked.
+    target: Option<(PickedTarget, Instant)>,
+    used: Vec<TargetKey>,
+    wake_at: Instant,
+}
+
+impl CallLife {
+    /// A call that has arrived; [`CallEvent::Started`] sets it going.
+    pub fn new(terms: CallTerms) -> Self {
+        Self {
+            terms,
+            state: CALL_CHART.initial(),
+            attempts: 0,
+            last: CallOutcome::NotRun,
+            may_have_run: false,
+            answered: false,
+            target: None,
+            used: Vec::new(),
+            wake_at: Instant::default(),
+        }
+    }
+
+    /// State of the call.
+    pub fn state(&self) -> CallState {
+        self.state
+    }
+
+    /// Attempts begun so far; also the number of the current attempt.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Targets of earlier attempts.
+    pub fn used_targets(&self) -> &[TargetKey] {
+        &self.used
+    }
+
+    /// What the caller is told if the call ends now.
+    pub fn outcome(&self) -> CallOutcome {
+        if self.answered {
+            CallOutcome::Answered
+        } else if self.may_have_run {
+            CallOutcome::Unknown
+        } else {
+            CallOutcome::NotRun
+        }
+    }
+
+    /// Moves the call on by `event` and returns what is to be done.
+    pub fn handle(&mut self, event: CallEvent, context: &mut CallContext<'_>) -> Vec<CallEffect> {
+        let mut effects = Vec::new();
+        let event = match event {
+            CallEvent::Started => {
+                if self.state == CallState::Received {
+                    context.budget.note_call();
+                }
+                if self.terms.idempotent {
+                    ChartEvent::ClaimNotNeeded
+                } else {
+                    ChartEvent::ClaimNeeded
+                }
+            }
+            CallEvent::ClaimGranted => ChartEvent::ClaimGranted,
+            CallEvent::ClaimRefused => ChartEvent::ClaimRefused,
+            CallEvent::ClaimReplayed => ChartEvent::ClaimReplayed,
+            CallEvent::ClaimUnknown => ChartEvent::ClaimUnknown,
+            CallEvent::TargetPicked(target) => {
+                if matches!(self.state, CallState::Picking | CallState::Done) {
+                    self.target = Some((target, context.now));
+                }
+                ChartEvent::TargetPicked
+            }
+            CallEvent::NoTarget => ChartEvent::NoTarget,
+            CallEvent::Attempt(attempt, _) if attempt != self.attempts => return effects,
+            CallEvent::Attempt(_, event) => event.chart_event(),
+            CallEvent::BackoffEnded if !self.wake_at.is_past(context.now) => return effects,
+            CallEvent::BackoffEnded => ChartEvent::BackoffEnded,
+            CallEvent::DeadlinePassed => ChartEvent::DeadlinePassed,
+            CallEvent::Cancelled => ChartEvent::Cancelled,
+        };
+        self.raise(event, context, &mut effects);
+        effects
+    }
+
+    fn raise(
+        &mut self,
+        event: ChartEvent,
+        context: &mut CallContext<'_>,
+        effects: &mut Vec<CallEffect>,
+    ) {
+        let mut next = Some(event);
+        while let Some(event) = next.take() {
+            for action in CALL_CHART.advance(&mut self.state, event) {
+                if let Some(event) = self.act(*action, context, effects) {
+                    next = Some(event);
+                }
+            }
+        }
+    }
+
+    /// Carries out an action; returns the event that it raises.
+    fn act(
+        &mut self,
+        action: ChartAction,
+        context: &mut CallContext<'_>,
+        effects: &mut Vec<CallEffect>,
+    ) -> Option<ChartEvent> {
+        match action {
+            ChartAction::Claim => effects.push(CallEffect::Claim),
+            ChartAction::Pick => {
+                if self.terms.deadline.is_past(context.now) {
+                    return Some(ChartEvent::DeadlinePassed);
+                }
+                self.attempts += 1;
+                effects.push(CallEffect::Pick);
+            }
+            ChartAction::Send => {
+                let target = self.target.map(|(target, _)| target);
+                effects.extend(target.map(|target| CallEffect::Send(self.attempts, target)));
+            }
+            ChartAction::Stop => effects.push(CallEffect::Stop(self.attempts)),
+            ChartAction::PassAnswer => effects.push(CallEffect::PassAnswer(self.attempts)),
+            ChartAction::CutAnswer => effects.push(CallEffect::CutAnswer),
+            ChartAction::NoteAnswered => self.answered = true,
+            ChartAction::NoteNotRun => self.last = CallOutcome::NotRun,
+            ChartAction::NoteUnknown => {
+                self.last = CallOutcome::Unknown;
+                self.may_have_run = true;
+            }
+            ChartAction::FinishAnswered => self.finish(AttemptResult::Answered, effects),
+            ChartAction::FinishFailed => self.finish(AttemptResult::Failed, effects),
+            ChartAction::FinishRefused => self.finish(AttemptResult::Refused, effects),
+            ChartAction::FinishCancelled => self.finish(AttemptResult::Cancelled, effects),
+            ChartAction::AskRetry => return Some(self.ask_retry(context)),
+            ChartAction::Wait => effects.push(CallEffect::WakeAt(self.wake_at)),
+            ChartAction::SettleClaim => {
+                if !self.terms.idempotent {
+                    effects.push(CallEffect::SettleClaim(self.outcome()));
+                }
+            }
+            ChartAction::Tell => effects.push(CallEffect::Tell(self.outcome())),
+        }
+        None
+    }
+
+    fn finish(&mut self, result: AttemptResult, effects: &mut Vec<CallEffect>) {
+        if let Some((target, picked_at)) = self.target.take() {
+            self.used.push(target.key);
+            effects.push(CallEffect::Finish {
+                key: target.key,
+                picked_at,
+                result,
+            });
+        }
+    }
+
+    fn ask_retry(&mut self, context: &mut CallContext<'_>) -> ChartEvent {
+        let question = RetryQuestion {
+            outcome: self.last,
+            attempts: self.attempts,
+            idempotent: self.terms.idempotent,
+            replayable: self.terms.replayable,
+            owns_retries: owns_retries(self.terms.depth),
+            deadline: self.terms.deadline,
+        };
+        let (settings, now) = (context.settings, context.now);
+        match decide_retry(&question, settings, context.budget, now, context.rng) {
+            RetryDecision::RetryAt(at) => {
+                self.wake_at = at;
+                ChartEvent::RetryGranted
+            }
+            RetryDecision::Stop(_) => ChartEvent::RetryDenied,
+        }
+    }
+}
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -5,12 +5,14 @@
 //! that any front end can use these decisions.
 
 mod admission;
+mod call;
 mod retry;
 mod routing;
 
 pub use admission::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
 };
+pub use call::{AttemptEvent, CallContext, CallEffect, CallEvent, CallLife, CallState, CallTerms};
 pub use retry::{
     CallOutcome, OutcomeError, RetryBudget, RetryDecision, RetryQuestion, RetryRefusal,
     RetrySettings, decide_retry, owns_retries,
--- /dev/null
+++ b/crates/calls/tests/call.rs
@@ -0,0 +1,129 @@
+//! What the caller of a call is told after each event of an attempt.
+
+use agatedeck_calls::{
+    AttemptEvent, BoardSettings, CallContext, CallEffect, CallEvent, CallLife, CallOutcome,
+    CallState, CallTerms, NodePlace, PickRequest, PickedTarget, RetryBudget, RetrySettings,
+    TargetBoard, TargetStatus, TargetView, TwoChoices,
+};
+use agatedeck_clock::Instant;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use yare::parameterized;
+
+fn any_target() -> PickedTarget {
+    let place = NodePlace {
+        node: "node-1",
+        domain: "d1",
+        region: "r1",
+    };
+    let mut board = TargetBoard::new(&place, BoardSettings::default(), Box::new(TwoChoices));
+    let view = TargetView {
+        place,
+        peer: ([127, 0, 0, 1], 9_000).into(),
+        generation: 1,
+        slots: 10,
+        status: TargetStatus::Alive,
+    };
+    board.replace_targets("orders", &[view], &[place], 0);
+    let request = PickRequest {
+        service: "orders",
+        avoid: &[],
+        idempotent: true,
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    board
+        .pick(&request, Instant::default(), &mut rng)
+        .expect("the board has a target")
+}
+
+/// Runs the events in order and returns all effects. The call is never tried again.
+fn run(idempotent: bool, events: &[CallEvent]) -> (CallLife, Vec<CallEffect>) {
+    let settings = RetrySettings {
+        max_attempts: 1,
+        ..RetrySettings::default()
+    };
+    let mut life = CallLife::new(CallTerms {
+        idempotent,
+        replayable: true,
+        depth: 0,
+        deadline: Instant::from_millis(100),
+    });
+    let mut effects = Vec::new();
+    for event in events {
+        let mut context = CallContext {
+            now: Instant::default(),
+            settings: &settings,
+            budget: &mut RetryBudget::new(&settings),
+            rng: &mut SmallRng::seed_from_u64(1),
+        };
+        effects.extend(life.handle(*event, &mut context));
+    }
+    (life, effects)
+}
+
+use AttemptEvent::{
+    AnswerEnded, AnswerStarted, AnswerTruncated, ConnectFailed, ConnectionLost, Refused,
+    RequestSent,
+};
+use CallEvent::{Attempt, Cancelled, DeadlinePassed};
+use CallOutcome::{Answered, NotRun, Unknown};
+
+/// Guards against telling `not-run` once a byte may have reached a target, and against telling
+/// `answered` after an incomplete answer.
+#[parameterized(
+    connect_refused = { &[Attempt(1, ConnectFailed)], NotRun },
+    lost_before_first_byte = { &[Attempt(1, ConnectionLost)], NotRun },
+    refused_by_node = { &[Attempt(1, RequestSent), Attempt(1, Refused)], NotRun },
+    lost_after_bytes = { &[Attempt(1, RequestSent), Attempt(1, ConnectionLost)], Unknown },
+    deadline_before_bytes = { &[DeadlinePassed], NotRun },
+    deadline_after_bytes = { &[Attempt(1, RequestSent), DeadlinePassed], Unknown },
+    cancelled_before_bytes = { &[Cancelled], NotRun },
+    cancelled_after_bytes = { &[Attempt(1, RequestSent), Cancelled], Unknown },
+    truncated = {
+        &[Attempt(1, RequestSent), Attempt(1, AnswerStarted), Attempt(1, AnswerTruncated)],
+        Unknown
+    },
+    answered = {
+        &[Attempt(1, RequestSent), Attempt(1, AnswerStarted), Attempt(1, AnswerEnded)],
+        Answered
+    },
+    answered_then_deadline = {
+        &[Attempt(1, RequestSent), Attempt(1, AnswerStarted), Attempt(1, AnswerEnded), DeadlinePassed],
+        Answered
+    },
+)]
+fn told_after_one_attempt(events: &[CallEvent], outcome: CallOutcome) {
+    for idempotent in [true, false] {
+        let mut all = vec![CallEvent::Started];
+        if !idempotent {
+            all.push(CallEvent::ClaimGranted);
+        }
+        all.push(CallEvent::TargetPicked(any_target()));
+        all.extend(events);
+        let (life, effects) = run(idempotent, &all);
+        assert_eq!(life.state(), CallState::Done);
+        let told: Vec<_> = effects
+            .iter()
+            .filter(|effect| matches!(effect, CallEffect::Tell(_)))
+            .collect();
+        assert_eq!(told, [&CallEffect::Tell(outcome)]);
+        let settled = effects.contains(&CallEffect::SettleClaim(outcome));
+        assert_eq!(settled, !idempotent, "{effects:?}");
+    }
+}
+
+/// Guards against an answer of an earlier attempt being taken for that of the current one.
+#[test]
+fn events_of_other_attempts_change_nothing() {
+    let picked = CallEvent::TargetPicked(any_target());
+    let (life, _) = run(true, &[CallEvent::Started, picked, Attempt(2, RequestSent)]);
+    assert_eq!(life.state(), CallState::Connecting);
+}
+
+/// Guards against a call in flight that the board counts for ever.
+#[test]
+fn target_picked_after_cancellation_is_given_back() {
+    let picked = CallEvent::TargetPicked(any_target());
+    let (_, effects) = run(true, &[CallEvent::Started, Cancelled, picked]);
+    assert!(matches!(effects.last(), Some(CallEffect::Finish { .. })));
+}
