--- a/crates/calls/src/call/chart.rs
+++ b/crates/calls/src/call/chart.rs
@@ -69,6 +69,7 @@
     NoteUnknown,
     FinishAnswered,
     FinishFailed,
+    FinishTimedOut,
     FinishRefused,
     FinishCancelled,
     AskRetry,
--- a/crates/calls/src/call/life.rs
+++ b/crates/calls/src/call/life.rs
@@ -289,6 +289,7 @@
             }
             ChartAction::FinishAnswered => self.finish(AttemptResult::Answered, effects),
             ChartAction::FinishFailed => self.finish(AttemptResult::Failed, effects),
+            ChartAction::FinishTimedOut => self.finish(AttemptResult::TimedOut, effects),
             ChartAction::FinishRefused => self.finish(AttemptResult::Refused, effects),
             ChartAction::FinishCancelled => self.finish(AttemptResult::Cancelled, effects),
             ChartAction::AskRetry => return Some(self.ask_retry(context)),
--- a/crates/calls/src/routing/board.rs
+++ b/crates/calls/src/routing/board.rs
@@ -21,6 +21,13 @@
 /// Weight of the newest sample in the moving averages: about the last ten attempts count.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Multiple of the average latency from which a call without an answer counts as failed.
+const LATE_FACTOR: f64 = 4.0;
+
+/// Time in which an average loses half its weight while no attempt ends. Without it, a target that
+/// was slow once would never be drawn, and so never be measured again.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// Steps in which a warming target gets its slots.
 const WARM_UP_STEPS: u64 = 8;
 
@@ -75,8 +82,11 @@
 pub enum AttemptResult {
     /// The target answered.
     Answered,
-    /// No connection, lost connection, truncated answer, or no answer by the deadline.
+    /// No connection, lost connection or truncated answer.
     Failed,
+    /// No answer by the deadline of the call. Counts as failed only if the target had several times
+    /// its usual latency, so that calls with short deadlines do not eject healthy targets.
+    TimedOut,
     /// The target's node refused the call because the target is full, drains or crashes on it.
     Refused,
     /// The caller cancelled the call; this says nothing about the target.
@@ -147,6 +157,8 @@
     latency_us: f64,
     failure_rate: f64,
     reported_load: f64,
+    /// When the averages last changed.
+    sampled_at: Instant,
     failures_in_row: u32,
     ejections: u32,
     trials_passed: u32,
@@ -275,6 +287,9 @@
             entry.slots = view.slots.max(1);
             entry.warm_up_ms = warm_up_ms;
             entry.set_status(view.status);
+            if view.warm {
+                TARGET_CHART.advance(&mut entry.state, TargetEvent::KnownWarm);
+            }
             keys.push(key);
         }
         for key in by_node.into_values() {
@@ -365,6 +380,12 @@
                 target.note_answer(now.since(picked_at), now, &self.settings);
             }
             AttemptResult::Failed => self.note_failure(key, now),
+            AttemptResult::TimedOut => {
+                let waited = now.since(picked_at).as_secs_f64() * 1e6;
+                if waited >= target.latency_us * LATE_FACTOR {
+                    self.note_failure(key, now);
+                }
+            }
             AttemptResult::Refused => {
                 target.busy_until = now.after(Duration::from_millis(self.settings.busy_ms));
             }
@@ -374,6 +395,7 @@
 
     fn note_failure(&mut self, key: TargetKey, now: Instant) {
         let target = &mut self.targets[key];
+        target.age_averages(now);
         target.failures_in_row += 1;
         target.failure_rate += SAMPLE_WEIGHT * (1.0 - target.failure_rate);
         let settings = &self.settings;
@@ -447,6 +469,7 @@
             latency_us: 0.0,
             failure_rate: 0.0,
             reported_load: 0.0,
+            sampled_at: Instant::default(),
             failures_in_row: 0,
             ejections: 0,
             trials_passed: 0,
@@ -498,6 +521,7 @@
     }
 
     fn note_answer(&mut self, latency: Duration, now: Instant, settings: &BoardSettings) {
+        self.age_averages(now);
         let sample = latency.as_secs_f64() * 1e6;
         if self.latency_us > 0.0 {
             self.latency_us += SAMPLE_WEIGHT * (sample - self.latency_us);
@@ -515,6 +539,18 @@
         self.advance(TargetEvent::Answered, now, settings);
     }
 
+    /// Share of the averages that is left at `now`.
+    fn kept_share(&self, now: Instant) -> f64 {
+        let age = now.since(self.sampled_at).as_secs_f64();
+        (-age / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    fn age_averages(&mut self, now: Instant) {
+        // The latency is not aged here: the new sample corrects it.
+        self.failure_rate *= self.kept_share(now);
+        self.sampled_at = now;
+    }
+
     /// Slots open to this node now. A cold target gets one call at a time.
     fn open_slots(&self, now: Instant) -> u32 {
         match self.state {
@@ -573,12 +609,13 @@
     }
 
     fn candidate(&self, key: TargetKey, now: Instant) -> Candidate {
+        let kept = self.kept_share(now);
         Candidate {
             key,
             in_flight: self.in_flight,
             slots: self.open_slots(now),
-            latency_us: self.latency_us,
-            failure_rate: self.failure_rate,
+            latency_us: self.latency_us * kept,
+            failure_rate: self.failure_rate * kept,
             reported_load: self.reported_load,
         }
     }
--- a/crates/calls/src/routing/life.rs
+++ b/crates/calls/src/routing/life.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
 #[from_str(rename_all = "snake_case")]
 pub(crate) enum TargetEvent {
+    KnownWarm,
     Answered,
     WarmUpEnded,
     Outlier,
--- a/crates/calls/src/routing/target.rs
+++ b/crates/calls/src/routing/target.rs
@@ -43,6 +43,10 @@
     pub generation: u64,
     /// Calls that the target runs at the same time.
     pub slots: u32,
+    /// Whether the target is known to have been up for longer than its warm-up, for example by the
+    /// peers of a node that joins. Otherwise each restart of a caller's node would send its calls
+    /// past near targets that only it takes for cold.
+    pub warm: bool,
     /// Status from membership.
     pub status: TargetStatus,
 }
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -22,6 +22,7 @@
         peer: ([127, 0, 0, 1], 9_000).into(),
         generation: 1,
         slots: 10,
+        warm: true,
         status: TargetStatus::Alive,
     };
     board.replace_targets("orders", &[view], &[place], 0);
