Test admission, and leave slots to calls that can still be answered

In virtual time, with one tenant offering ten times the capacity, 6% of the slot time went to calls that missed their deadline: a call was started from the queue when the mean service time still fitted. While calls wait, the bound is now the mean plus twice the mean deviation, both at admission and at the start.

Ruled out: a larger queue, since the loss comes from calls that start too late. The overload and the flood test hold their bounds with the change; the flood test at ten times the capacity failed without it.

--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -345,7 +345,8 @@
             let (tenant, deadline) = (entry.tenant, entry.deadline);
             self.deadlines.remove(&(deadline, call));
             // While other calls wait, a slot is not spent on a call that will miss its deadline.
-            let late = self.ring.waiting() > 0 && deadline < now.after(self.service_time.mean());
+            let late =
+                self.ring.waiting() > 0 && deadline < now.after(self.service_time.cautious());
             if late || deadline.is_past(now) {
                 self.calls.remove(&call);
                 self.ring.leave_if_idle(tenant);
--- a/crates/calls/src/admission/service_time.rs
+++ b/crates/calls/src/admission/service_time.rs
@@ -28,9 +28,10 @@
         Duration::from_secs_f64(self.mean_us / 1e6)
     }
 
-    /// Time within which most calls end. Used once calls compete for slots, because a call that
-    /// misses its deadline then takes the place of one that would not.
+    /// Time within which nearly all calls end. Used once calls compete for slots, because a call
+    /// that misses its deadline then takes the place of one that would not. With the mean alone,
+    /// 6% of the slot time was lost to such calls when one tenant offered ten times the capacity.
     pub(crate) fn cautious(&self) -> Duration {
-        Duration::from_secs_f64((self.mean_us + self.deviation_us) / 1e6)
+        Duration::from_secs_f64((self.mean_us + 2.0 * self.deviation_us) / 1e6)
     }
 }
--- /dev/null
+++ b/crates/calls/tests/admission.rs
@@ -0,0 +1,240 @@
+//! Admission at the target's node: slots, deadlines, fairness, warm-up, draining, overload.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use agatedeck_calls::{
+    AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
+};
+use agatedeck_clock::Instant;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use yare::parameterized;
+
+use AdmissionEffect::{Drained, Refuse, Run, Stop};
+
+const START: Instant = Instant::from_millis(0);
+
+fn queue(slots: u32, queue: u32) -> AdmissionQueue {
+    let settings = AdmissionSettings {
+        slots,
+        queue,
+        ..AdmissionSettings::default()
+    };
+    AdmissionQueue::new(settings, START)
+}
+
+fn ticket(call: u64, tenant: &str) -> CallTicket<'_> {
+    CallTicket {
+        call: call.into(),
+        tenant,
+        deadline: Instant::from_millis(1_000),
+    }
+}
+
+fn id(call: u64) -> CallId {
+    call.into()
+}
+
+/// Guards against queued calls lost by a drain, and against a drain that ends too early (I8).
+#[test]
+fn drain_completes_what_was_admitted() {
+    let mut admission = queue(1, 4);
+    assert_eq!(admission.admit(&ticket(1, "a"), START), [Run(id(1))]);
+    assert_eq!(admission.admit(&ticket(2, "a"), START), []);
+    assert_eq!(admission.drain(START), []);
+    let refused = admission.admit(&ticket(3, "b"), START);
+    assert_eq!(refused, [Refuse(id(3), RefusalReason::Draining)]);
+    assert_eq!(admission.release(id(1), START), [Run(id(2))]);
+    assert_eq!(admission.release(id(2), START), [Drained]);
+    assert_eq!(admission.tick(START), []);
+}
+
+/// Guards against running a call whose caller has gone, and against a slot given away while the
+/// target still works on a cancelled call.
+#[test]
+fn cancelled_calls_leave() {
+    let mut admission = queue(1, 4);
+    admission.admit(&ticket(1, "a"), START);
+    admission.admit(&ticket(2, "a"), START);
+    admission.admit(&ticket(3, "a"), START);
+    assert_eq!(admission.cancel(id(2), START), []);
+    assert_eq!(admission.cancel(id(1), START), [Stop(id(1))]);
+    assert_eq!(admission.running(), 1);
+    assert_eq!(admission.abandon(id(1), START), [Run(id(3))]);
+    assert_eq!(admission.cancel(id(9), START), []);
+}
+
+/// Guards against holding a call past its deadline and against admitting one that will miss it.
+#[test]
+fn deadlines_are_kept() {
+    let mut admission = queue(1, 10);
+    admission.admit(&ticket(1, "a"), START);
+    let now = Instant::from_millis(100);
+    assert_eq!(admission.release(id(1), now), []);
+    admission.admit(&ticket(2, "a"), now);
+    let soon = CallTicket {
+        deadline: Instant::from_millis(150),
+        ..ticket(3, "a")
+    };
+    let refused = admission.admit(&soon, now);
+    assert_eq!(refused, [Refuse(id(3), RefusalReason::Deadline)]);
+    assert_eq!(admission.admit(&ticket(4, "a"), now), []);
+    assert_eq!(admission.next_deadline(now), Some(ticket(4, "a").deadline));
+    let dropped = admission.tick(ticket(4, "a").deadline);
+    assert_eq!(dropped, [Refuse(id(4), RefusalReason::Deadline)]);
+}
+
+/// Guards against a tenant that keeps others out by filling the queue while it is alone, and
+/// against a share that is enforced while nobody else wants the slots.
+#[test]
+fn lone_tenant_uses_all_and_gives_way() {
+    let mut admission = queue(4, 4);
+    for call in 0..8 {
+        admission.admit(&ticket(call, "a"), START);
+    }
+    assert_eq!((admission.running(), admission.queued()), (4, 4));
+    let newcomer = admission.admit(&ticket(8, "b"), START);
+    assert_eq!(newcomer, [Refuse(id(7), RefusalReason::TenantShare)]);
+    assert_eq!(admission.release(id(0), START), [Run(id(8))]);
+}
+
+/// Guards against a turn that ignores the weights of tenants.
+#[test]
+fn slots_follow_weights() {
+    let mut admission = AdmissionQueue::new(
+        AdmissionSettings {
+            slots: 1,
+            queue: 40,
+            tenant_share_percent: 100,
+            warm_up_ms: 0,
+        },
+        START,
+    );
+    admission.set_weight("a", 3);
+    admission.admit(&ticket(0, "c"), START);
+    for call in 1..=12 {
+        admission.admit(&ticket(call, "a"), START);
+        admission.admit(&ticket(100 + call, "b"), START);
+    }
+    let mut running = 0;
+    let mut order = Vec::new();
+    for _ in 0..8 {
+        let effects = admission.release(id(running), START);
+        let [Run(call)] = effects[..] else {
+            panic!("{effects:?}");
+        };
+        running = call.into();
+        order.push(if running > 100 { 'b' } else { 'a' });
+    }
+    assert_eq!(order, ['a', 'a', 'a', 'b', 'a', 'a', 'a', 'b']);
+}
+
+/// Guards against full load on a target that has just started.
+#[parameterized(
+    start = { 0, 2 },
+    after_a_quarter = { 200, 6 },
+    before_the_end = { 799, 16 },
+    end = { 800, 16 },
+)]
+fn slots_open_step_by_step(millis: u64, open: u32) {
+    let settings = AdmissionSettings {
+        slots: 16,
+        warm_up_ms: 800,
+        ..AdmissionSettings::default()
+    };
+    let admission = AdmissionQueue::new(settings, START);
+    assert_eq!(admission.open_slots(Instant::from_millis(millis)), open);
+}
+
+/// One tenant's calls in a simulated run: one every `gap_us` on average.
+#[derive(Clone, Copy)]
+struct Load {
+    tenant: &'static str,
+    gap_us: u64,
+}
+
+const SLOTS: u32 = 10;
+const SERVICE_US: u64 = 10_000;
+const DEADLINE_US: u64 = 60_000;
+const RUN_US: u64 = 20_000_000;
+
+/// Runs the loads in virtual time and returns the calls answered by their deadline, by tenant. The
+/// target takes 5 to 15 ms for a call and finishes calls whose deadline has passed.
+fn goodput(loads: &[Load]) -> HashMap<&'static str, u64> {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut admission = queue(SLOTS, 40);
+    let mut arrivals: BTreeSet<(u64, usize)> = (0..loads.len()).map(|load| (0, load)).collect();
+    let mut ends: BTreeSet<(u64, u64)> = BTreeSet::new();
+    let mut calls: BTreeMap<u64, (&'static str, u64)> = BTreeMap::new();
+    let mut good = HashMap::new();
+    let mut next_call = 0;
+    loop {
+        let arrival = arrivals.first().map_or(u64::MAX, |first| first.0);
+        let end = ends.first().map_or(u64::MAX, |first| first.0);
+        let at = arrival.min(end);
+        if at >= RUN_US {
+            return good;
+        }
+        let now = Instant::from_micros(at);
+        let effects = if end <= arrival {
+            let (_, call) = ends.pop_first().expect("an end is due");
+            let (tenant, deadline) = calls[&call];
+            if at <= deadline {
+                *good.entry(tenant).or_default() += 1;
+            }
+            admission.release(id(call), now)
+        } else {
+            let (_, load) = arrivals.pop_first().expect("an arrival is due");
+            let Load { tenant, gap_us } = loads[load];
+            arrivals.insert((at + rng.random_range(1..=2 * gap_us), load));
+            next_call += 1;
+            calls.insert(next_call, (tenant, at + DEADLINE_US));
+            let deadline = Instant::from_micros(at + DEADLINE_US);
+            admission.admit(
+                &CallTicket {
+                    deadline,
+                    ..ticket(next_call, tenant)
+                },
+                now,
+            )
+        };
+        for effect in effects {
+            if let Run(call) = effect {
+                let time = rng.random_range(SERVICE_US / 2..=SERVICE_US * 3 / 2);
+                ends.insert((at + time, call.into()));
+            }
+        }
+        assert!(admission.running() <= SLOTS && admission.queued() <= 40);
+    }
+}
+
+/// Offered load as a share of the capacity of all slots, in percent.
+fn load(tenant: &'static str, percent: u64) -> Load {
+    let gap_us = SERVICE_US * 100 / (u64::from(SLOTS) * percent);
+    Load { tenant, gap_us }
+}
+
+/// Guards against goodput that collapses under overload. The peak is the best of the loads up to
+/// the capacity, measured here.
+#[test]
+fn goodput_holds_at_twice_the_capacity() {
+    let total = |percent| goodput(&[load("a", percent)])["a"];
+    let peak = [70, 80, 90, 95, 100, 105].map(total).into_iter().max();
+    let peak = peak.expect("there are loads");
+    let overloaded = total(200);
+    println!("peak {peak}, at twice the capacity {overloaded}");
+    assert!(overloaded * 100 >= peak * 95, "{overloaded} of {peak}");
+}
+
+/// Guards against a tenant that floods the target and takes the share of another one. The other
+/// tenant offers less than half of the capacity, which is its fair share of two.
+#[parameterized(twice = { 200 }, tenfold = { 1_000 })]
+fn flooding_tenant_leaves_others_their_share(flood: u64) {
+    let alone = goodput(&[load("quiet", 45)])["quiet"];
+    let beside = goodput(&[load("flood", flood), load("quiet", 45)]);
+    let (flood, quiet) = (beside["flood"], beside["quiet"]);
+    println!("quiet alone {alone}, beside the flood {quiet}, flood {flood}");
+    assert!(quiet * 100 >= alone * 95, "{quiet} of {alone}");
+    let capacity = RUN_US / SERVICE_US * u64::from(SLOTS);
+    assert!((quiet + flood) * 100 >= capacity * 95, "slots stay empty");
+}
