Add claims for calls that run at most once

Cause: a call that must not be repeated needs one decision that survives lost answers, pauses and crashes of the node that dispatches it.

Ruled out: passing an expired claim to another claimant, since the first one may only be paused; and concluding from an absent row that a lost claim write failed, since it may still take effect.

--- /dev/null
+++ b/crates/calls/src/claim/batch.rs
@@ -0,0 +1,222 @@
+//! Joins the row writes of many claims into few transactions.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use derive_more::Display;
+
+use super::row::ClaimRecord;
+
+/// Limits of [`ClaimBatcher`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BatchSettings {
+    /// Time that the first write of a batch waits for others, in milliseconds. It is added to each
+    /// claimed call, so it stays below the round trip to a store in another region (12 ms).
+    pub window_ms: u64,
+    /// Writes in one transaction. One refused write makes the others of its transaction wait for a
+    /// second round trip, and the chance of that grows with the number of writes.
+    pub max_writes: usize,
+    /// Encoded rows in one transaction, in bytes. A single larger row is sent alone.
+    pub max_bytes: usize,
+}
+
+impl Default for BatchSettings {
+    fn default() -> Self {
+        Self {
+            window_ms: 5,
+            max_writes: 64,
+            max_bytes: 512 * 1024,
+        }
+    }
+}
+
+/// A conditional write of one claim row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimWrite {
+    /// Key of the row.
+    pub key: String,
+    /// Revision that the row must have; 0 if there must be no such row.
+    pub revision: u64,
+    /// New value.
+    pub record: ClaimRecord,
+    /// Time by which the store must have answered.
+    pub deadline: Instant,
+}
+
+/// What became of one conditional write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteOutcome {
+    /// The write took effect; the row has this revision.
+    Committed(u64),
+    /// The row did not have the expected revision; nothing was written.
+    Refused,
+    /// Nothing was written: the store was not reached or says that it did not run the request.
+    Unreachable,
+    /// The write may have taken effect, now or later.
+    Unanswered,
+}
+
+/// What the store answered to a transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BatchOutcome<'a> {
+    /// All writes took effect; the rows have this revision.
+    Committed(u64),
+    /// Nothing was written; the keys whose condition failed.
+    Refused(&'a [String]),
+    /// Nothing was written: the store was not reached or says that it did not run the request.
+    Unreachable,
+    /// The writes may have taken effect, now or later. An answer that cannot be read counts as this.
+    Unanswered,
+}
+
+/// Number of a transaction of one [`ClaimBatcher`].
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct BatchId(u64);
+
+/// Writes to be sent as one transaction. No two of them have the same key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimBatch {
+    /// Number by which [`ClaimBatcher::settle`] knows the transaction.
+    pub id: BatchId,
+    /// The writes.
+    pub writes: Vec<ClaimWrite>,
+    /// Latest deadline of the writes.
+    pub deadline: Instant,
+}
+
+/// Outcomes of the writes of a settled transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BatchReport<T> {
+    /// Outcome of each write that is settled, by the ticket it was queued with.
+    pub outcomes: Vec<(T, WriteOutcome)>,
+    /// The writes that were refused only because of others, to be sent at once.
+    pub retry: Option<ClaimBatch>,
+}
+
+/// Collects writes for a few milliseconds and sends them as one transaction.
+///
+/// Invariant: no transaction holds two writes of the same row. Both conditions would hold, the
+/// second write would replace the first, and both writers would believe that they hold the claim.
+#[derive(Debug)]
+pub struct ClaimBatcher<T> {
+    settings: BatchSettings,
+    queue: VecDeque<QueuedWrite<T>>,
+    sent: BTreeMap<BatchId, Vec<(T, ClaimWrite)>>,
+    last: u64,
+}
+
+#[derive(Debug)]
+struct QueuedWrite<T> {
+    ticket: T,
+    write: ClaimWrite,
+    size: usize,
+    due: Instant,
+}
+
+impl<T: Copy> ClaimBatcher<T> {
+    /// A batcher without writes.
+    pub fn new(settings: BatchSettings) -> Self {
+        Self {
+            settings,
+            queue: VecDeque::new(),
+            sent: BTreeMap::new(),
+            last: 0,
+        }
+    }
+
+    /// Queues a write. Its outcome is reported with `ticket`.
+    pub fn push(&mut self, ticket: T, write: ClaimWrite, now: Instant) {
+        let size = write.record.size_bound() + write.key.len();
+        let due = now.after(Duration::from_millis(self.settings.window_ms));
+        self.queue.push_back(QueuedWrite {
+            ticket,
+            write,
+            size,
+            due,
+        });
+    }
+
+    /// When [`ClaimBatcher::take_due`] next has a transaction; `None` while no write is queued.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        let first = self.queue.front()?;
+        let bytes: usize = self.queue.iter().map(|queued| queued.size).sum();
+        let full = self.queue.len() >= self.settings.max_writes || bytes >= self.settings.max_bytes;
+        // A full batch gains nothing by waiting.
+        Some(if full { Instant::default() } else { first.due })
+    }
+
+    /// Takes the next transaction if its window has ended or it is full.
+    pub fn take_due(&mut self, now: Instant) -> Option<ClaimBatch> {
+        if !self.next_deadline()?.is_past(now) {
+            return None;
+        }
+        let mut taken = Vec::new();
+        let mut kept = VecDeque::new();
+        let mut keys = BTreeSet::new();
+        let mut bytes = 0;
+        for queued in self.queue.drain(..) {
+            let fits = taken.is_empty()
+                || (taken.len() < self.settings.max_writes
+                    && bytes + queued.size <= self.settings.max_bytes);
+            // A key that is left behind keeps the later writes of that key behind it.
+            if keys.insert(queued.write.key.clone()) && fits {
+                bytes += queued.size;
+                taken.push((queued.ticket, queued.write));
+            } else {
+                kept.push_back(queued);
+            }
+        }
+        self.queue = kept;
+        self.send(taken)
+    }
+
+    /// Reports the outcome of each write of a transaction, given the store's answer to it.
+    ///
+    /// Returns no outcomes for a transaction that is already settled.
+    pub fn settle(&mut self, id: BatchId, outcome: BatchOutcome<'_>) -> BatchReport<T> {
+        let writes = self.sent.remove(&id).unwrap_or_default();
+        let all = |outcome: WriteOutcome| BatchReport {
+            outcomes: writes
+                .iter()
+                .map(|(ticket, _)| (*ticket, outcome))
+                .collect(),
+            retry: None,
+        };
+        match outcome {
+            BatchOutcome::Committed(revision) => all(WriteOutcome::Committed(revision)),
+            BatchOutcome::Unreachable => all(WriteOutcome::Unreachable),
+            BatchOutcome::Unanswered => all(WriteOutcome::Unanswered),
+            BatchOutcome::Refused(failed) => {
+                let is_failed = |write: &ClaimWrite| failed.contains(&write.key);
+                if !writes.iter().any(|(_, write)| is_failed(write)) {
+                    // A refusal that names none of the writes would be repeated without end.
+                    return all(WriteOutcome::Unreachable);
+                }
+                let (refused, others): (Vec<_>, Vec<_>) =
+                    writes.into_iter().partition(|(_, write)| is_failed(write));
+                let outcomes = refused
+                    .into_iter()
+                    .map(|(ticket, _)| (ticket, WriteOutcome::Refused))
+                    .collect();
+                BatchReport {
+                    outcomes,
+                    retry: self.send(others),
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, writes: Vec<(T, ClaimWrite)>) -> Option<ClaimBatch> {
+        let deadline = writes.iter().map(|(_, write)| write.deadline).max()?;
+        self.last += 1;
+        let id = BatchId(self.last);
+        let batch = ClaimBatch {
+            id,
+            writes: writes.iter().map(|(_, write)| write.clone()).collect(),
+            deadline,
+        };
+        self.sent.insert(id, writes);
+        Some(batch)
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/claim_batch.rs
@@ -0,0 +1,90 @@
+//! The batcher of claim writes.
+
+use agatedeck_calls::{
+    BatchOutcome, BatchSettings, ClaimBatcher, ClaimPhase, ClaimRecord, ClaimWrite, WriteOutcome,
+};
+use agatedeck_clock::Instant;
+
+fn write(key: &str) -> ClaimWrite {
+    ClaimWrite {
+        key: key.to_owned(),
+        revision: 0,
+        record: ClaimRecord {
+            token: "t".to_owned(),
+            node: "n".to_owned(),
+            digest: Vec::new(),
+            lease_unix_ms: 0,
+            phase: ClaimPhase::InProgress,
+        },
+        deadline: Instant::from_millis(1_000),
+    }
+}
+
+fn batcher(keys: &[&str], settings: BatchSettings) -> ClaimBatcher<usize> {
+    let mut batcher = ClaimBatcher::new(settings);
+    for (ticket, key) in keys.iter().enumerate() {
+        batcher.push(ticket, write(key), Instant::from_millis(10));
+    }
+    batcher
+}
+
+/// Guards against a transaction for each claim, which the store could not sustain.
+#[test]
+fn joins_writes_within_the_window() {
+    let mut batcher = batcher(&["a", "b"], BatchSettings::default());
+    assert!(batcher.take_due(Instant::from_millis(14)).is_none());
+    assert_eq!(batcher.next_deadline(), Some(Instant::from_millis(15)));
+    let batch = batcher.take_due(Instant::from_millis(15)).unwrap();
+    assert_eq!(batch.writes.len(), 2);
+    let report = batcher.settle(batch.id, BatchOutcome::Committed(7));
+    let committed = WriteOutcome::Committed(7);
+    assert_eq!(report.outcomes, [(0, committed), (1, committed)]);
+    assert!(report.retry.is_none());
+}
+
+/// Guards against two claims of one key that both win in one transaction, which runs a call twice.
+#[test]
+fn never_joins_two_writes_of_one_row() {
+    let mut batcher = batcher(&["a", "a", "b"], BatchSettings::default());
+    let now = Instant::from_millis(20);
+    let keys = |batch: agatedeck_calls::ClaimBatch| -> Vec<String> {
+        batch.writes.into_iter().map(|write| write.key).collect()
+    };
+    assert_eq!(batcher.take_due(now).map(keys).unwrap(), ["a", "b"]);
+    assert_eq!(batcher.take_due(now).map(keys).unwrap(), ["a"]);
+}
+
+/// Guards against one duplicate claim that makes every claim of its batch fail.
+#[test]
+fn retries_the_others_of_a_refused_transaction() {
+    let mut batcher = batcher(&["a", "b", "c"], BatchSettings::default());
+    let batch = batcher.take_due(Instant::from_millis(15)).unwrap();
+    let report = batcher.settle(batch.id, BatchOutcome::Refused(&["b".to_owned()]));
+    assert_eq!(report.outcomes, [(1, WriteOutcome::Refused)]);
+    let retry = report.retry.unwrap();
+    let report = batcher.settle(retry.id, BatchOutcome::Unanswered);
+    let unanswered = WriteOutcome::Unanswered;
+    assert_eq!(report.outcomes, [(0, unanswered), (2, unanswered)]);
+}
+
+/// Guards against an endless retry when the store names keys that are not in the transaction.
+#[test]
+fn ends_a_refusal_that_names_no_write() {
+    let mut batcher = batcher(&["a"], BatchSettings::default());
+    let batch = batcher.take_due(Instant::from_millis(15)).unwrap();
+    let report = batcher.settle(batch.id, BatchOutcome::Refused(&[]));
+    assert_eq!(report.outcomes, [(0, WriteOutcome::Unreachable)]);
+    assert!(report.retry.is_none());
+}
+
+/// Guards against transactions that grow with the load, and against a row that is never sent
+/// because it alone exceeds the limit.
+#[yare::parameterized(
+    writes = { BatchSettings { max_writes: 2, ..BatchSettings::default() }, 2 },
+    bytes = { BatchSettings { max_bytes: 1, ..BatchSettings::default() }, 1 },
+)]
+fn bounds_a_transaction(settings: BatchSettings, expected: usize) {
+    let mut batcher = batcher(&["a", "b", "c", "d"], settings);
+    let batch = batcher.take_due(Instant::from_millis(10)).unwrap();
+    assert_eq!(batch.writes.len(), expected);
+}
