Add the crash ledger and the latency histograms

Cause: a request that crashes its targets takes down one after another as long as its caller resends it, and operators need latencies by tenant and class.

Ruled out: a counter per fingerprint, which counts a report twice when it arrives over two paths; and dropping reports that an answer cleared, since a copy of them would count again.

Change: reports are kept by node, incarnation and crash number until they lapse. An answer marks reports below the limit as cleared. Both the ledger and the table of histograms have a bound on their entries.

Conclusion: a property test merges reports in two orders and with duplicates and finds the same refused requests.

--- /dev/null
+++ b/crates/calls/src/crash/fingerprint.rs
@@ -0,0 +1,70 @@
+//! Fingerprints of requests.
+
+use derive_more::Display;
+
+/// Separates fingerprints from other uses of the hash and from a later form of the fingerprint.
+const CONTEXT: &str = "agatedeck 2026 request fingerprint v1";
+
+/// What tells one request from another request of the same path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestIdentity<'a> {
+    /// The caller's idempotency key, which a resent request carries again.
+    Key(&'a str),
+    /// Digest of the body.
+    Body(&'a [u8]),
+}
+
+/// The parts of a request that make up its fingerprint.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestView<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path without the query.
+    pub path: &'a str,
+    /// Query without the question mark; empty if there is none.
+    pub query: &'a str,
+    /// Idempotency key or body digest.
+    pub identity: RequestIdentity<'a>,
+}
+
+/// BLAKE3 hash of the parts of a request.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display("{}", blake3::Hash::from_bytes(*_0).to_hex())]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(request: &RequestView<'_>) -> Self {
+        let (tag, identity) = match request.identity {
+            RequestIdentity::Key(key) => (b"key", key.as_bytes()),
+            RequestIdentity::Body(digest) => (b"sum", digest),
+        };
+        let parts = [
+            request.service.as_bytes(),
+            request.method.as_bytes(),
+            request.path.as_bytes(),
+            request.query.as_bytes(),
+            tag,
+            identity,
+        ];
+        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+        for part in parts {
+            // The length keeps `a` + `bc` apart from `ab` + `c`.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+
+    /// The fingerprint with these bytes; `None` if there are not 32 of them.
+    pub fn from_slice(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    /// The bytes of the fingerprint.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
--- /dev/null
+++ b/crates/calls/src/crash/ledger.rs
@@ -0,0 +1,279 @@
+//! Counts crashes by fingerprint.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use agatedeck_wire::CrashReport;
+
+use super::fingerprint::Fingerprint;
+
+/// Limits of [`CrashLedger`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CrashSettings {
+    /// Crashes after which requests with a fingerprint are refused. Two crashes of unrelated cause
+    /// may catch the same frequent request; three do so rarely.
+    pub limit: usize,
+    /// Time after which a report lapses, in milliseconds.
+    pub lapse_ms: u32,
+    /// Fingerprints that are remembered.
+    pub max_fingerprints: usize,
+    /// Reports that are remembered for one fingerprint; at least `limit`.
+    pub max_reports: usize,
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        Self {
+            limit: 3,
+            lapse_ms: 600_000,
+            max_fingerprints: 4_096,
+            max_reports: 8,
+        }
+    }
+}
+
+/// Says that a request was in flight at a target when it crashed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CrashNotice {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Service of the target.
+    pub service: String,
+    /// Node beside the target.
+    pub node: String,
+    /// Incarnation of that node.
+    pub incarnation: u64,
+    /// Number of the crash in that incarnation.
+    pub crash: u64,
+    /// Time until the notice lapses, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+impl CrashNotice {
+    /// The message that carries this notice.
+    pub fn to_wire(&self) -> CrashReport {
+        CrashReport {
+            fingerprint: self.fingerprint.as_bytes().to_vec(),
+            service: self.service.clone(),
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            crash: self.crash,
+            remaining_ms: self.remaining_ms,
+        }
+    }
+
+    /// The notice in a message; `None` if its fingerprint does not have 32 bytes.
+    pub fn from_wire(report: &CrashReport) -> Option<Self> {
+        Some(Self {
+            fingerprint: Fingerprint::from_slice(&report.fingerprint)?,
+            service: report.service.clone(),
+            node: report.node.clone(),
+            incarnation: report.incarnation,
+            crash: report.crash,
+            remaining_ms: report.remaining_ms,
+        })
+    }
+}
+
+/// What a notice did to the ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MergeResult {
+    /// The notice was new and is spread further.
+    New,
+    /// The ledger held the notice already, or it has lapsed, or there is no room for it.
+    Known,
+}
+
+/// A request that is refused, for the operators' listing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RefusedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Service that it crashed.
+    pub service: String,
+    /// Crashes counted.
+    pub crashes: usize,
+    /// When the request is let through again, unless there are further crashes.
+    pub expires: Instant,
+}
+
+/// Makes a report unique: node, incarnation, number of the crash.
+type ReportId = (String, u64, u64);
+
+/// The crash reports known to this node.
+///
+/// Invariant: as long as no bound is reached, the ledger depends only on the set of notices merged,
+/// not on their order or number. A report that was cleared is kept until it lapses, so that another
+/// copy of it is not counted again.
+#[derive(Debug)]
+pub struct CrashLedger {
+    settings: CrashSettings,
+    suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+#[derive(Debug, Default)]
+struct Suspect {
+    service: String,
+    reports: BTreeMap<ReportId, Report>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    expires: Instant,
+    cleared: bool,
+}
+
+impl Suspect {
+    /// Deadlines of the reports that count, latest first.
+    fn counted(&self, now: Instant) -> Vec<Instant> {
+        let counts = |report: &&Report| !report.cleared && !report.expires.is_past(now);
+        let mut deadlines: Vec<Instant> = self
+            .reports
+            .values()
+            .filter(counts)
+            .map(|report| report.expires)
+            .collect();
+        deadlines.sort_unstable_by(|left, right| right.cmp(left));
+        deadlines
+    }
+
+    /// When fewer than `limit` reports are left; `None` if that is so now.
+    fn refused_until(&self, limit: usize, now: Instant) -> Option<Instant> {
+        self.counted(now).get(limit.checked_sub(1)?).copied()
+    }
+
+    /// Drops the reports that lapse first until at most `max` are left.
+    fn trim(&mut self, max: usize) {
+        let excess = self.reports.len().saturating_sub(max);
+        let mut by_deadline: Vec<(Instant, ReportId)> = self
+            .reports
+            .iter()
+            .map(|(id, report)| (report.expires, id.clone()))
+            .collect();
+        by_deadline.sort_unstable();
+        for (_, id) in by_deadline.into_iter().take(excess) {
+            self.reports.remove(&id);
+        }
+    }
+}
+
+impl CrashLedger {
+    /// A ledger without reports.
+    pub fn new(settings: CrashSettings) -> Self {
+        Self {
+            settings,
+            suspects: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a notice, from this node or another one.
+    pub fn merge(&mut self, notice: &CrashNotice, now: Instant) -> MergeResult {
+        let remaining_ms = notice.remaining_ms.min(self.settings.lapse_ms);
+        let expires = now.after(Duration::from_millis(remaining_ms.into()));
+        if expires.is_past(now) || !self.make_room(notice.fingerprint, now) {
+            return MergeResult::Known;
+        }
+        let suspect = self.suspects.entry(notice.fingerprint).or_default();
+        if suspect.service.is_empty() {
+            suspect.service.clone_from(&notice.service);
+        }
+        let id = (notice.node.clone(), notice.incarnation, notice.crash);
+        if let Some(report) = suspect.reports.get_mut(&id) {
+            // The time on the way is not taken off the remaining time, so the earliest is nearest.
+            report.expires = report.expires.min(expires);
+            return MergeResult::Known;
+        }
+        let report = Report {
+            expires,
+            cleared: false,
+        };
+        suspect.reports.insert(id.clone(), report);
+        suspect.trim(self.settings.max_reports.max(self.settings.limit));
+        if suspect.reports.contains_key(&id) {
+            MergeResult::New
+        } else {
+            MergeResult::Known
+        }
+    }
+
+    /// Notes that a request was answered by a target. Suspicions below the limit are dropped.
+    pub fn completed(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return;
+        };
+        if suspect.refused_until(self.settings.limit, now).is_none() {
+            for report in suspect.reports.values_mut() {
+                report.cleared = true;
+            }
+        }
+    }
+
+    /// When a request with this fingerprint is let through again; `None` if it is not refused.
+    pub fn refused_until(&self, fingerprint: Fingerprint, now: Instant) -> Option<Instant> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        suspect.refused_until(self.settings.limit, now)
+    }
+
+    /// The requests that are refused, in the order of their fingerprints.
+    pub fn refused(&self, now: Instant) -> Vec<RefusedRequest> {
+        let limit = self.settings.limit;
+        let refused = self.suspects.iter().filter_map(|(fingerprint, suspect)| {
+            Some(RefusedRequest {
+                fingerprint: *fingerprint,
+                service: suspect.service.clone(),
+                crashes: suspect.counted(now).len(),
+                expires: suspect.refused_until(limit, now)?,
+            })
+        });
+        refused.collect()
+    }
+
+    /// Removes reports that have lapsed. To be called now and then, so that memory is freed.
+    pub fn tick(&mut self, now: Instant) {
+        self.suspects.retain(|_, suspect| {
+            suspect
+                .reports
+                .retain(|_, report| !report.expires.is_past(now));
+            !suspect.reports.is_empty()
+        });
+    }
+
+    /// Number of fingerprints remembered.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether no fingerprint is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Makes room for a fingerprint: removes lapsed reports and, if that is not enough, the
+    /// suspect with the fewest reports that count. Refused requests are kept in preference to it.
+    fn make_room(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let max = self.settings.max_fingerprints;
+        if self.suspects.contains_key(&fingerprint) || self.suspects.len() < max {
+            return true;
+        }
+        self.tick(now);
+        if self.suspects.len() < max {
+            return true;
+        }
+        let weakest: Option<(usize, Option<Instant>, Fingerprint)> = self
+            .suspects
+            .iter()
+            .map(|(fingerprint, suspect)| {
+                let counted = suspect.counted(now);
+                (counted.len(), counted.first().copied(), *fingerprint)
+            })
+            .min();
+        match weakest {
+            Some((count, _, weakest)) if count < self.settings.limit => {
+                self.suspects.remove(&weakest);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/src/crash/mod.rs
@@ -0,0 +1,13 @@
+//! Requests that crash the targets that run them.
+//!
+//! Every request in flight at a target when it crashes is a suspect, since nothing tells which one
+//! is at fault. A request whose fingerprint was in flight at several crashes is refused before it
+//! takes down further targets; a fingerprint that completes an answer before that is cleared.
+
+mod fingerprint;
+mod flight;
+mod ledger;
+
+pub use fingerprint::{Fingerprint, RequestIdentity, RequestView};
+pub use flight::FlightTable;
+pub use ledger::{CrashLedger, CrashNotice, CrashSettings, MergeResult, RefusedRequest};
--- /dev/null
+++ b/crates/calls/src/histogram/mod.rs
@@ -0,0 +1,134 @@
+//! Latency histograms for each tenant and class.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use hdrhistogram::errors::CreationError;
+
+/// Tenant and class of the series that takes what exceeds the bound on series.
+pub const OVERFLOW_SERIES: &str = "other";
+
+/// Limits of [`LatencyTable`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LatencySettings {
+    /// Series, the overflow series not included. Tenants come from callers, so their number is not
+    /// under the control of operators.
+    pub max_series: usize,
+    /// Longest latency that is told apart, in microseconds; longer ones count as this.
+    pub max_us: u64,
+    /// Significant decimal digits of a recorded value. With 2, a value is at most 1% off; each
+    /// further digit takes about ten times the memory.
+    pub digits: u8,
+}
+
+impl Default for LatencySettings {
+    fn default() -> Self {
+        Self {
+            max_series: 256,
+            max_us: 120_000_000,
+            digits: 2,
+        }
+    }
+}
+
+/// Latencies of one series.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LatencySummary {
+    /// Tenant.
+    pub tenant: String,
+    /// Class of the route.
+    pub class: String,
+    /// Calls recorded.
+    pub count: u64,
+    /// Median, in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile, in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile, in microseconds.
+    pub p999_us: u64,
+    /// Maximum, in microseconds.
+    pub max_us: u64,
+}
+
+/// Latency histograms by tenant and class.
+///
+/// Invariant: there are at most `max_series` series and the overflow series.
+#[derive(Debug)]
+pub struct LatencyTable {
+    settings: LatencySettings,
+    /// Series by tenant and then class, so that a look-up needs no owned key.
+    series: BTreeMap<String, BTreeMap<String, Histogram<u64>>>,
+    series_count: usize,
+    overflow: Histogram<u64>,
+}
+
+impl LatencyTable {
+    /// A table without series.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings give no histogram: `digits` above 5 or `max_us` below 2.
+    pub fn new(settings: LatencySettings) -> Result<Self, CreationError> {
+        let overflow = new_histogram(&settings)?;
+        Ok(Self {
+            settings,
+            series: BTreeMap::new(),
+            series_count: 0,
+            overflow,
+        })
+    }
+
+    /// Records the latency of one call, in microseconds.
+    pub fn record(&mut self, tenant: &str, class: &str, latency_us: u64) {
+        self.histogram(tenant, class).saturating_record(latency_us);
+    }
+
+    /// Summaries of all series with calls, by tenant and class; the overflow series comes last.
+    pub fn summaries(&self) -> Vec<LatencySummary> {
+        let series = self.series.iter().flat_map(|(tenant, classes)| {
+            classes
+                .iter()
+                .map(move |(class, histogram)| summary(tenant, class, histogram))
+        });
+        let overflow = summary(OVERFLOW_SERIES, OVERFLOW_SERIES, &self.overflow);
+        series
+            .chain((overflow.count > 0).then_some(overflow))
+            .collect()
+    }
+
+    fn histogram(&mut self, tenant: &str, class: &str) -> &mut Histogram<u64> {
+        let known = self
+            .series
+            .get(tenant)
+            .is_some_and(|classes| classes.contains_key(class));
+        let reserved = tenant == OVERFLOW_SERIES && class == OVERFLOW_SERIES;
+        if !known && !reserved && self.series_count < self.settings.max_series {
+            // The settings gave the overflow histogram, so they give this one as well.
+            if let Ok(histogram) = new_histogram(&self.settings) {
+                let classes = self.series.entry(tenant.to_owned()).or_default();
+                classes.insert(class.to_owned(), histogram);
+                self.series_count += 1;
+            }
+        }
+        self.series
+            .get_mut(tenant)
+            .and_then(|classes| classes.get_mut(class))
+            .unwrap_or(&mut self.overflow)
+    }
+}
+
+fn new_histogram(settings: &LatencySettings) -> Result<Histogram<u64>, CreationError> {
+    Histogram::new_with_bounds(1, settings.max_us, settings.digits)
+}
+
+fn summary(tenant: &str, class: &str, histogram: &Histogram<u64>) -> LatencySummary {
+    LatencySummary {
+        tenant: tenant.to_owned(),
+        class: class.to_owned(),
+        count: histogram.len(),
+        p50_us: histogram.value_at_quantile(0.5),
+        p99_us: histogram.value_at_quantile(0.99),
+        p999_us: histogram.value_at_quantile(0.999),
+        max_us: histogram.max(),
+    }
+}
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decisions on routing, admission, retries and claims.
 
 mod claim;
+mod crash;
+mod histogram;
 
 pub use claim::{
     AnswerView, BatchId, BatchOutcome, BatchReport, BatchSettings, CallEnd, ClaimAnswer,
@@ -8,3 +10,8 @@
     ClaimRequest, ClaimRowError, ClaimSettings, ClaimTable, ClaimTime, ClaimVerdict, ClaimWrite,
     ReadOutcome, StoredClaim, WriteOutcome, decode_claim, encode_claim,
 };
+pub use crash::{
+    CrashLedger, CrashNotice, CrashSettings, Fingerprint, FlightTable, MergeResult, RefusedRequest,
+    RequestIdentity, RequestView,
+};
+pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
--- /dev/null
+++ b/crates/calls/tests/crash_ledger.rs
@@ -0,0 +1,164 @@
+//! The crash ledger.
+
+use agatedeck_calls::{
+    CrashLedger, CrashNotice, CrashSettings, Fingerprint, FlightTable, MergeResult,
+    RequestIdentity, RequestView,
+};
+use agatedeck_clock::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn fingerprint(path: &str) -> Fingerprint {
+    Fingerprint::of(&RequestView {
+        service: "orders",
+        method: "POST",
+        path,
+        query: "",
+        identity: RequestIdentity::Key("k"),
+    })
+}
+
+fn notice(path: &str, node: &str, crash: u64) -> CrashNotice {
+    CrashNotice {
+        fingerprint: fingerprint(path),
+        service: "orders".to_owned(),
+        node: node.to_owned(),
+        incarnation: 1,
+        crash,
+        remaining_ms: 600_000,
+    }
+}
+
+fn ledger() -> CrashLedger {
+    CrashLedger::new(CrashSettings::default())
+}
+
+/// Guards against a request that goes on crashing targets, and against one that is refused for ever.
+#[test]
+fn refuses_after_three_crashes_for_ten_minutes() {
+    let (mut ledger, bad) = (ledger(), fingerprint("/bad"));
+    for (minute, node) in ["a", "b", "c"].into_iter().enumerate() {
+        assert_eq!(ledger.refused_until(bad, Instant::default()), None);
+        let now = Instant::from_millis(minute as u64 * 60_000);
+        assert_eq!(
+            ledger.merge(&notice("/bad", node, 1), now),
+            MergeResult::New
+        );
+    }
+    let now = Instant::from_millis(120_000);
+    // The first of the three reports lapses first and takes the count below the limit.
+    let until = Instant::from_millis(600_000);
+    assert_eq!(ledger.refused_until(bad, now), Some(until));
+    let listed = ledger.refused(now);
+    assert_eq!((listed[0].crashes, listed[0].expires), (3, until));
+    assert_eq!(ledger.refused_until(bad, until), None);
+    ledger.tick(Instant::from_millis(720_000));
+    assert!(ledger.is_empty());
+}
+
+/// Guards against innocent requests that stay suspect because they were in flight beside a bad one.
+#[test]
+fn an_answer_clears_suspicions_below_the_limit() {
+    let (mut ledger, now) = (ledger(), Instant::default());
+    let (innocent, bad) = (fingerprint("/innocent"), fingerprint("/bad"));
+    for crash in 1..=3 {
+        ledger.merge(&notice("/innocent", "a", crash), now);
+        ledger.completed(innocent, now);
+        // Another copy of a cleared report must not count again.
+        ledger.merge(&notice("/innocent", "a", crash), now);
+        ledger.merge(&notice("/bad", "a", crash), now);
+    }
+    ledger.completed(bad, now);
+    assert_eq!(ledger.refused_until(innocent, now), None);
+    assert!(ledger.refused_until(bad, now).is_some());
+}
+
+/// Guards against reports for requests that had already ended, and against one crash reported twice.
+#[test]
+fn reports_only_what_is_in_flight() {
+    let mut flights = FlightTable::new("a", 4, "orders");
+    for path in ["/one", "/two", "/two"] {
+        flights.dispatched(fingerprint(path));
+    }
+    flights.ended(fingerprint("/one"));
+    flights.ended(fingerprint("/two"));
+    let notices = flights.crashed(600_000);
+    assert_eq!(notices.len(), 1);
+    assert_eq!(notices[0].fingerprint, fingerprint("/two"));
+    assert_eq!((notices[0].incarnation, notices[0].crash), (4, 1));
+    assert!(flights.crashed(600_000).is_empty());
+    let copy = CrashNotice::from_wire(&notices[0].to_wire());
+    assert_eq!(copy.as_ref(), Some(&notices[0]));
+}
+
+/// Guards against a flood of fingerprints that takes the memory or drives out a refused request.
+#[test]
+fn keeps_refused_requests_when_full() {
+    let settings = CrashSettings {
+        max_fingerprints: 4,
+        ..CrashSettings::default()
+    };
+    let (mut ledger, now) = (CrashLedger::new(settings), Instant::default());
+    for crash in 1..=3 {
+        ledger.merge(&notice("/bad", "a", crash), now);
+    }
+    for number in 0..100 {
+        ledger.merge(&notice(&format!("/{number}"), "a", 1), now);
+    }
+    assert_eq!(ledger.len(), 4);
+    assert!(ledger.refused_until(fingerprint("/bad"), now).is_some());
+}
+
+/// Guards against two requests that share a fingerprint because their parts run into each other.
+#[test]
+fn parts_of_a_request_do_not_run_together() {
+    let with = |path, query, identity| {
+        Fingerprint::of(&RequestView {
+            service: "s",
+            method: "GET",
+            path,
+            query,
+            identity,
+        })
+    };
+    let key = RequestIdentity::Key("k");
+    assert_ne!(with("/a", "bc", key), with("/ab", "c", key));
+    assert_ne!(
+        with("/a", "", key),
+        with("/a", "", RequestIdentity::Body(b"k"))
+    );
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(0x00c4_a511),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against nodes that disagree because reports reach them in another order or twice.
+    #[test]
+    fn merging_is_independent_of_order(
+        reports in prop::collection::vec((0..3_u64, 0..3_u64, 1..3_u64), 0..24),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let notices: Vec<_> = reports
+            .iter()
+            .map(|(path, node, crash)| notice(&path.to_string(), &node.to_string(), *crash))
+            .collect();
+        let (mut forwards, mut other) = (ledger(), ledger());
+        let now = Instant::default();
+        for notice in &notices {
+            forwards.merge(notice, now);
+        }
+        let split = if notices.is_empty() { 0 } else { order.index(notices.len()) };
+        for notice in notices[split..].iter().rev().chain(&notices) {
+            other.merge(notice, now);
+        }
+        prop_assert_eq!(forwards.refused(now), other.refused(now));
+        let distinct: std::collections::BTreeSet<_> = reports.iter().collect();
+        let bad = (0..3).filter(|path| distinct.iter().filter(|r| r.0 == *path).count() >= 3);
+        prop_assert_eq!(forwards.refused(now).len(), bad.count());
+    }
+}
