--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -6,6 +6,9 @@
 
 mod admission;
 mod call;
+mod claim;
+mod crash;
+mod histogram;
 mod retry;
 mod routing;
 
@@ -13,6 +16,17 @@
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
 };
 pub use call::{AttemptEvent, CallContext, CallEffect, CallEvent, CallLife, CallState, CallTerms};
+pub use claim::{
+    AnswerView, BatchId, BatchOutcome, BatchReport, BatchSettings, CallEnd, ClaimAnswer,
+    ClaimBatch, ClaimBatcher, ClaimEffect, ClaimId, ClaimOp, ClaimPhase, ClaimRecord, ClaimRefusal,
+    ClaimRequest, ClaimRowError, ClaimSettings, ClaimTable, ClaimTime, ClaimVerdict, ClaimWrite,
+    ReadOutcome, StoredClaim, WriteOutcome, decode_claim, encode_claim,
+};
+pub use crash::{
+    CrashLedger, CrashNotice, CrashSettings, Fingerprint, FlightTable, MergeResult, RefusedRequest,
+    RequestIdentity, RequestView,
+};
+pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use retry::{
     CallOutcome, OutcomeError, RetryBudget, RetryDecision, RetryQuestion, RetryRefusal,
     RetrySettings, decide_retry, owns_retries,
