Add the failure detector, the join process and their charts

Cause: members were only merged; nothing noticed a failed node, repaired missed updates or gave a node without a disk its floor.

Ruled out: digests over dead entries, since nodes forget them at different times and would compare tables for ever; suspicion across failure domains, since a partition would empty the tables on both sides; asking only the present witnesses for a floor, since the ranks move when the domain changes.

--- /dev/null
+++ b/crates/control/src/member/chart.rs
@@ -0,0 +1,86 @@
+//! Types of the chart `charts/member.toml`.
+
+use std::sync::LazyLock;
+
+use agatedeck_chart::ChartTable;
+use agatedeck_wire::MemberStatus;
+use derive_more::FromStr;
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[from_str(rename_all = "snake_case")]
+pub(crate) enum MemberState {
+    Alive,
+    Suspect,
+    Draining,
+    Left,
+    Dead,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[from_str(rename_all = "snake_case")]
+pub(crate) enum MemberEvent {
+    Answered,
+    Unreached,
+    Expired,
+    Renewed,
+    Forget,
+    HeardAlive,
+    HeardSuspect,
+    HeardDraining,
+    HeardLeft,
+    HeardDead,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
+#[from_str(rename_all = "snake_case")]
+pub(crate) enum MemberAction {
+    StartSuspicion,
+    StartRetention,
+    ClearDeadline,
+    DropEntry,
+    Spread,
+}
+
+pub(crate) type MemberChart = ChartTable<MemberState, MemberEvent, MemberAction>;
+
+/// The chart is part of the binary; `tests/charts.rs` checks that it loads.
+pub(crate) static MEMBER_CHART: LazyLock<MemberChart> = LazyLock::new(|| {
+    ChartTable::parse(include_str!("../../charts/member.toml")).expect("member.toml is sound")
+});
+
+impl From<MemberStatus> for MemberState {
+    fn from(status: MemberStatus) -> Self {
+        match status {
+            MemberStatus::Alive => Self::Alive,
+            MemberStatus::Suspect => Self::Suspect,
+            MemberStatus::Draining => Self::Draining,
+            MemberStatus::Left => Self::Left,
+            MemberStatus::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<MemberState> for MemberStatus {
+    fn from(state: MemberState) -> Self {
+        match state {
+            MemberState::Alive => Self::Alive,
+            MemberState::Suspect => Self::Suspect,
+            MemberState::Draining => Self::Draining,
+            MemberState::Left => Self::Left,
+            MemberState::Dead => Self::Dead,
+        }
+    }
+}
+
+impl MemberEvent {
+    /// The event of hearing `status` for the incarnation that is already known.
+    pub(crate) fn heard(status: MemberStatus) -> Self {
+        match status {
+            MemberStatus::Alive => Self::HeardAlive,
+            MemberStatus::Suspect => Self::HeardSuspect,
+            MemberStatus::Draining => Self::HeardDraining,
+            MemberStatus::Left => Self::HeardLeft,
+            MemberStatus::Dead => Self::HeardDead,
+        }
+    }
+}
--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -1,5 +1,13 @@
 //! Which nodes there are and which of them are alive.
 
+mod chart;
+mod delegate;
+mod detector;
+mod settings;
 mod table;
+mod update_queue;
 
+pub use detector::{FailureDetector, MemberEffect};
+pub use settings::MemberSettings;
 pub use table::{MemberEntry, MemberKey, MemberTable, MergeOutcome};
+pub(crate) use table::{after_ms, is_live};
--- a/crates/control/src/member/table.rs
+++ b/crates/control/src/member/table.rs
@@ -1,11 +1,18 @@
 //! The member table: what this node knows of every node.
+//!
+//! Cost: about 200 bytes for each node of the fleet, O(log n) for an update, and one digest for each
+//! failure domain. No state is kept for pairs of nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use agatedeck_clock::Instant;
-use agatedeck_wire::{Member, MemberStatus};
+use agatedeck_wire::{DomainDigest, Member, MemberStatus};
 use slotmap::{SlotMap, new_key_type};
 
+use super::chart::{MEMBER_CHART, MemberAction, MemberEvent, MemberState};
+use super::settings::MemberSettings;
+
 new_key_type! {
     /// Key of an entry in a [`MemberTable`].
     pub struct MemberKey;
@@ -18,6 +25,9 @@
     pub member: Member,
     /// When the status last changed here.
     pub changed_at: Instant,
+    /// End of the suspicion of a suspect or draining node, or of the retention of a left or dead
+    /// one.
+    deadline: Option<Instant>,
 }
 
 /// What an update did to the table.
@@ -29,19 +39,29 @@
     Stale,
 }
 
+/// What remains of a forgotten entry: enough to refuse older updates.
+#[derive(Clone, Debug)]
+struct Tombstone {
+    member: Member,
+    drop_at: Instant,
+}
+
 /// All nodes known, by name.
 ///
-/// Invariant: for each node, `(incarnation, status)` never moves back in the order of
-/// [`precedence`], whatever order updates arrive in.
+/// Invariant: for each node, the incarnation never decreases, and within one incarnation the
+/// status only follows `charts/member.toml`, whatever order updates arrive in. This also holds for
+/// forgotten nodes until their tombstone is dropped.
+///
+/// Invariant: the digest of a domain is the exclusive or of the hashes of its live entries, so it
+/// depends on neither the order of updates nor on what was forgotten.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
+    settings: MemberSettings,
     entries: SlotMap<MemberKey, MemberEntry>,
     by_name: BTreeMap<String, MemberKey>,
-}
-
-/// Order of updates on one node. A higher incarnation wins; within one, the worse status wins.
-fn precedence(member: &Member) -> (u64, i32) {
-    (member.incarnation, member.status)
+    by_deadline: BTreeSet<(Instant, MemberKey)>,
+    digests: BTreeMap<String, u64>,
+    tombstones: BTreeMap<String, Tombstone>,
 }
 
 /// Whether a node in this status takes part in spreading and is offered versions.
@@ -52,30 +72,198 @@
     )
 }
 
+/// Hash of an entry in the digest of its domain; 0 for entries that the digest leaves out.
+///
+/// A suspicion is left out because it is resolved within seconds, and a difference costs a `Sync`.
+/// Left and dead entries are left out so that nodes may forget them at different times.
+fn entry_hash(member: &Member) -> u64 {
+    if !is_live(member.status()) {
+        return 0;
+    }
+    let draining = u8::from(member.status() == MemberStatus::Draining);
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&member.incarnation.to_le_bytes());
+    hasher.update(&[draining]);
+    hasher.update(member.node.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
+
 impl MemberTable {
+    /// An empty table with these settings.
+    pub fn new(settings: &MemberSettings) -> Self {
+        Self {
+            settings: settings.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Merges an update that came from another node or was decided here.
     pub fn merge(&mut self, update: &Member, now: Instant) -> MergeOutcome {
-        let Some(key) = self.by_name.get(&update.node) else {
-            let entry = MemberEntry {
-                member: update.clone(),
-                changed_at: now,
-            };
-            let key = self.entries.insert(entry);
-            self.by_name.insert(update.node.clone(), key);
+        let known = self
+            .tombstones
+            .get(&update.node)
+            .map(|tombstone| &tombstone.member);
+        if known.is_some_and(|known| known.incarnation >= update.incarnation) {
+            return MergeOutcome::Stale;
+        }
+        let Some(key) = self.by_name.get(&update.node).copied() else {
+            self.insert(update, now);
             return MergeOutcome::Applied;
         };
-        let entry = &mut self.entries[*key];
-        if precedence(update) <= precedence(&entry.member) {
-            entry.member.version = entry.member.version.max(update.version);
+        let entry = &mut self.entries[key];
+        let version = entry.member.version.max(update.version);
+        entry.member.version = version;
+        let before = entry.member.clone();
+        if update.incarnation < before.incarnation {
             return MergeOutcome::Stale;
         }
-        let version = entry.member.version.max(update.version);
-        entry.member = Member {
-            version,
-            ..update.clone()
-        };
-        entry.changed_at = now;
-        MergeOutcome::Applied
+        if update.incarnation > before.incarnation {
+            self.toggle_digest(key);
+            self.entries[key].member = Member {
+                version,
+                status: before.status,
+                ..update.clone()
+            };
+            self.toggle_digest(key);
+            self.step(key, MemberEvent::Renewed, now);
+        }
+        self.step(key, MemberEvent::heard(update.status()), now);
+        let after = &self.entries[key].member;
+        if (after.incarnation, after.status) == (before.incarnation, before.status) {
+            MergeOutcome::Stale
+        } else {
+            MergeOutcome::Applied
+        }
+    }
+
+    fn insert(&mut self, update: &Member, now: Instant) {
+        let remembered = self.tombstones.remove(&update.node);
+        let version = remembered.map_or(0, |tombstone| tombstone.member.version);
+        let key = self.entries.insert(MemberEntry {
+            member: Member {
+                status: MemberStatus::Alive.into(),
+                version: update.version.max(version),
+                ..update.clone()
+            },
+            changed_at: now,
+            deadline: None,
+        });
+        self.by_name.insert(update.node.clone(), key);
+        self.toggle_digest(key);
+        self.step(key, MemberEvent::heard(update.status()), now);
+    }
+
+    /// Adds the entry to the digest of its domain, or removes it if it is included.
+    fn toggle_digest(&mut self, key: MemberKey) {
+        let member = &self.entries[key].member;
+        let hash = entry_hash(member);
+        if let Some(digest) = self.digests.get_mut(&member.domain) {
+            *digest ^= hash;
+        } else {
+            self.digests.insert(member.domain.clone(), hash);
+        }
+    }
+
+    /// Moves an entry on by `event`; returns whether it is to be spread.
+    fn step(&mut self, key: MemberKey, event: MemberEvent, now: Instant) -> bool {
+        let status = self.entries[key].member.status();
+        let mut state = MemberState::from(status);
+        let actions = MEMBER_CHART.advance(&mut state, event);
+        if MemberStatus::from(state) != status {
+            self.toggle_digest(key);
+            let entry = &mut self.entries[key];
+            entry.member.status = MemberStatus::from(state).into();
+            entry.changed_at = now;
+            self.toggle_digest(key);
+        }
+        let mut spread = false;
+        for action in actions {
+            match action {
+                MemberAction::StartSuspicion => {
+                    if self.entries[key].deadline.is_none() {
+                        self.set_deadline(key, Some(after_ms(now, self.settings.suspicion_ms)));
+                    }
+                }
+                MemberAction::StartRetention => {
+                    self.set_deadline(key, Some(after_ms(now, self.settings.retention_ms)));
+                }
+                MemberAction::ClearDeadline => self.set_deadline(key, None),
+                MemberAction::DropEntry => self.forget(key, now),
+                MemberAction::Spread => spread = true,
+            }
+        }
+        spread
+    }
+
+    fn set_deadline(&mut self, key: MemberKey, deadline: Option<Instant>) {
+        let entry = &mut self.entries[key];
+        if let Some(old) = std::mem::replace(&mut entry.deadline, deadline) {
+            self.by_deadline.remove(&(old, key));
+        }
+        if let Some(deadline) = deadline {
+            self.by_deadline.insert((deadline, key));
+        }
+    }
+
+    fn forget(&mut self, key: MemberKey, now: Instant) {
+        self.set_deadline(key, None);
+        if let Some(entry) = self.entries.remove(key) {
+            let member = entry.member;
+            self.by_name.remove(&member.node);
+            let tombstone = Tombstone {
+                drop_at: after_ms(now, self.settings.tombstone_ms),
+                member,
+            };
+            self.tombstones
+                .insert(tombstone.member.node.clone(), tombstone);
+        }
+    }
+
+    /// Carries out an event that was observed here; returns whether the entry is to be spread.
+    pub(crate) fn observe(&mut self, node: &str, event: MemberEvent, now: Instant) -> bool {
+        match self.by_name.get(node) {
+            Some(key) => self.step(*key, event, now),
+            None => false,
+        }
+    }
+
+    /// Ends the suspicions and retentions that are due; returns the names of the nodes that died.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<String> {
+        let mut died = Vec::new();
+        while let Some((deadline, key)) = self.by_deadline.first().copied() {
+            if !deadline.is_past(now) {
+                break;
+            }
+            let member = &self.entries[key].member;
+            let event = if is_live(member.status()) {
+                died.push(member.node.clone());
+                MemberEvent::Expired
+            } else {
+                MemberEvent::Forget
+            };
+            self.set_deadline(key, None);
+            self.step(key, event, now);
+        }
+        self.tombstones
+            .retain(|_, tombstone| !tombstone.drop_at.is_past(now));
+        died
+    }
+
+    /// Gives every suspect its whole time again; used when this process was paused itself.
+    pub(crate) fn restart_suspicions(&mut self, now: Instant) {
+        let keys: Vec<MemberKey> = self.by_deadline.iter().map(|(_, key)| *key).collect();
+        for key in keys {
+            if is_live(self.entries[key].member.status()) {
+                self.set_deadline(key, Some(after_ms(now, self.settings.suspicion_ms)));
+            }
+        }
+    }
+
+    /// When [`Self::expire`] next has something to do.
+    pub(crate) fn next_deadline(&self) -> Option<Instant> {
+        self.by_deadline.first().map(|(deadline, _)| *deadline)
     }
 
     /// Notes that `node` was seen to hold `version`. Versions are not spread as updates, since each
@@ -92,6 +280,12 @@
         self.by_name.get(node).map(|key| &self.entries[*key].member)
     }
 
+    /// The newest that is known of `node`, also after its entry was forgotten.
+    pub(crate) fn newest(&self, node: &str) -> Option<&Member> {
+        let forgotten = || self.tombstones.get(node).map(|tombstone| &tombstone.member);
+        self.get(node).or_else(forgotten)
+    }
+
     /// All entries in the order of their names.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.by_name.values().map(|key| &self.entries[*key].member)
@@ -111,4 +305,39 @@
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
     }
+
+    /// Digest of all live entries.
+    pub fn digest(&self) -> u64 {
+        self.digests.values().fold(0, |all, digest| all ^ digest)
+    }
+
+    /// Digests of the failure domains that have live entries.
+    pub fn domain_digests(&self) -> Vec<DomainDigest> {
+        let present = self.digests.iter().filter(|(_, digest)| **digest != 0);
+        present
+            .map(|(domain, digest)| DomainDigest {
+                domain: domain.clone(),
+                digest: *digest,
+            })
+            .collect()
+    }
+
+    /// The failure domains whose digest here differs from that in `theirs`.
+    pub(crate) fn differing_domains(&self, theirs: &[DomainDigest]) -> BTreeSet<String> {
+        let theirs: BTreeMap<&str, u64> = theirs
+            .iter()
+            .map(|digest| (digest.domain.as_str(), digest.digest))
+            .collect();
+        let ours = |domain: &str| self.digests.get(domain).copied().unwrap_or(0);
+        let known = self.digests.keys().map(String::as_str);
+        known
+            .chain(theirs.keys().copied())
+            .filter(|domain| ours(domain) != theirs.get(domain).copied().unwrap_or(0))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+pub(crate) fn after_ms(now: Instant, millis: u64) -> Instant {
+    now.after(Duration::from_millis(millis))
 }
--- /dev/null
+++ b/crates/control/tests/charts.rs
@@ -0,0 +1,42 @@
+//! Guards against a chart file that names a state, event or action that the code does not have: the
+//! node would panic when it starts.
+
+use agatedeck_clock::Instant;
+use agatedeck_control::{
+    FailureDetector, JoinProcess, JoinSettings, JoinState, MemberSettings, MemberTable,
+};
+use agatedeck_wire::{Member, MemberStatus};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use yare::parameterized;
+
+#[parameterized(
+    alive = { MemberStatus::Alive },
+    suspect = { MemberStatus::Suspect },
+    draining = { MemberStatus::Draining },
+    left = { MemberStatus::Left },
+    dead = { MemberStatus::Dead },
+)]
+fn member_chart_reaches_each_status(status: MemberStatus) {
+    let own = Member {
+        node: "a".to_owned(),
+        ..Member::default()
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = MemberSettings::default();
+    FailureDetector::new(&own, &settings, Instant::default(), &mut rng);
+    let mut table = MemberTable::default();
+    table.merge(&own, Instant::default());
+    let update = Member {
+        status: status.into(),
+        ..own
+    };
+    table.merge(&update, Instant::default());
+    assert_eq!(table.get("a").map(Member::status), Some(status));
+}
+
+#[test]
+fn join_chart_loads_and_starts_at_starting() {
+    let process = JoinProcess::new(&Member::default(), &[], &JoinSettings::default());
+    assert_eq!(process.state(), JoinState::Starting);
+}
