--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! effects that are returned.
 
 mod acceptance;
+mod join;
 mod member;
 mod rendezvous;
 mod spread;
@@ -14,7 +15,14 @@
     SNAPSHOT_INTERVAL, UnreadableNode, acceptance_chart, change_key, delta_key, snapshot_key,
     unreadable_nodes,
 };
-pub use member::{MemberEntry, MemberKey, MemberTable, MergeOutcome};
+pub use join::{
+    FloorLedger, GateSettings, JoinEffect, JoinGate, JoinProcess, JoinSettings, JoinState,
+    witnesses,
+};
+pub use member::{
+    FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
+    MergeOutcome,
+};
 pub use rendezvous::{rank_by, score};
 pub use spread::{PollSpread, SpreadDelivery, SpreadOrder, SpreadPolicy, SpreadReach, TreeSpread};
 pub use version::{
