Tell a stated revision 0 from none in record files, and test the records

A record file that stated no revision was read as revision 0, so an edit of an existing record without a revision could only conflict. The reader now returns FileRecord with an optional revision and the place of the record's name; the caller supplies the revision held where none is stated. Keeping RecordWrite with a magic revision was ruled out, because 0 already means "must not exist yet".

--- a/crates/findings/src/reader.rs
+++ b/crates/findings/src/reader.rs
@@ -95,6 +95,12 @@
         self.span.clone()
     }
 
+    /// Line and column at which the value of `key` starts, both counted from 1, or those of the
+    /// table if the key is absent.
+    pub fn place_of(&self, key: &str) -> (usize, usize) {
+        self.document.place(self.span_of(key).start)
+    }
+
     /// Place of the value of `key`, or of the table if the key is absent.
     pub fn span_of(&self, key: &str) -> Range<usize> {
         self.table
--- /dev/null
+++ b/crates/findings/tests/reader.rs
@@ -0,0 +1,70 @@
+//! Guards the places of findings and the reader's habit of reporting everything in one run.
+
+use agatedeck_findings::TomlDocument;
+use yare::parameterized;
+
+fn findings_of(text: &str) -> Vec<String> {
+    let document = TomlDocument::parse("f.toml", text);
+    let mut root = document.root();
+    root.text("text");
+    root.integer("number", 1..=9);
+    root.boolean("flag");
+    root.texts("list");
+    root.parsed::<std::net::IpAddr>("address", "an IP address");
+    if let Some(mut table) = root.table("table") {
+        table.required_text("name");
+        table.finish();
+    }
+    for mut item in root.tables("item") {
+        item.required_text("name");
+        item.finish();
+    }
+    root.finish();
+    let findings = document.finish().err().unwrap_or_default();
+    let sorted = findings.sorted();
+    sorted.into_iter().map(ToString::to_string).collect()
+}
+
+#[parameterized(
+    clean = { "text = \"a\"\nnumber = 3\nflag = true\nlist = [\"x\"]\naddress = \"::1\"\n", &[] },
+    text = { "text = 1", &["f.toml:1:8: `text` must be a string"] },
+    range = { "\nnumber = 10", &["f.toml:2:10: `number` must be a whole number from 1 to 9"] },
+    negative = { "number = -1", &["f.toml:1:10: `number` must be a whole number from 1 to 9"] },
+    flag = { "flag = 0", &["f.toml:1:8: `flag` must be true or false"] },
+    list = { "list = [\"a\", 2]", &["f.toml:1:8: `list` must be an array of strings"] },
+    parsed = { "address = \"x\"", &["f.toml:1:11: `address` must be an IP address, not `x`"] },
+    table = { "table = 1", &["f.toml:1:9: `table` must be a table"] },
+    tables = { "item = [1]", &["f.toml:1:8: `item` must be an array of tables"] },
+    missing = { "flag = true\n[table]\n", &["f.toml:2:1: `name` is missing"] },
+    empty = { "[table]\nname = \"\"", &["f.toml:2:8: `name` must not be empty"] },
+    nested_unknown = { "[[item]]\nname = \"a\"\nnmae = 1", &["f.toml:3:1: unknown key `nmae`"] },
+    unknown_after_umlaut = { "text = \"ä\"\n\"ü\" = 1", &["f.toml:2:1: unknown key `ü`"] },
+    column_in_characters = { "table = { name = \"äö\", x = 1 }", &["f.toml:1:24: unknown key `x`"] },
+)]
+fn place_of_each_problem(text: &str, expected: &[&str]) {
+    assert_eq!(findings_of(text), expected);
+}
+
+/// Guards against a reader that stops at its first finding, or orders line 10 before line 9.
+#[test]
+fn all_problems_in_order_of_their_places() {
+    let text = "flag = 1\n\n\n\n\n\n\n\ntext = 2\nnumber = 99\n";
+    let places: Vec<String> = findings_of(text)
+        .iter()
+        .map(|finding| finding.split(": ").next().unwrap_or_default().to_owned())
+        .collect();
+    assert_eq!(places, ["f.toml:1:8", "f.toml:9:8", "f.toml:10:10"]);
+}
+
+/// Guards against a syntax error that hides the rest of the file.
+#[test]
+fn syntax_errors_are_findings() {
+    let findings = findings_of("flag = tru\nnumber = 99\n");
+    assert!(findings[0].starts_with("f.toml:1:8: "), "{findings:?}");
+    assert!(
+        findings
+            .iter()
+            .any(|finding| finding.starts_with("f.toml:2:10: ")),
+        "{findings:?}"
+    );
+}
--- a/crates/records/src/file.rs
+++ b/crates/records/src/file.rs
@@ -8,7 +8,7 @@
     PolicyForm, RecordForm, RecordKind, RecordName, RecordWrite, RepeatRule, RouteForm, ServiceForm,
 };
 
-use crate::key::kind_name;
+use crate::key::{RecordKey, kind_name};
 use crate::{NEWEST_SCHEMA, OLDEST_SCHEMA};
 
 /// Default time for a call without a deadline of its own.
@@ -20,6 +20,8 @@
 /// Default number of attempts, the first included.
 const DEFAULT_ATTEMPTS: u32 = 3;
 
+/// TOML's integers end at 2^63 - 1.
+const REVISION_RANGE: RangeInclusive<u64> = 0..=i64::MAX.unsigned_abs();
 const TIMEOUT_RANGE_MS: RangeInclusive<u64> = 1..=600_000;
 const SLOT_RANGE: RangeInclusive<u64> = 1..=10_000;
 const QUEUE_RANGE: RangeInclusive<u64> = 0..=10_000;
@@ -27,47 +29,71 @@
 const SHARE_RANGE: RangeInclusive<u64> = 1..=100;
 const WARM_UP_RANGE_MS: RangeInclusive<u64> = 0..=600_000;
 
-/// Reads the records of a file. Each becomes a write with the revision that the file states, or
-/// without one.
+/// A record as a file states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FileRecord {
+    /// Kind and name of the record.
+    pub key: RecordKey,
+    /// Forms in ascending order of schema version.
+    pub forms: Vec<RecordForm>,
+    /// Revision that the edit is based on; `None` if the file states none. A stated 0 says that
+    /// the record must not exist yet.
+    pub revision: Option<u64>,
+    /// Line of the record's name, counted from 1.
+    pub line: usize,
+    /// Column of the record's name, counted from 1.
+    pub column: usize,
+}
+
+impl FileRecord {
+    /// The write of this record on the revision that the file states, or else on `held`.
+    pub fn write(&self, held: u64) -> RecordWrite {
+        RecordWrite {
+            name: Some(RecordName::from(&self.key)),
+            forms: self.forms.clone(),
+            base_revision: self.revision.unwrap_or(held),
+        }
+    }
+}
+
+/// Reads the records of a file.
 ///
 /// # Errors
 ///
 /// Returns everything that is wrong with the file, each with its place.
-pub fn read_record_file(file: &str, text: &str) -> Result<Vec<RecordWrite>, FindingList> {
+pub fn read_record_file(file: &str, text: &str) -> Result<Vec<FileRecord>, FindingList> {
     let document = TomlDocument::parse(file, text);
     let mut root = document.root();
-    let mut writes = Vec::new();
+    let mut records = Vec::new();
     for kind in [RecordKind::Policy, RecordKind::Service, RecordKind::Route] {
         for mut table in root.tables(kind_name(kind)) {
-            writes.extend(read_record(kind, &mut table));
+            records.extend(read_record(kind, &mut table));
             table.finish();
         }
     }
     root.finish();
     document.finish()?;
-    Ok(writes)
+    Ok(records)
 }
 
-fn read_record(kind: RecordKind, table: &mut TableReader<'_>) -> Option<RecordWrite> {
-    let name = table.required_text("name").map(str::to_owned);
-    let base_revision = table.integer("revision", 0..=u64::MAX).unwrap_or(0);
+fn read_record(kind: RecordKind, table: &mut TableReader<'_>) -> Option<FileRecord> {
+    let name = table.required_text("name");
+    let revision = table.integer("revision", REVISION_RANGE);
     let forms = read_forms(kind, table);
-    if let Some(name) = &name
-        && !is_name(name)
-    {
+    let name = name?;
+    if !is_name(name) {
         table.note(
             "name",
             "`name` must be 1 to 63 of a-z, 0-9 and `-`, starting with a letter",
         );
     }
-    let name = RecordName {
-        kind: kind.into(),
-        name: name?,
-    };
-    Some(RecordWrite {
-        name: Some(name),
+    let (line, column) = table.place_of("name");
+    Some(FileRecord {
+        key: RecordKey::new(kind, name),
         forms,
-        base_revision,
+        revision,
+        line,
+        column,
     })
 }
 
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -13,9 +13,9 @@
 
 pub use change::{ChangeRefusal, PlannedChange, RecordConflict, plan_change, referrers};
 pub use check::{RecordFault, record_faults};
-pub use file::read_record_file;
+pub use file::{FileRecord, read_record_file};
 pub use key::{RecordKey, kind_from_name, kind_name};
-pub use render::render_record;
+pub use render::{FieldDifference, field_differences, render_record};
 pub use snapshot::{ApplyError, ConfigSnapshot, SnapshotDigest, compress, decompress};
 pub use view::{PolicyView, RouteView, ServiceView, SnapshotView};
 
--- a/crates/records/src/render.rs
+++ b/crates/records/src/render.rs
@@ -1,7 +1,10 @@
 //! Writes a record in the form that [`crate::read_record_file`] reads.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use agatedeck_wire::record_form::Body;
 use agatedeck_wire::{Record, RecordForm};
+use serde::Serialize;
 use toml::{Table, Value};
 
 use crate::file::repeat_name;
@@ -25,6 +28,44 @@
     root.to_string()
 }
 
+/// A field that differs between two versions of a record.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FieldDifference {
+    /// Schema version of the form.
+    pub schema: u32,
+    /// Name of the field in record files.
+    pub field: String,
+    /// Value before, as TOML; absent if the form or the field is new.
+    pub old: Option<String>,
+    /// Value after, as TOML; absent if the form or the field is gone.
+    pub new: Option<String>,
+}
+
+/// The fields that differ between two versions of a record, ordered by schema version and name.
+pub fn field_differences(old: &[RecordForm], new: &[RecordForm]) -> Vec<FieldDifference> {
+    let (old, new) = (field_values(old), field_values(new));
+    let places: BTreeSet<&(u32, String)> = old.keys().chain(new.keys()).collect();
+    let differing = places
+        .into_iter()
+        .filter(|place| old.get(*place) != new.get(*place));
+    differing
+        .map(|place| FieldDifference {
+            schema: place.0,
+            field: place.1.clone(),
+            old: old.get(place).cloned(),
+            new: new.get(place).cloned(),
+        })
+        .collect()
+}
+
+fn field_values(forms: &[RecordForm]) -> BTreeMap<(u32, String), String> {
+    let fields = forms.iter().flat_map(|form| {
+        let fields = form_table(form).into_iter();
+        fields.map(|(field, value)| ((form.schema, field), value.to_string()))
+    });
+    fields.collect()
+}
+
 fn form_table(form: &RecordForm) -> Table {
     let mut table = Table::new();
     let mut put = |key: &str, value: Value| table.insert(key.to_owned(), value);
--- /dev/null
+++ b/crates/records/tests/changes.rs
@@ -0,0 +1,215 @@
+//! Guards which changes are accepted and that every node ends up with the accepted snapshot.
+
+use agatedeck_records::{ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, plan_change};
+use agatedeck_wire::record_form::Body;
+use agatedeck_wire::{Change, Delta, PolicyForm, RecordForm, RecordKind, RecordName, RecordWrite};
+use agatedeck_wire::{RouteForm, ServiceForm};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use yare::parameterized;
+
+fn write(kind: RecordKind, name: &str, base_revision: u64, body: Option<Body>) -> RecordWrite {
+    let form = |body| RecordForm {
+        schema: 1,
+        body: Some(body),
+    };
+    let name = RecordName {
+        kind: kind.into(),
+        name: name.to_owned(),
+    };
+    let forms = body.into_iter().map(form).collect();
+    RecordWrite {
+        name: Some(name),
+        forms,
+        base_revision,
+    }
+}
+
+fn policy(name: &str, base: u64, slots: u32) -> RecordWrite {
+    let form = PolicyForm {
+        slots,
+        ..PolicyForm::default()
+    };
+    write(RecordKind::Policy, name, base, Some(Body::Policy(form)))
+}
+
+fn service(name: &str, base: u64, policy: &str, depends_on: &[&str]) -> RecordWrite {
+    let depends_on = depends_on.iter().map(ToString::to_string).collect();
+    let form = ServiceForm {
+        policy: policy.to_owned(),
+        depends_on,
+        ..ServiceForm::default()
+    };
+    write(RecordKind::Service, name, base, Some(Body::Service(form)))
+}
+
+fn route(name: &str, base: u64, prefix: &str, service: &str) -> RecordWrite {
+    let (prefix, service) = (prefix.to_owned(), service.to_owned());
+    let form = RouteForm {
+        prefix,
+        service,
+        ..RouteForm::default()
+    };
+    write(RecordKind::Route, name, base, Some(Body::Route(form)))
+}
+
+fn retire(kind: RecordKind, name: &str, base: u64) -> RecordWrite {
+    write(kind, name, base, None)
+}
+
+fn plan(
+    snapshot: &ConfigSnapshot,
+    writes: Vec<RecordWrite>,
+) -> Result<PlannedChange, ChangeRefusal> {
+    plan_change(
+        snapshot,
+        &Change {
+            writes,
+            ..Change::default()
+        },
+        0,
+    )
+}
+
+/// Policy `p` and services `a` and `b` at revision 1, route `r` at revision 2.
+fn base() -> ConfigSnapshot {
+    let first = vec![
+        policy("p", 0, 1),
+        service("a", 0, "p", &[]),
+        service("b", 0, "p", &["a"]),
+    ];
+    let first = plan(&ConfigSnapshot::default(), first).unwrap().snapshot;
+    plan(&first, vec![route("r", 0, "/a", "a")])
+        .unwrap()
+        .snapshot
+}
+
+#[parameterized(
+    stale_edit = { vec![policy("p", 3, 9)],
+        "conflict: policy `p` is at revision 1, the change is based on revision 3" },
+    not_new = { vec![route("r", 0, "/x", "a")],
+        "conflict: route `r` is at revision 2, the change is based on revision 0" },
+    gone = { vec![retire(RecordKind::Route, "gone", 4)],
+        "conflict: route `gone` is at revision 0, the change is based on revision 4" },
+    all_conflicts = { vec![policy("p", 3, 9), route("r", 1, "/x", "a")],
+        "conflict: policy `p` is at revision 1, the change is based on revision 3; \
+         route `r` is at revision 2, the change is based on revision 1" },
+    every_referrer = { vec![retire(RecordKind::Service, "a", 1)],
+        "the resulting version breaks rules: route `r` refers to service `a`, which does not \
+         exist; service `b` refers to service `a`, which does not exist" },
+    retired_by_other_record = { vec![policy("q", 0, 1), retire(RecordKind::Policy, "p", 1)],
+        "the resulting version breaks rules: service `a` refers to policy `p`, which does not \
+         exist; service `b` refers to policy `p`, which does not exist" },
+    same_match = { vec![route("s", 0, "/a", "b")],
+        "the resulting version breaks rules: route `r` and route `s` match the same calls" },
+    twice = { vec![policy("q", 0, 1), policy("q", 0, 2)],
+        "the change names policy `q` more than once" },
+    no_effect = { vec![policy("p", 1, 1)], "the change does not alter anything" },
+)]
+fn refused_change_says_why(writes: Vec<RecordWrite>, expected: &str) {
+    assert_eq!(plan(&base(), writes).unwrap_err().to_string(), expected);
+}
+
+/// Guards against checking references record by record: a change may use what it creates itself.
+#[test]
+fn references_are_checked_over_the_whole_result() {
+    let writes = vec![
+        route("n", 0, "/n", "n"),
+        service("n", 0, "q", &[]),
+        policy("q", 0, 1),
+    ];
+    assert!(plan(&base(), writes).is_ok());
+    let writes = vec![
+        retire(RecordKind::Route, "r", 2),
+        service("b", 1, "p", &[]),
+        retire(RecordKind::Service, "a", 1),
+    ];
+    assert!(plan(&base(), writes).is_ok());
+}
+
+/// Guards the snapshot held against a delta that is out of order, altered or incomplete.
+#[test]
+fn refused_delta_leaves_the_snapshot_as_it_is() {
+    let held = base();
+    let digest = held.digest();
+    let next = plan(&held, vec![policy("p", 1, 9)]).unwrap();
+    let later = plan(&next.snapshot, vec![policy("p", 3, 8)]).unwrap();
+    let mut altered = next.delta.clone();
+    altered.puts[0].revision = 77;
+    let mut bad_digest = next.delta.clone();
+    bad_digest.digest[0] ^= 1;
+    let dangling = Delta {
+        version: 3,
+        retired: vec![RecordName {
+            kind: RecordKind::Service.into(),
+            name: "a".to_owned(),
+        }],
+        ..Delta::default()
+    };
+    let refused = |delta: &Delta| held.apply(delta).unwrap_err();
+    assert!(matches!(
+        refused(&later.delta),
+        ApplyError::NotNext { held: 2, delta: 4 }
+    ));
+    assert!(matches!(
+        refused(&altered),
+        ApplyError::DigestMismatch { version: 3, .. }
+    ));
+    assert!(matches!(
+        refused(&bad_digest),
+        ApplyError::DigestMismatch { version: 3, .. }
+    ));
+    assert!(matches!(
+        refused(&dangling),
+        ApplyError::Faulty { version: 3, .. }
+    ));
+    assert!(matches!(
+        next.snapshot.apply(&next.delta),
+        Err(ApplyError::NotNext { .. })
+    ));
+    assert_eq!(
+        (held.version(), held.digest(), held.records().count()),
+        (2, digest, 4)
+    );
+    assert_eq!(
+        held.apply(&next.delta).unwrap().digest(),
+        next.snapshot.digest()
+    );
+}
+
+fn step() -> impl Strategy<Value = (u8, u8, u32)> {
+    (0..5_u8, 0..4_u8, 1..4_u32)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Guards against a node that reaches another snapshot by deltas than the accepting side holds.
+    #[test]
+    fn deltas_lead_to_the_accepted_snapshot(steps in prop::collection::vec(step(), 1..40)) {
+        let (mut accepted, mut held) = (ConfigSnapshot::default(), ConfigSnapshot::default());
+        for (action, name, value) in steps {
+            let name = format!("n{name}");
+            let other = format!("n{value}");
+            let kind = [RecordKind::Policy, RecordKind::Service, RecordKind::Route, RecordKind::Route,
+                RecordKind::Service][usize::from(action)];
+            let key = agatedeck_records::RecordKey::new(kind, &name);
+            let revision = accepted.get(&key).map_or(0, |record| record.revision);
+            let write = match action {
+                0 => policy(&name, revision, value),
+                1 => service(&name, revision, &other, &[]),
+                2 => route(&name, revision, &format!("/{name}"), &other),
+                _ => retire(kind, &name, revision),
+            };
+            if let Ok(planned) = plan(&accepted, vec![write]) {
+                held = held.apply(&planned.delta).unwrap();
+                accepted = planned.snapshot;
+            }
+            prop_assert_eq!(held.version(), accepted.version());
+            prop_assert_eq!(held.digest(), accepted.digest());
+            prop_assert_eq!(held.records().collect::<Vec<_>>(), accepted.records().collect::<Vec<_>>());
+        }
+        let decoded = ConfigSnapshot::decode(&accepted.compressed(), accepted.digest().as_bytes());
+        prop_assert_eq!(decoded.unwrap().digest(), accepted.digest());
+    }
+}
--- /dev/null
+++ b/crates/records/tests/record_files.rs
@@ -0,0 +1,113 @@
+//! Guards what a record file may say, and where its mistakes are reported.
+
+use agatedeck_records::{FileRecord, read_record_file, record_faults, render_record};
+use agatedeck_wire::{Record, RecordKind, RepeatRule, record_form::Body};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use yare::parameterized;
+
+const LOTUSMERE: &str = include_str!("../../../examples/records/lotusmere.toml");
+const ABEBE: &str = include_str!("../../../examples/records/abebe.toml");
+
+#[parameterized(
+    no_name = { "[[route]]\n[[route.form]]\nschema = 1\nprefix = \"/a\"\nservice = \"s\"",
+        &["f:1:1: `name` is missing"] },
+    bad_name = { "[[policy]]\nname = \"A b\"\n[[policy.form]]\nschema = 1",
+        &["f:2:8: `name` must be 1 to 63 of a-z, 0-9 and `-`, starting with a letter"] },
+    no_form = { "[[policy]]\nname = \"p\"", &["f:1:1: `form` is missing"] },
+    no_schema = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nslots = 1",
+        &["f:3:1: `schema` is missing"] },
+    unknown_schema = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nschema = 3",
+        &["f:4:10: `schema` must be a whole number from 1 to 2"] },
+    form_order = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nschema = 2\n[[policy.form]]\nschema = 1",
+        &["f:6:10: forms must be in ascending order of `schema`"] },
+    newer_key = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nschema = 1\nwarm_up_ms = 5",
+        &["f:5:14: `warm_up_ms` needs schema 2 or later"] },
+    prefix = { "[[route]]\nname = \"r\"\n[[route.form]]\nschema = 1\nprefix = \"a\"\nservice = \"s\"",
+        &["f:5:10: `prefix` must start with `/`"] },
+    route_keys = { "[[route]]\nname = \"r\"\n[[route.form]]\nschema = 1",
+        &["f:3:1: `prefix` is missing", "f:3:1: `service` is missing"] },
+    service_keys = { "[[service]]\nname = \"s\"\n[[service.form]]\nschema = 1",
+        &["f:3:1: `health_path` is missing", "f:3:1: `policy` is missing"] },
+    repeat = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nschema = 1\nrepeat = \"twice\"",
+        &["f:5:10: `repeat` must be `safe-methods`, `always` or `once`"] },
+    range = { "[[policy]]\nname = \"p\"\n[[policy.form]]\nschema = 1\nslots = 0",
+        &["f:5:9: `slots` must be a whole number from 1 to 10000"] },
+    revision = { "[[policy]]\nname = \"p\"\nrevision = -1\n[[policy.form]]\nschema = 1",
+        &["f:3:12: `revision` must be a whole number from 0 to 9223372036854775807"] },
+    unknown_kind = { "[[rout]]\nname = \"r\"", &["f:1:3: unknown key `rout`"] },
+    unknown_key = { "[[policy]]\nname = \"p\"\nslots = 1\n[[policy.form]]\nschema = 1",
+        &["f:3:1: unknown key `slots`"] },
+    several = { "[[policy]]\nname = 1\n[[policy.form]]\nschema = 1\nqueue = \"x\"\nsolts = 1",
+        &["f:2:8: `name` must be a string",
+          "f:5:9: `queue` must be a whole number from 0 to 10000",
+          "f:6:1: unknown key `solts`"] },
+)]
+fn every_mistake_is_found_in_its_place(text: &str, expected: &[&str]) {
+    let findings = read_record_file("f", text).unwrap_err();
+    let findings: Vec<String> = findings.sorted().iter().map(ToString::to_string).collect();
+    assert_eq!(findings, expected);
+}
+
+/// Guards against a stated 0, which asks for a new record, being read as "not stated".
+#[parameterized(
+    absent = { "", None, 7 },
+    zero = { "revision = 0\n", Some(0), 0 },
+    stated = { "revision = 5\n", Some(5), 5 },
+)]
+fn stated_revision(line: &str, stated: Option<u64>, base: u64) {
+    let text = format!("[[policy]]\nname = \"p\"\n{line}[[policy.form]]\nschema = 1\n");
+    let records = read_record_file("f", &text).unwrap();
+    assert_eq!(records[0].revision, stated);
+    assert_eq!(records[0].write(7).base_revision, base);
+    assert_eq!((records[0].line, records[0].column), (2, 8));
+}
+
+fn record_of(record: &FileRecord, revision: u64) -> Record {
+    Record {
+        kind: record.key.kind.into(),
+        name: record.key.name.clone(),
+        revision,
+        forms: record.forms.clone(),
+    }
+}
+
+/// Guards the shipped examples, and that `get` prints what `apply` reads back unchanged.
+#[parameterized(lotusmere = { LOTUSMERE, "depositdesk" }, abebe = { ABEBE, "orders" })]
+fn examples_hold_and_survive_a_round_trip(text: &str, charged: &str) {
+    let records = read_record_file("example", text).unwrap_or_else(|findings| panic!("{findings}"));
+    let map: BTreeMap<_, _> = records
+        .iter()
+        .map(|record| (record.key.clone(), Arc::new(record_of(record, 3))))
+        .collect();
+    assert_eq!(map.len(), records.len(), "a record is stated twice");
+    assert_eq!(record_faults(&map), []);
+    let rendered: String = map.values().map(|record| render_record(record)).collect();
+    let again =
+        read_record_file("rendered", &rendered).unwrap_or_else(|findings| panic!("{findings}"));
+    let again: BTreeMap<_, _> = again
+        .iter()
+        .map(|record| {
+            (
+                record.key.clone(),
+                Arc::new(record_of(record, record.revision.unwrap())),
+            )
+        })
+        .collect();
+    assert_eq!(again, map);
+
+    assert!(records.iter().any(|record| record.forms.len() == 2));
+    let body_of = |kind: RecordKind, name: &str| {
+        let record = records
+            .iter()
+            .find(|record| record.key.kind == kind && record.key.name == name);
+        record.and_then(|record| record.forms.last()?.body.clone())
+    };
+    let Some(Body::Service(service)) = body_of(RecordKind::Service, charged) else {
+        panic!("{charged} is missing");
+    };
+    let Some(Body::Policy(policy)) = body_of(RecordKind::Policy, &service.policy) else {
+        panic!("{} is missing", service.policy);
+    };
+    assert_eq!(policy.repeat(), RepeatRule::Once);
+}
