Add the operators' command line agatedeckctl

Commands are values behind the trait AdminCommand and are given a dyn AdminClient and two writers, so that another front end or a test can run them without HTTP or a terminal.

--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,404 @@
+//! Reads the arguments.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use agatedeck_records::{RecordKey, kind_from_name};
+use agatedeck_wire::RecordKind;
+use lexopt::{Arg, Parser, ValueExt};
+
+use crate::command::AdminCommand;
+use crate::commands::{
+    ApplyCommand, DiffCommand, GetCommand, HistoryCommand, LookUpCommand, RetireCommand,
+    StatusCommand, WatchCommand, WatchSettings,
+};
+use crate::error::CtlError;
+use crate::http_client::HttpClientSettings;
+use crate::submission::{ChangeOptions, SubmissionSettings};
+
+/// Changes that `history` prints if no limit is given.
+const DEFAULT_HISTORY_LIMIT: u64 = 20;
+
+/// Longest `--timeout` in seconds; keeps deadlines far from the end of the clock.
+const MAX_TIMEOUT_S: f64 = 86_400.0;
+
+/// Longest change id. An id becomes part of a row key and of a URL.
+const MAX_CHANGE_ID: usize = 64;
+
+/// Longest time for one request of `watch`, in milliseconds, so that a node that hangs leaves time
+/// to ask the next one.
+const WATCH_REQUEST_MS: u64 = 5_000;
+
+const ABOUT: &str = include_str!("../help/agatedeckctl.txt");
+const COMMON: &str = include_str!("../help/common.txt");
+
+/// What the command line takes from its environment.
+#[derive(Clone, Debug, Default)]
+pub struct CtlEnvironment {
+    /// `AGATEDECK_NODE`: admin addresses, separated by commas.
+    pub nodes: Option<String>,
+    /// Name of the user.
+    pub user: Option<String>,
+}
+
+/// What the arguments ask for.
+#[derive(Debug)]
+pub enum Request {
+    /// Print a text.
+    Print(String),
+    /// Run a command.
+    Run(Invocation),
+}
+
+/// A command with the settings that are common to all commands.
+#[derive(Debug)]
+pub struct Invocation {
+    /// The command.
+    pub command: Box<dyn AdminCommand>,
+    /// How to reach the mesh.
+    pub client: HttpClientSettings,
+    /// Whether results are written as JSON.
+    pub json: bool,
+}
+
+/// A command as the command line knows it.
+struct CommandSpec {
+    name: &'static str,
+    help: &'static str,
+    /// Long names of the options beyond the common ones.
+    options: &'static [&'static str],
+    build: fn(&Arguments) -> Result<Box<dyn AdminCommand>, CtlError>,
+}
+
+const COMMANDS: [CommandSpec; 8] = [
+    CommandSpec {
+        name: "apply",
+        help: include_str!("../help/apply.txt"),
+        options: &["file", "insist", "change-id", "operator"],
+        build: build_apply,
+    },
+    CommandSpec {
+        name: "get",
+        help: include_str!("../help/get.txt"),
+        options: &[],
+        build: build_get,
+    },
+    CommandSpec {
+        name: "diff",
+        help: include_str!("../help/diff.txt"),
+        options: &["file"],
+        build: build_diff,
+    },
+    CommandSpec {
+        name: "retire",
+        help: include_str!("../help/retire.txt"),
+        options: &["insist", "change-id", "operator"],
+        build: build_retire,
+    },
+    CommandSpec {
+        name: "history",
+        help: include_str!("../help/history.txt"),
+        options: &["limit"],
+        build: build_history,
+    },
+    CommandSpec {
+        name: "status",
+        help: include_str!("../help/status.txt"),
+        options: &[],
+        build: build_status,
+    },
+    CommandSpec {
+        name: "watch",
+        help: include_str!("../help/watch.txt"),
+        options: &[],
+        build: build_watch,
+    },
+    CommandSpec {
+        name: "lookup",
+        help: include_str!("../help/lookup.txt"),
+        options: &[],
+        build: build_look_up,
+    },
+];
+
+/// A text that the arguments ask for in place of a command's result.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PrintedText {
+    Help,
+    Version,
+}
+
+/// The arguments before it is checked whether they fit the command.
+#[derive(Debug, Default)]
+struct Arguments {
+    command: Option<String>,
+    operands: Vec<String>,
+    files: Vec<PathBuf>,
+    insist: bool,
+    change_id: Option<String>,
+    operator: Option<String>,
+    limit: Option<u64>,
+    nodes: Vec<SocketAddr>,
+    timeout_ms: Option<u64>,
+    json: bool,
+    print: Option<PrintedText>,
+    /// Options given that not every command has.
+    special: Vec<&'static str>,
+}
+
+/// Reads the arguments after the program's name.
+///
+/// # Errors
+///
+/// Fails with [`CtlError::Usage`] if the arguments fit no command.
+pub fn parse_arguments(
+    arguments: impl IntoIterator<Item = OsString>,
+    environment: &CtlEnvironment,
+) -> Result<Request, CtlError> {
+    let mut read = read_arguments(arguments).map_err(|error| usage(&error.to_string()))?;
+    if read.print == Some(PrintedText::Version) {
+        let version = env!("CARGO_PKG_VERSION");
+        return Ok(Request::Print(format!("agatedeckctl {version}\n")));
+    }
+    let Some(name) = read.command.as_deref() else {
+        return if read.print == Some(PrintedText::Help) {
+            Ok(Request::Print(format!("{ABOUT}\n{COMMON}")))
+        } else {
+            Err(usage("a command is missing"))
+        };
+    };
+    let spec = COMMANDS.iter().find(|spec| spec.name == name);
+    let spec = spec.ok_or_else(|| usage(&format!("unknown command `{name}`")))?;
+    if read.print == Some(PrintedText::Help) {
+        return Ok(Request::Print(format!("{}\n{COMMON}", spec.help)));
+    }
+    let mut special = read.special.iter();
+    if let Some(option) = special.find(|option| !spec.options.contains(option)) {
+        return Err(usage(&format!("`{name}` has no option `--{option}`")));
+    }
+    read.operator = read.operator.or_else(|| environment.user.clone());
+    let client = client_settings(&read, environment)?;
+    Ok(Request::Run(Invocation {
+        command: (spec.build)(&read)?,
+        client,
+        json: read.json,
+    }))
+}
+
+fn usage(message: &str) -> CtlError {
+    CtlError::Usage(message.to_owned())
+}
+
+fn read_arguments(
+    arguments: impl IntoIterator<Item = OsString>,
+) -> Result<Arguments, lexopt::Error> {
+    let mut read = Arguments::default();
+    let mut parser = Parser::from_args(arguments);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Value(value) => {
+                let value = value.string()?;
+                if read.command.is_none() {
+                    read.command = Some(value);
+                } else {
+                    read.operands.push(value);
+                }
+            }
+            Arg::Short('f') | Arg::Long("file") => {
+                read.special.push("file");
+                read.files.extend(parser.values()?.map(PathBuf::from));
+            }
+            Arg::Long("insist") => {
+                read.special.push("insist");
+                read.insist = true;
+            }
+            Arg::Long("change-id") => {
+                read.special.push("change-id");
+                read.change_id = Some(parser.value()?.string()?);
+            }
+            Arg::Long("operator") => {
+                read.special.push("operator");
+                read.operator = Some(parser.value()?.string()?);
+            }
+            Arg::Long("limit") => {
+                read.special.push("limit");
+                read.limit = Some(parser.value()?.parse()?);
+            }
+            Arg::Long("node") => read.nodes.push(parser.value()?.parse()?),
+            Arg::Long("timeout") => {
+                read.timeout_ms = Some(parser.value()?.parse_with(parse_seconds)?);
+            }
+            Arg::Long("json") => read.json = true,
+            Arg::Short('h') | Arg::Long("help") => read.print = Some(PrintedText::Help),
+            Arg::Short('V') | Arg::Long("version") => read.print = Some(PrintedText::Version),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    Ok(read)
+}
+
+fn parse_seconds(text: &str) -> Result<u64, String> {
+    let seconds = text.parse::<f64>().ok();
+    let seconds = seconds.filter(|seconds| (0.001..=MAX_TIMEOUT_S).contains(seconds));
+    let seconds = seconds
+        .ok_or_else(|| format!("must be a number of seconds from 0.001 to {MAX_TIMEOUT_S}"))?;
+    let time = std::time::Duration::from_secs_f64(seconds);
+    u64::try_from(time.as_millis()).map_err(|error| error.to_string())
+}
+
+fn client_settings(
+    arguments: &Arguments,
+    environment: &CtlEnvironment,
+) -> Result<HttpClientSettings, CtlError> {
+    let mut nodes = arguments.nodes.clone();
+    if nodes.is_empty() {
+        for text in environment.nodes.iter().flat_map(|nodes| nodes.split(',')) {
+            let node = text.trim().parse().map_err(|_| {
+                usage(&format!("AGATEDECK_NODE must be IP:PORT, or several of them separated by commas, not `{text}`"))
+            })?;
+            nodes.push(node);
+        }
+    }
+    if nodes.is_empty() {
+        return Err(usage(
+            "no node is named: use `--node IP:PORT` or set AGATEDECK_NODE",
+        ));
+    }
+    let defaults = HttpClientSettings::default();
+    let mut request_ms = arguments.timeout_ms.unwrap_or(defaults.request_ms);
+    if arguments.command.as_deref() == Some("watch") {
+        request_ms = request_ms.min(WATCH_REQUEST_MS);
+    }
+    Ok(HttpClientSettings {
+        nodes,
+        request_ms,
+        ..defaults
+    })
+}
+
+fn operands<const N: usize>(
+    arguments: &Arguments,
+    names: &[&str; N],
+) -> Result<[String; N], CtlError> {
+    let operands = arguments.operands.clone();
+    operands
+        .try_into()
+        .map_err(|_| usage(&format!("expected as operands: {}", operand_names(names))))
+}
+
+fn operand_names(names: &[&str]) -> String {
+    if names.is_empty() {
+        return "none".to_owned();
+    }
+    names.join(" ")
+}
+
+fn parse_kind(name: &str) -> Result<RecordKind, CtlError> {
+    let message = || {
+        usage(&format!(
+            "KIND must be `route`, `service` or `policy`, not `{name}`"
+        ))
+    };
+    kind_from_name(name).ok_or_else(message)
+}
+
+fn parse_change_id(id: &str) -> Result<String, CtlError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    if id.is_empty() || id.len() > MAX_CHANGE_ID || !id.bytes().all(allowed) {
+        return Err(usage(&format!(
+            "a change id is 1 to {MAX_CHANGE_ID} of a-z, A-Z, 0-9, `-` and `_`, not `{id}`"
+        )));
+    }
+    Ok(id.to_owned())
+}
+
+fn change_options(arguments: &Arguments) -> Result<ChangeOptions, CtlError> {
+    let change_id = match &arguments.change_id {
+        Some(id) => parse_change_id(id)?,
+        None => format!("{:032x}", rand::random::<u128>()),
+    };
+    let defaults = SubmissionSettings::default();
+    Ok(ChangeOptions {
+        change_id,
+        operator: arguments
+            .operator
+            .clone()
+            .unwrap_or_else(|| "unknown".to_owned()),
+        insist: arguments.insist,
+        submission: SubmissionSettings {
+            look_up_ms: arguments.timeout_ms.unwrap_or(defaults.look_up_ms),
+            ..defaults
+        },
+    })
+}
+
+fn files(arguments: &Arguments) -> Result<Vec<PathBuf>, CtlError> {
+    let [] = operands(arguments, &[])?;
+    if arguments.files.is_empty() {
+        return Err(usage("no record file is named: use `-f FILE`"));
+    }
+    Ok(arguments.files.clone())
+}
+
+fn build_apply(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    Ok(Box::new(ApplyCommand {
+        files: files(arguments)?,
+        options: change_options(arguments)?,
+    }))
+}
+
+fn build_get(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let (kind, name) = match arguments.operands.as_slice() {
+        [] => (None, None),
+        [kind] => (Some(parse_kind(kind)?), None),
+        [kind, name] => (Some(parse_kind(kind)?), Some(name.clone())),
+        _ => return Err(usage("expected as operands: [KIND [NAME]]")),
+    };
+    Ok(Box::new(GetCommand { kind, name }))
+}
+
+fn build_diff(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let files = files(arguments)?;
+    Ok(Box::new(DiffCommand { files }))
+}
+
+fn build_retire(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let [kind, name] = operands(arguments, &["KIND", "NAME"])?;
+    Ok(Box::new(RetireCommand {
+        key: RecordKey::new(parse_kind(&kind)?, name),
+        options: change_options(arguments)?,
+    }))
+}
+
+fn build_history(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let [] = operands(arguments, &[])?;
+    let limit = arguments.limit.unwrap_or(DEFAULT_HISTORY_LIMIT);
+    Ok(Box::new(HistoryCommand { limit }))
+}
+
+fn build_status(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let [] = operands(arguments, &[])?;
+    Ok(Box::new(StatusCommand))
+}
+
+fn build_watch(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let [version] = operands(arguments, &["VERSION"])?;
+    let version = version
+        .parse()
+        .map_err(|_| usage(&format!("VERSION must be a whole number, not `{version}`")))?;
+    let defaults = WatchSettings::default();
+    Ok(Box::new(WatchCommand {
+        version,
+        settings: WatchSettings {
+            timeout_ms: arguments.timeout_ms.unwrap_or(defaults.timeout_ms),
+            ..defaults
+        },
+    }))
+}
+
+fn build_look_up(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    let [change_id] = operands(arguments, &["CHANGE-ID"])?;
+    let change_id = parse_change_id(&change_id)?;
+    Ok(Box::new(LookUpCommand { change_id }))
+}
--- /dev/null
+++ b/crates/ctl/src/commands/apply.rs
@@ -0,0 +1,42 @@
+//! `agatedeckctl apply`
+
+use std::path::PathBuf;
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+
+use crate::client::RecordFilter;
+use crate::command::{AdminCommand, CommandContext, ExitStatus};
+use crate::error::CtlError;
+use crate::input::read_files;
+use crate::submission::{ChangeOptions, submit_change};
+
+/// Writes the records of files as one change.
+#[derive(Clone, Debug)]
+pub struct ApplyCommand {
+    /// The files.
+    pub files: Vec<PathBuf>,
+    /// Options of the change.
+    pub options: ChangeOptions,
+}
+
+impl ApplyCommand {
+    async fn apply(&self, context: &mut CommandContext<'_>) -> Result<ExitStatus, CtlError> {
+        let records = read_files(&self.files)?;
+        let held = context.client.records(RecordFilter::default()).await?;
+        let writes = records
+            .iter()
+            .map(|record| record.write(held.revision(&record.key)))
+            .collect();
+        submit_change(context, &self.options, writes).await
+    }
+}
+
+impl AdminCommand for ApplyCommand {
+    fn run<'a>(
+        &'a self,
+        context: &'a mut CommandContext<'_>,
+    ) -> LocalBoxFuture<'a, Result<ExitStatus, CtlError>> {
+        self.apply(context).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/history.rs
@@ -0,0 +1,89 @@
+//! `agatedeckctl history`
+
+use std::fmt::Write as _;
+use std::io;
+use std::time::{Duration, UNIX_EPOCH};
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use humantime::format_rfc3339_seconds;
+
+use crate::command::{AdminCommand, CommandContext, ExitStatus};
+use crate::error::CtlError;
+use crate::messages::{HistoryAnswer, HistoryEntry};
+
+/// Prints accepted changes, newest first.
+#[derive(Clone, Debug)]
+pub struct HistoryCommand {
+    /// Number of changes.
+    pub limit: u64,
+}
+
+impl HistoryCommand {
+    /// Reads page by page, because a node may return fewer changes than asked for.
+    async fn history(&self, context: &mut CommandContext<'_>) -> Result<ExitStatus, CtlError> {
+        let mut entries: Vec<HistoryEntry> = Vec::new();
+        let mut remaining = self.limit;
+        while remaining > 0 {
+            let before = entries.last().map(|entry| entry.version);
+            let page = context.client.history(before, remaining).await?.changes;
+            // Only older changes count, so that a node that ignores `before` ends the loop.
+            let is_older =
+                |entry: &HistoryEntry| before.is_none_or(|version| entry.version < version);
+            let older: Vec<HistoryEntry> = page.into_iter().filter(is_older).collect();
+            if older.is_empty() {
+                break;
+            }
+            remaining = remaining.saturating_sub(older.len() as u64);
+            entries.extend(older);
+        }
+        if context.json {
+            context.print_json(&HistoryAnswer { changes: entries })?;
+        } else {
+            for entry in &entries {
+                print_entry(context.out, entry)?;
+            }
+        }
+        Ok(ExitStatus::Success)
+    }
+}
+
+fn print_entry(out: &mut dyn io::Write, entry: &HistoryEntry) -> io::Result<()> {
+    let HistoryEntry {
+        version,
+        change_id,
+        operator,
+        ..
+    } = entry;
+    let accepted = format_time(entry.accepted_unix_ms);
+    writeln!(
+        out,
+        "version {version}  {accepted}  {operator}  change {change_id}"
+    )?;
+    for (sign, names) in [('+', &entry.puts), ('-', &entry.retired)] {
+        for name in names {
+            writeln!(out, "  {sign} {name}")?;
+        }
+    }
+    Ok(())
+}
+
+/// The time in UTC, or in milliseconds if it lies beyond the year 9999, which has no such form.
+fn format_time(unix_ms: u64) -> String {
+    let mut text = String::new();
+    let time = UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms));
+    let written = time.map(|time| write!(text, "{}", format_rfc3339_seconds(time)));
+    match written {
+        Some(Ok(())) => text,
+        _ => format!("{unix_ms} ms after 1970"),
+    }
+}
+
+impl AdminCommand for HistoryCommand {
+    fn run<'a>(
+        &'a self,
+        context: &'a mut CommandContext<'_>,
+    ) -> LocalBoxFuture<'a, Result<ExitStatus, CtlError>> {
+        self.history(context).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/mod.rs
@@ -0,0 +1,19 @@
+//! The commands, one to a file.
+
+mod apply;
+mod diff;
+mod get;
+mod history;
+mod lookup;
+mod retire;
+mod status;
+mod watch;
+
+pub use apply::ApplyCommand;
+pub use diff::DiffCommand;
+pub use get::GetCommand;
+pub use history::HistoryCommand;
+pub use lookup::LookUpCommand;
+pub use retire::RetireCommand;
+pub use status::StatusCommand;
+pub use watch::{WatchCommand, WatchSettings};
--- /dev/null
+++ b/crates/ctl/src/commands/retire.rs
@@ -0,0 +1,52 @@
+//! `agatedeckctl retire`
+
+use agatedeck_records::{RecordKey, kind_name};
+use agatedeck_wire::{RecordName, RecordWrite};
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+
+use crate::client::RecordFilter;
+use crate::command::{AdminCommand, CommandContext, ExitStatus};
+use crate::error::CtlError;
+use crate::submission::{ChangeOptions, ChangeResult, report, submit_change};
+
+/// Retires one record.
+#[derive(Clone, Debug)]
+pub struct RetireCommand {
+    /// The record.
+    pub key: RecordKey,
+    /// Options of the change.
+    pub options: ChangeOptions,
+}
+
+impl RetireCommand {
+    async fn retire(&self, context: &mut CommandContext<'_>) -> Result<ExitStatus, CtlError> {
+        let filter = RecordFilter {
+            kind: Some(kind_name(self.key.kind)),
+            name: Some(&self.key.name),
+        };
+        let held = context.client.records(filter).await?;
+        let base_revision = held.revision(&self.key);
+        if base_revision == 0 {
+            let reason = format!("{} does not exist at version {}", self.key, held.version);
+            let (reasons, conflicts) = (vec![reason], Vec::new());
+            let refused = ChangeResult::Refused { reasons, conflicts };
+            return Ok(report(context, &self.options.change_id, &refused)?);
+        }
+        let write = RecordWrite {
+            name: Some(RecordName::from(&self.key)),
+            forms: Vec::new(),
+            base_revision,
+        };
+        submit_change(context, &self.options, vec![write]).await
+    }
+}
+
+impl AdminCommand for RetireCommand {
+    fn run<'a>(
+        &'a self,
+        context: &'a mut CommandContext<'_>,
+    ) -> LocalBoxFuture<'a, Result<ExitStatus, CtlError>> {
+        self.retire(context).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,122 @@
+//! `agatedeckctl status`
+
+use std::io;
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use serde::Serialize;
+
+use crate::command::{AdminCommand, CommandContext, ExitStatus};
+use crate::error::CtlError;
+use crate::messages::{LatencyReport, RefusedRequest, StatusAnswer};
+use crate::status::StatusSummary;
+
+/// Prints the state of the mesh.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StatusCommand;
+
+#[derive(Serialize)]
+struct StatusReport<'a> {
+    #[serde(flatten)]
+    summary: &'a StatusSummary<'a>,
+    histograms: &'a [LatencyReport],
+    refused_requests: &'a [RefusedRequest],
+}
+
+impl StatusCommand {
+    async fn status(self, context: &mut CommandContext<'_>) -> Result<ExitStatus, CtlError> {
+        let answer = context.client.status().await?;
+        let summary = StatusSummary::newest(&answer);
+        if context.json {
+            context.print_json(&StatusReport {
+                summary: &summary,
+                histograms: &answer.histograms,
+                refused_requests: &answer.refused_requests,
+            })?;
+        } else {
+            print_summary(context.out, &summary)?;
+            print_calls(context.out, &answer)?;
+        }
+        Ok(ExitStatus::Success)
+    }
+}
+
+fn print_summary(out: &mut dyn io::Write, summary: &StatusSummary<'_>) -> io::Result<()> {
+    let StatusSummary {
+        wanted,
+        nodes,
+        by_domain,
+        laggards,
+    } = summary;
+    let lagging = laggards.len();
+    writeln!(out, "version {wanted}, {nodes} nodes, {lagging} lagging\n")?;
+    writeln!(
+        out,
+        "{:<12} {:<16} {:>9} {:>6}",
+        "region", "domain", "version", "nodes"
+    )?;
+    for row in by_domain {
+        let (region, domain) = (row.region, row.domain);
+        writeln!(
+            out,
+            "{region:<12} {domain:<16} {:>9} {:>6}",
+            row.version, row.nodes
+        )?;
+    }
+    if !laggards.is_empty() {
+        writeln!(out, "\nlagging")?;
+    }
+    laggards
+        .iter()
+        .try_for_each(|laggard| writeln!(out, "  {laggard}"))
+}
+
+fn print_calls(out: &mut dyn io::Write, answer: &StatusAnswer) -> io::Result<()> {
+    if !answer.histograms.is_empty() {
+        writeln!(
+            out,
+            "\n{:<16} {:<12} {:>10} {:>9} {:>9} {:>9} {:>9}",
+            "tenant", "class", "calls", "p50 us", "p99 us", "p99.9 us", "max us"
+        )?;
+    }
+    for row in &answer.histograms {
+        let LatencyReport {
+            tenant,
+            class,
+            count,
+            p50_us,
+            p99_us,
+            p999_us,
+            max_us,
+        } = row;
+        writeln!(
+            out,
+            "{tenant:<16} {class:<12} {count:>10} {p50_us:>9} {p99_us:>9} {p999_us:>9} {max_us:>9}"
+        )?;
+    }
+    if !answer.refused_requests.is_empty() {
+        writeln!(out, "\nrefused requests")?;
+    }
+    for request in &answer.refused_requests {
+        let RefusedRequest {
+            fingerprint,
+            service,
+            crashes,
+            expires_in_ms,
+        } = request;
+        writeln!(
+            out,
+            "  {fingerprint} to {service}: {crashes} crashes, lapses in {expires_in_ms} ms"
+        )?;
+    }
+    Ok(())
+}
+
+impl AdminCommand for StatusCommand {
+    fn run<'a>(
+        &'a self,
+        context: &'a mut CommandContext<'_>,
+    ) -> LocalBoxFuture<'a, Result<ExitStatus, CtlError>> {
+        self.status(context).boxed_local()
+    }
+}
--- /dev/null
+++ b/src/bin/agatedeckctl.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    agatedeck_ctl::run_process()
+}
