--- a/crates/node/src/admin/survey.rs
+++ b/crates/node/src/admin/survey.rs
@@ -49,14 +49,10 @@
     let reason = refusal.map_or(String::new(), |(version, reason)| {
         format!("version {version} is refused: {reason}")
     });
-    let phase = if served.may_serve {
-        "serving"
-    } else {
-        "waiting"
-    };
+    let phase = context.phase.borrow().to_string();
     NodeReport {
         version: served.snapshot.version(),
-        phase: phase.to_owned(),
+        phase,
         reason,
         ..unreached(&context.own)
     }
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -1,23 +1,23 @@
-//! The actor that owns the version in force, the versions on their way and the floors witnessed.
+//! The actor that owns the version in force and the versions on their way.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    HolderSettings, OfferVerdict, PullReply, VersionEffect, VersionHolder, rank_by,
+    HolderSettings, OfferVerdict, PullReply, VersionEffect, VersionHolder, witnesses,
 };
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_wire::{
-    ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, Member, MemberStatus,
-    Offer, OfferAnswer, OfferOutcome, Pull, PullAnswer,
+    ControlPlaneRequest, ControlPlaneResponse, FloorRecord, Member, Offer, OfferAnswer,
+    OfferOutcome, Pull, PullAnswer,
 };
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
+use kameo::reply::DelegatedReply;
 use tokio::sync::watch;
 
 use crate::answer::Answer;
@@ -27,12 +27,13 @@
 /// Number of nodes that remember which version this node puts in force.
 const WITNESSES: usize = 2;
 
-/// Salt of the ranks that select the witnesses.
-const WITNESS_SALT: u64 = 0x7769_746e;
-
 /// Time allowed for one request for missing versions.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time that a version held by another node is given to arrive over the tree. Pulling at once would
+/// send most changes twice to every node that is probed while a change spreads.
+const TREE_GRACE: Duration = Duration::from_millis(300);
+
 /// Number of nodes asked for missing versions before it is left to the next probe.
 const PULL_ATTEMPTS: usize = 3;
 
@@ -41,7 +42,6 @@
 pub(crate) struct ConfigKeeper {
     context: NodeContext,
     holder: VersionHolder,
-    floors: BTreeMap<String, u64>,
     published: watch::Sender<ServedConfig>,
     pulling: bool,
 }
@@ -59,7 +59,6 @@
         Ok(Self {
             context,
             holder,
-            floors: BTreeMap::new(),
             published,
             pulling: false,
         })
@@ -90,20 +89,9 @@
     }
 
     fn witnesses(&self) -> Vec<PeerAddress> {
-        let own = &self.context.own;
         let table = self.context.table();
-        let alive = |member: &&Member| {
-            member.domain == own.domain
-                && member.node != own.node
-                && member.status() == MemberStatus::Alive
-        };
-        let mut candidates: Vec<&Member> = table.live().filter(alive).collect();
-        rank_by(WITNESS_SALT, &mut candidates, |member| &member.node);
-        candidates
-            .into_iter()
-            .filter_map(PeerAddress::of)
-            .take(WITNESSES)
-            .collect()
+        let members = witnesses(&table, &self.context.own, WITNESSES);
+        members.into_iter().filter_map(PeerAddress::of).collect()
     }
 
     fn ask_witnesses(&self, version: u64, deadline: Instant, keeper: &ActorRef<Self>) {
@@ -301,32 +289,67 @@
     }
 }
 
-/// Another node is about to put a version in force and asks this one to remember it.
-pub(crate) struct RecordFloor(pub(crate) FloorRecord);
+/// Another node holds a newer version, which the tree has not brought yet.
+pub(crate) struct NoteAhead {
+    pub(crate) version: u64,
+}
 
-impl Message<RecordFloor> for ConfigKeeper {
-    type Reply = Answer<FloorAnswer>;
+impl Message<NoteAhead> for ConfigKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, ahead: NoteAhead, context: &mut Context<Self, ()>) {
+        if ahead.version <= self.holder.tip().version() {
+            return;
+        }
+        let keeper = context.actor_ref().clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(TREE_GRACE).await;
+            // The keeper is gone only when the node is stopping.
+            let _ = keeper.tell(PullIfBehind(ahead.version)).await;
+        });
+    }
+}
+
+struct PullIfBehind(u64);
+
+impl Message<PullIfBehind> for ConfigKeeper {
+    type Reply = ();
 
     async fn handle(
         &mut self,
-        RecordFloor(record): RecordFloor,
-        _: &mut Context<Self, Answer<FloorAnswer>>,
-    ) -> Answer<FloorAnswer> {
-        let floor = self.floors.entry(record.node).or_default();
-        *floor = (*floor).max(record.version);
-        Answer(FloorAnswer { version: *floor })
+        PullIfBehind(version): PullIfBehind,
+        context: &mut Context<Self, ()>,
+    ) {
+        let tip = self.holder.tip().version();
+        if version > tip {
+            self.pull_missing(tip, context.actor_ref());
+        }
     }
 }
 
-/// Another node holds a newer version, which the tree did not bring.
-pub(crate) struct NoteAhead;
+/// Pulls from other nodes and replies with the newest version that passed its check.
+pub(crate) struct PullNow(pub(crate) Pull);
 
-impl Message<NoteAhead> for ConfigKeeper {
-    type Reply = ();
+impl Message<PullNow> for ConfigKeeper {
+    type Reply = DelegatedReply<u64>;
 
-    async fn handle(&mut self, _: NoteAhead, context: &mut Context<Self, ()>) {
-        let version = self.holder.tip().version();
-        self.pull_missing(version, context.actor_ref());
+    async fn handle(
+        &mut self,
+        PullNow(pull): PullNow,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let keeper = context.actor_ref().clone();
+        let (delegated, reply) = context.reply_sender();
+        let Some(reply) = reply else { return delegated };
+        let node = self.context.clone();
+        tokio::spawn(async move {
+            let answer = pull_from_peers(&node, pull.version).await;
+            // Answered by the keeper after it took in what came.
+            let _ = keeper.ask(PullEnded(answer)).await;
+            let held = keeper.ask(ReadHeld).await;
+            reply.send(held.map_or(0, |held| held.tip.version()));
+        });
+        delegated
     }
 }
 
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -3,6 +3,6 @@
 mod keeper;
 
 pub(crate) use keeper::{
-    ConfigKeeper, NoteAhead, OfferSnapshot, OfferVersion, PullVersions, RaiseFloor, ReadHeld,
-    RecordFloor,
+    ConfigKeeper, NoteAhead, OfferSnapshot, OfferVersion, PullNow, PullVersions, RaiseFloor,
+    ReadHeld,
 };
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_control::{MemberTable, SpreadPolicy};
+use agatedeck_control::{JoinState, MemberTable, SpreadPolicy};
 use agatedeck_platform::PlatformStore;
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_wire::Member;
@@ -31,6 +31,8 @@
     pub(crate) policy: Arc<dyn SpreadPolicy>,
     pub(crate) config: watch::Receiver<ServedConfig>,
     pub(crate) members: watch::Receiver<Arc<MemberTable>>,
+    /// How far the node has come from its start to its end.
+    pub(crate) phase: watch::Receiver<JoinState>,
 }
 
 impl NodeContext {
--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -7,18 +7,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use agatedeck_platform::{
-    RowCondition, RowWrite, StoreError, StoreTransaction, TransactionOutcome,
-};
-use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Join, JoinAnswer, Member};
+use agatedeck_control::rank_by;
+use agatedeck_platform::{RowCondition, RowWrite, StoreError, StoreTransaction};
+use agatedeck_wire::{Member, MemberStatus};
 use kameo::actor::ActorRef;
 use rand::Rng;
-use rand::seq::SliceRandom;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use super::keeper::{MemberKeeper, MergeMembers};
+use super::join::{AddContacts, ContactState, JoinKeeper};
 use crate::context::NodeContext;
-use crate::peer::PeerAddress;
 
 /// Prefix of the rows that name a few nodes of each failure domain.
 const BOOTSTRAP_PREFIX: &str = "bootstrap/";
@@ -29,51 +26,79 @@
 /// Rows read at once; more failure domains than this are not expected.
 const MAX_ROWS: usize = 256;
 
-/// Time allowed for a node to answer a join.
-const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// First pause between two attempts to find other nodes.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Nodes that are asked before the rows are read again.
-const JOIN_ATTEMPTS: usize = 8;
-
-/// Longest pause between two rounds of attempts.
+/// Longest pause between two attempts to find other nodes.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
-/// Announces this node to the mesh, until some node answered or this is the first one.
-pub(crate) async fn announce(context: &NodeContext, members: &ActorRef<MemberKeeper>) {
-    let mut pause = Duration::from_millis(100);
+/// Pause between two looks at the row of the own failure domain by its first-ranked node.
+const REFRESH_PAUSE: Duration = Duration::from_secs(10);
+
+/// Salt of the ranks that select the nodes named in a row.
+const ROW_SALT: u64 = 0x626f_6f74;
+
+/// Finds other nodes, then keeps the row of the own failure domain up to date.
+pub(crate) async fn run_bootstrap(context: NodeContext, join: ActorRef<JoinKeeper>) {
+    find_others(&context, &join).await;
+    let mut written = BTreeSet::new();
     loop {
-        let rows = read_rows(context).await;
-        let answers = join_some(context, rows.as_ref().unwrap_or(&BTreeSet::new())).await;
-        let joined = !answers.is_empty();
-        for answer in answers {
-            // The keeper is gone only when the node is stopping.
-            let _ = members.tell(MergeMembers(answer.members)).await;
+        sleep(jittered(REFRESH_PAUSE)).await;
+        if let Some(wanted) = row_to_write(&context)
+            && wanted != written
+        {
+            match write_row(&context, &wanted).await {
+                Ok(()) => written = wanted,
+                Err(error) => {
+                    log::warn!("the row of the failure domain is not up to date: {error}");
+                }
+            }
         }
-        let written = match rows {
-            Ok(_) => write_own(context).await,
-            Err(error) => Err(error),
+    }
+}
+
+/// Between half of `pause` and all of it, so that nodes that start together spread out.
+fn jittered(pause: Duration) -> Duration {
+    rand::rng().random_range(pause / 2..=pause)
+}
+
+/// Looks for other nodes until one has taken this node in, or there is no other.
+async fn find_others(context: &NodeContext, join: &ActorRef<JoinKeeper>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let rows = read_rows(context).await;
+        let named = rows.as_ref().map_or(Vec::new(), |rows| {
+            rows.iter().map(ToString::to_string).collect()
+        });
+        let Ok(ContactState { adopted }) = join.ask(AddContacts(named)).await else {
+            return;
         };
-        if let Err(error) = &written {
-            log::warn!("the node is not named in the store yet: {error}");
-        }
-        if written.is_ok() && (joined || is_first(context).await) {
+        if adopted {
             return;
         }
-        let jittered = rand::rng().random_range(pause / 2..=pause);
-        sleep(jittered).await;
+        match rows {
+            Ok(_) => {
+                if let Err(error) = add_own(context).await {
+                    log::warn!("the node is not named in the store yet: {error}");
+                }
+            }
+            Err(error) => log::warn!("the nodes named in the store are not known: {error}"),
+        }
+        sleep(jittered(pause)).await;
         pause = pause.saturating_mul(2).min(MAX_PAUSE);
     }
 }
 
-/// Addresses of all nodes named in the store, but this one.
+/// Addresses of all nodes named in the store.
 async fn read_rows(context: &NodeContext) -> Result<BTreeSet<SocketAddr>, StoreError> {
     let rows = context
         .store
         .scan_rows(BOOTSTRAP_PREFIX, "", MAX_ROWS, context.store_deadline())
         .await?;
-    let own: Option<SocketAddr> = context.own.control_address.parse().ok();
-    let addresses = rows.iter().flat_map(|row| row_addresses(&row.value));
-    Ok(addresses.filter(|address| Some(*address) != own).collect())
+    Ok(rows
+        .iter()
+        .flat_map(|row| row_addresses(&row.value))
+        .collect())
 }
 
 fn row_addresses(value: &[u8]) -> Vec<SocketAddr> {
@@ -81,84 +106,81 @@
     text.lines().filter_map(|line| line.parse().ok()).collect()
 }
 
-async fn is_first(context: &NodeContext) -> bool {
-    read_rows(context)
-        .await
-        .is_ok_and(|others| others.is_empty())
+fn row_key(context: &NodeContext) -> String {
+    format!("{BOOTSTRAP_PREFIX}{}", context.own.domain)
 }
 
-async fn join_some(context: &NodeContext, named: &BTreeSet<SocketAddr>) -> Vec<JoinAnswer> {
-    let seeds = context.settings.seeds.iter().copied();
-    let mut candidates: Vec<SocketAddr> = named.iter().copied().chain(seeds).collect();
-    candidates.shuffle(&mut rand::rng());
-    let mut answers = Vec::new();
-    for address in candidates.into_iter().take(JOIN_ATTEMPTS) {
-        let request = ControlPlaneRequest::Join {
-            join: Join {
-                member: Some(Member::clone(&context.own)),
-            },
-        };
-        // The region is not known yet; the bytes count as bytes within the region.
-        let (region, domain) = (context.own.region.clone(), context.own.domain.clone());
-        let peer = PeerAddress {
-            address,
-            region,
-            domain,
-        };
-        let answer = context
-            .transport
-            .send(&peer, request, Instant::now() + JOIN_TIMEOUT)
-            .await;
-        if let Ok(ControlPlaneResponse::Join(answer)) = answer
-            && answer.accepted
-        {
-            answers.push(answer);
-            // One answer is enough: it names every node, and the rumor reaches them all.
-            break;
-        }
-    }
-    answers
+fn row_value(addresses: impl Iterator<Item = SocketAddr>) -> Vec<u8> {
+    let lines: Vec<String> = addresses.map(|address| address.to_string()).collect();
+    lines.join("\n").into_bytes()
 }
 
-/// Adds this node to the row of its failure domain, unless the row is full.
-async fn write_own(context: &NodeContext) -> Result<(), StoreError> {
-    let key = format!("{BOOTSTRAP_PREFIX}{}", context.own.domain);
-    let own = context.own.control_address.clone();
-    loop {
-        let row = context
-            .store
-            .read_row(&key, context.store_deadline())
-            .await?;
-        let revision = row.as_ref().map_or(0, |row| row.revision);
-        let mut addresses = row.map_or_else(Vec::new, |row| row_addresses(&row.value));
-        let named = addresses.iter().any(|address| address.to_string() == own);
-        if named {
-            return Ok(());
-        }
-        // The oldest address is the one most likely to be gone.
-        if addresses.len() >= ADDRESSES_PER_ROW {
-            addresses.remove(0);
-        }
-        let mut lines: Vec<String> = addresses.iter().map(ToString::to_string).collect();
-        lines.push(own.clone());
-        let transaction = StoreTransaction {
-            conditions: vec![RowCondition {
-                key: key.clone(),
-                revision,
-            }],
-            writes: vec![RowWrite {
-                key: key.clone(),
-                value: Some(lines.join("\n").into_bytes()),
-            }],
-        };
-        let outcome = context
-            .store
-            .transact(&transaction, context.store_deadline())
-            .await?;
-        if matches!(outcome, TransactionOutcome::Committed(_)) {
-            return Ok(());
-        }
-        let pause = Duration::from_millis(rand::rng().random_range(5..100));
-        sleep(pause).await;
+/// Adds this node to the row of its failure domain. Used only until another node has taken this one
+/// in, so that a herd that joins through existing nodes writes nothing.
+async fn add_own(context: &NodeContext) -> Result<(), StoreError> {
+    let key = row_key(context);
+    let Ok(own) = context.own.control_address.parse() else {
+        return Ok(());
+    };
+    let row = context
+        .store
+        .read_row(&key, context.store_deadline())
+        .await?;
+    let revision = row.as_ref().map_or(0, |row| row.revision);
+    let mut addresses = row.map_or_else(Vec::new, |row| row_addresses(&row.value));
+    if addresses.contains(&own) {
+        return Ok(());
     }
+    // The oldest address is the one most likely to be gone.
+    if addresses.len() >= ADDRESSES_PER_ROW {
+        addresses.remove(0);
+    }
+    addresses.push(own);
+    let condition = RowCondition {
+        key: key.clone(),
+        revision,
+    };
+    let value = Some(row_value(addresses.into_iter()));
+    let transaction = StoreTransaction {
+        conditions: vec![condition],
+        writes: vec![RowWrite { key, value }],
+    };
+    // A refused transaction is repeated at the next attempt.
+    context
+        .store
+        .transact(&transaction, context.store_deadline())
+        .await
+        .map(drop)
+}
+
+/// The addresses that the row should name, if it is up to this node to write it.
+fn row_to_write(context: &NodeContext) -> Option<BTreeSet<SocketAddr>> {
+    let table = context.table();
+    let own = &context.own;
+    let mut members: Vec<&Member> = table
+        .live()
+        .filter(|member| member.domain == own.domain && member.status() == MemberStatus::Alive)
+        .collect();
+    rank_by(ROW_SALT, &mut members, |member| &member.node);
+    let first = members.first()?;
+    let addresses = members.iter().take(ADDRESSES_PER_ROW);
+    let addresses = addresses.filter_map(|member| member.control_address.parse().ok());
+    (first.node == own.node).then(|| addresses.collect())
+}
+
+async fn write_row(
+    context: &NodeContext,
+    addresses: &BTreeSet<SocketAddr>,
+) -> Result<(), StoreError> {
+    let key = row_key(context);
+    let value = Some(row_value(addresses.iter().copied()));
+    let transaction = StoreTransaction {
+        conditions: Vec::new(),
+        writes: vec![RowWrite { key, value }],
+    };
+    context
+        .store
+        .transact(&transaction, context.store_deadline())
+        .await
+        .map(drop)
 }
--- /dev/null
+++ b/crates/node/src/member/join.rs
@@ -0,0 +1,362 @@
+//! The actor that takes this node from its start to serving, and from serving to its end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agatedeck_control::{JoinEffect, JoinProcess, JoinSettings, JoinState};
+use agatedeck_wire::{
+    ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, Head, Join, JoinAnswer,
+    Pull,
+};
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::watch;
+
+use super::keeper::{AdoptMembers, MemberKeeper};
+use crate::config::{ConfigKeeper, PullNow, RaiseFloor};
+use crate::context::NodeContext;
+use crate::peer::PeerAddress;
+use crate::store::{catch_up, read_head};
+
+/// Time allowed for a node to answer a join.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause between two looks at the deadlines of the join.
+const TICK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause between two ticks once the node serves and only waits for a peer to take it in.
+const SLOW_TICK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Owns the [`JoinProcess`].
+#[derive(Actor)]
+pub(crate) struct JoinKeeper {
+    context: NodeContext,
+    process: JoinProcess,
+    head: Option<Head>,
+    held: u64,
+    rng: SmallRng,
+    config: ActorRef<ConfigKeeper>,
+    members: ActorRef<MemberKeeper>,
+    published: watch::Sender<JoinState>,
+}
+
+impl JoinKeeper {
+    pub(crate) fn new(
+        context: NodeContext,
+        config: ActorRef<ConfigKeeper>,
+        members: ActorRef<MemberKeeper>,
+        published: watch::Sender<JoinState>,
+    ) -> Self {
+        let seeds: Vec<String> = context
+            .settings
+            .seeds
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
+        let process = JoinProcess::new(&context.own, &seeds, &JoinSettings::default());
+        Self {
+            context,
+            process,
+            head: None,
+            held: 0,
+            rng: SmallRng::from_rng(&mut rand::rng()),
+            published,
+            config,
+            members,
+        }
+    }
+
+    async fn carry_out(&mut self, effects: Vec<JoinEffect>, keeper: &ActorRef<Self>) {
+        self.published.send_replace(self.process.state());
+        for effect in effects {
+            match effect {
+                JoinEffect::ReadHead => self.read_head(keeper),
+                JoinEffect::Join { address, join } => self.send_join(&address, join, keeper),
+                JoinEffect::AskFloor {
+                    node,
+                    address,
+                    record,
+                } => self.ask_floor(node, &address, record, keeper),
+                // The other actors are gone only when the node is stopping.
+                JoinEffect::Adopt(members) => {
+                    let _ = self.members.tell(AdoptMembers(members)).await;
+                }
+                JoinEffect::Fetch { floor } => self.fetch(floor, keeper),
+                JoinEffect::Serve => {
+                    let floor = self.process.floor().unwrap_or(0);
+                    log::info!("serving calls; the floor is version {floor}");
+                    let _ = self.config.tell(RaiseFloor(floor)).await;
+                }
+                JoinEffect::Drain => log::info!("draining"),
+                JoinEffect::Stop => log::info!("no work is left"),
+            }
+        }
+    }
+
+    fn read_head(&self, keeper: &ActorRef<Self>) {
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let head = match read_head(&context).await {
+                Ok((head, _)) => Some(head),
+                Err(error) => {
+                    log::warn!("the floor could not be read from the store: {error}");
+                    None
+                }
+            };
+            let _ = keeper.tell(HeadRead(head)).await;
+        });
+    }
+
+    fn send_join(&self, address: &str, join: Join, keeper: &ActorRef<Self>) {
+        let Some(peer) = self.peer_at(address) else {
+            return;
+        };
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let request = ControlPlaneRequest::Join { join };
+            let deadline = tokio::time::Instant::now() + JOIN_TIMEOUT;
+            let answer = match context.transport.send(&peer, request, deadline).await {
+                Ok(ControlPlaneResponse::Join(answer)) => Some(answer),
+                _ => None,
+            };
+            let _ = keeper.tell(JoinAnswered(answer)).await;
+        });
+    }
+
+    fn ask_floor(&self, node: String, address: &str, record: FloorRecord, keeper: &ActorRef<Self>) {
+        let Some(peer) = self.peer_at(address) else {
+            return;
+        };
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let request = ControlPlaneRequest::RecordFloor { record };
+            let deadline = tokio::time::Instant::now() + JOIN_TIMEOUT;
+            let answer = context.transport.send(&peer, request, deadline).await;
+            if let Ok(ControlPlaneResponse::RecordFloor(answer)) = answer {
+                let _ = keeper.tell(FloorAnswered { node, answer }).await;
+            }
+        });
+    }
+
+    /// The region of a node that is not known yet is taken as the own one.
+    fn peer_at(&self, address: &str) -> Option<PeerAddress> {
+        let table = self.context.table();
+        let mut members = table.members();
+        let known = members.find(|member| member.control_address == address);
+        if let Some(known) = known.and_then(PeerAddress::of) {
+            return Some(known);
+        }
+        let address: SocketAddr = address.parse().ok()?;
+        let own = &self.context.own;
+        let (region, domain) = (own.region.clone(), own.domain.clone());
+        Some(PeerAddress {
+            address,
+            region,
+            domain,
+        })
+    }
+
+    /// Gets a version at or above the floor: from peers first, to spare the store when many nodes
+    /// start together, and from the store where no peer has one.
+    fn fetch(&self, floor: u64, keeper: &ActorRef<Self>) {
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        let (config, head) = (self.config.clone(), self.head.clone());
+        let mut version = self.held;
+        tokio::spawn(async move {
+            if version < floor {
+                version = config
+                    .ask(PullNow(Pull { version }))
+                    .await
+                    .unwrap_or(version);
+            }
+            if version < floor
+                && let Some(head) = head
+            {
+                match catch_up(&context, &config, &head).await {
+                    Ok(_) => version = head.version,
+                    Err(error) => log::warn!("version {floor} could not be fetched: {error}"),
+                }
+            }
+            let _ = keeper.tell(FetchEnded(version)).await;
+        });
+    }
+}
+
+struct HeadRead(Option<Head>);
+
+impl Message<HeadRead> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, HeadRead(head): HeadRead, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let version = head.as_ref().map(|head| head.version);
+        if head.is_some() {
+            self.head = head;
+        }
+        let effects = self.process.on_head(version, now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+struct JoinAnswered(Option<JoinAnswer>);
+
+impl Message<JoinAnswered> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        JoinAnswered(answer): JoinAnswered,
+        context: &mut Context<Self, ()>,
+    ) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let effects = match answer {
+            Some(answer) => self.process.on_join_answer(&answer, now, &mut self.rng),
+            None => self.process.on_join_failed(&mut self.rng),
+        };
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+struct FloorAnswered {
+    node: String,
+    answer: FloorAnswer,
+}
+
+impl Message<FloorAnswered> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, answered: FloorAnswered, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let FloorAnswered { node, answer } = answered;
+        let effects = self
+            .process
+            .on_floor_answer(&node, &answer, now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+struct FetchEnded(u64);
+
+impl Message<FetchEnded> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, FetchEnded(version): FetchEnded, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        self.held = self.held.max(version);
+        let mut effects = self.process.on_version(self.held, now, &mut self.rng);
+        if self.process.state() == JoinState::Fetching {
+            effects.extend(self.process.on_fetch_failed(now, &mut self.rng));
+        }
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+/// A version is in force at this node.
+pub(crate) struct VersionHeld(pub(crate) u64);
+
+impl Message<VersionHeld> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, VersionHeld(version): VersionHeld, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        self.held = self.held.max(version);
+        let effects = self.process.on_version(self.held, now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+/// Control addresses of nodes that may be joined by.
+pub(super) struct AddContacts(pub(super) Vec<String>);
+
+/// Whether a node has taken this one in.
+#[derive(kameo::Reply)]
+pub(super) struct ContactState {
+    pub(super) adopted: bool,
+}
+
+impl Message<AddContacts> for JoinKeeper {
+    type Reply = ContactState;
+
+    async fn handle(
+        &mut self,
+        AddContacts(addresses): AddContacts,
+        context: &mut Context<Self, ContactState>,
+    ) -> ContactState {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let addresses: Vec<&str> = addresses.iter().map(String::as_str).collect();
+        self.process.add_contacts(&addresses);
+        if self.process.state() == JoinState::Starting {
+            let effects = self.process.start(now, &mut self.rng);
+            self.carry_out(effects, &keeper).await;
+        }
+        let adopted = self.process.has_adopted();
+        ContactState { adopted }
+    }
+}
+
+/// The node takes no new work from now on.
+pub(crate) struct StartDrain;
+
+impl Message<StartDrain> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: StartDrain, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let effects = self.process.drain(now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+/// No call is left at this node.
+pub(crate) struct WorkDrained;
+
+impl Message<WorkDrained> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, _: WorkDrained, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let effects = self.process.on_drained(now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+struct JoinTick;
+
+#[derive(kameo::Reply)]
+struct JoinPhase(JoinState);
+
+impl Message<JoinTick> for JoinKeeper {
+    type Reply = JoinPhase;
+
+    async fn handle(&mut self, _: JoinTick, context: &mut Context<Self, JoinPhase>) -> JoinPhase {
+        let keeper = context.actor_ref().clone();
+        let now = self.context.clock.now();
+        let effects = self.process.tick(now, &mut self.rng);
+        self.carry_out(effects, &keeper).await;
+        JoinPhase(self.process.state())
+    }
+}
+
+/// Drives the deadlines of the join until the node stops.
+pub(crate) async fn run_join(join: ActorRef<JoinKeeper>) {
+    while let Ok(JoinPhase(state)) = join.ask(JoinTick).await {
+        let pause = if state == JoinState::Serving {
+            SLOW_TICK_PAUSE
+        } else {
+            TICK_PAUSE
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
--- a/crates/node/src/member/keeper.rs
+++ b/crates/node/src/member/keeper.rs
@@ -1,20 +1,22 @@
-//! The actor that owns the member table.
+//! The actor that owns the member table, the failure detector and the floors witnessed here.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatedeck_control::{MemberTable, MergeOutcome, SpreadOrder, SpreadReach};
+use agatedeck_clock::Instant;
+use agatedeck_control::{
+    FailureDetector, FloorLedger, GateSettings, JoinGate, MemberEffect, MemberSettings,
+    MemberTable, SpreadOrder, SpreadReach,
+};
 use agatedeck_wire::{
-    ControlPlaneRequest, ControlPlaneResponse, Join, JoinAnswer, Member, MemberStatus, Probe,
-    ProbeAnswer, Sync, SyncAnswer,
+    ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, IndirectAnswer, Join,
+    JoinAnswer, Member, MemberStatus, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::answer::Answer;
 use crate::config::{ConfigKeeper, NoteAhead};
@@ -22,15 +24,23 @@
 use crate::peer::PeerAddress;
 use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
 
-/// Time allowed for the answer to a probe.
+/// Time allowed for the answer to a probe sent on behalf of another node.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Owns the member table and publishes it.
+/// Time allowed for the answer to a comparison of member tables.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest pause between two ticks of the failure detector. A message may have set a deadline that
+/// is earlier than the one the pause was computed from.
+const MAX_TICK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Owns the [`FailureDetector`] and publishes its member table.
 #[derive(Actor)]
 pub(crate) struct MemberKeeper {
     context: NodeContext,
-    own: Member,
-    table: MemberTable,
+    detector: FailureDetector,
+    ledger: FloorLedger,
+    gate: JoinGate,
     published: watch::Sender<Arc<MemberTable>>,
     relay: ActorRef<SpreadRelay>,
     config: ActorRef<ConfigKeeper>,
@@ -43,36 +53,110 @@
         relay: ActorRef<SpreadRelay>,
         config: ActorRef<ConfigKeeper>,
     ) -> Self {
-        let own = Member::clone(&context.own);
-        let mut keeper = Self {
+        let now = context.clock.now();
+        let settings = MemberSettings::default();
+        let detector = FailureDetector::new(&context.own, &settings, now, &mut rand::rng());
+        published.send_replace(Arc::new(detector.table().clone()));
+        let ledger = FloorLedger::new(&context.own.domain);
+        let gate = JoinGate::new(&GateSettings::default());
+        Self {
             context,
-            own,
-            table: MemberTable::default(),
+            detector,
+            ledger,
+            gate,
             published,
             relay,
             config,
-        };
-        keeper.merge(&[keeper.own.clone()]);
-        keeper
+        }
     }
 
-    fn merge(&mut self, updates: &[Member]) -> Vec<Member> {
-        let now = self.context.clock.now();
-        let mut applied = Vec::new();
-        for update in updates {
-            if self.table.merge(update, now) == MergeOutcome::Applied {
-                applied.push(update.clone());
+    fn now(&self) -> Instant {
+        self.context.clock.now()
+    }
+
+    async fn carry_out(&mut self, effects: Vec<MemberEffect>, keeper: &ActorRef<Self>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::Probe {
+                    node,
+                    address,
+                    probe,
+                } => self.send_probe(node, &address, probe, keeper),
+                MemberEffect::AskHelper { address, request } => {
+                    let node = request.node.clone();
+                    let request = ControlPlaneRequest::ProbeThrough { probe: request };
+                    self.send(&address, request, SYNC_TIMEOUT, keeper, move |answer| {
+                        let answer = match answer {
+                            ControlPlaneResponse::ProbeThrough(answer) => answer,
+                            _ => IndirectAnswer::default(),
+                        };
+                        PeerNews::Indirect { node, answer }
+                    });
+                }
+                MemberEffect::Sync { address, sync } => {
+                    let request = ControlPlaneRequest::Sync { sync };
+                    let from = address.clone();
+                    self.send(&address, request, SYNC_TIMEOUT, keeper, move |answer| {
+                        let answer = match answer {
+                            ControlPlaneResponse::Sync(answer) => answer,
+                            _ => SyncAnswer::default(),
+                        };
+                        PeerNews::Synced { from, answer }
+                    });
+                }
+                MemberEffect::Announce(member) => self.announce(member).await,
+                MemberEffect::ViewChanged => {
+                    let table = self.detector.table().clone();
+                    self.published.send_replace(Arc::new(table));
+                }
             }
         }
-        if !applied.is_empty() {
-            self.published.send_replace(Arc::new(self.table.clone()));
-        }
-        applied
     }
 
-    async fn spread(&self, members: Vec<Member>) {
+    fn send_probe(&self, node: String, address: &str, probe: Probe, keeper: &ActorRef<Self>) {
+        let request = ControlPlaneRequest::Probe { probe };
+        self.send(address, request, PROBE_TIMEOUT, keeper, move |answer| {
+            let answer = match answer {
+                ControlPlaneResponse::Probe(answer) => answer,
+                _ => ProbeAnswer::default(),
+            };
+            PeerNews::Probed { node, answer }
+        });
+    }
+
+    /// Sends a request and hands the answer back to this actor. A request without an answer leaves
+    /// the deadline of the failure detector to pass.
+    fn send(
+        &self,
+        address: &str,
+        request: ControlPlaneRequest,
+        timeout: Duration,
+        keeper: &ActorRef<Self>,
+        news: impl FnOnce(ControlPlaneResponse) -> PeerNews + Send + 'static,
+    ) {
+        let Some(peer) = self.peer_at(address) else {
+            return;
+        };
+        let (context, keeper) = (self.context.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let deadline = tokio::time::Instant::now() + timeout;
+            match context.transport.send(&peer, request, deadline).await {
+                // The keeper is gone only when the node is stopping.
+                Ok(answer) => drop(keeper.tell(news(answer)).await),
+                Err(error) => log::debug!("no answer from {}: {error}", peer.address),
+            }
+        });
+    }
+
+    fn peer_at(&self, address: &str) -> Option<PeerAddress> {
+        let mut members = self.detector.table().members();
+        let member = members.find(|member| member.control_address == address);
+        member.and_then(PeerAddress::of)
+    }
+
+    async fn announce(&self, member: Member) {
         let payload = SpreadPayload::Rumor {
-            members,
+            members: vec![member],
             crashes: Vec::new(),
         };
         let order = SpreadOrder {
@@ -83,11 +167,15 @@
         let _ = self.relay.tell(StartSpread { order, payload }).await;
     }
 
-    async fn note_version(&mut self, node: &str, version: u64) {
-        self.table.note_version(node, version);
-        let own_version = self.context.served().snapshot.version();
-        if version > own_version {
-            let _ = self.config.tell(NoteAhead).await;
+    async fn compare_version(&self, version: u64) {
+        if version > self.context.served().snapshot.version() {
+            let _ = self.config.tell(NoteAhead { version }).await;
+        }
+    }
+
+    fn observe(&mut self, updates: &[Member]) {
+        for member in updates {
+            self.ledger.observe(member);
         }
     }
 }
@@ -98,8 +186,33 @@
 impl Message<MergeMembers> for MemberKeeper {
     type Reply = ();
 
-    async fn handle(&mut self, MergeMembers(updates): MergeMembers, _: &mut Context<Self, ()>) {
-        self.merge(&updates);
+    async fn handle(
+        &mut self,
+        MergeMembers(updates): MergeMembers,
+        context: &mut Context<Self, ()>,
+    ) {
+        let keeper = context.actor_ref().clone();
+        self.observe(&updates);
+        let effects = self.detector.merge(&updates, self.now());
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+/// All members as another node knows them, received on joining.
+pub(crate) struct AdoptMembers(pub(crate) Vec<Member>);
+
+impl Message<AdoptMembers> for MemberKeeper {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        AdoptMembers(members): AdoptMembers,
+        context: &mut Context<Self, ()>,
+    ) {
+        let keeper = context.actor_ref().clone();
+        self.observe(&members);
+        let effects = self.detector.adopt(&members, self.now());
+        self.carry_out(effects, &keeper).await;
     }
 }
 
@@ -112,16 +225,14 @@
     async fn handle(
         &mut self,
         AnswerProbe(probe): AnswerProbe,
-        _: &mut Context<Self, Answer<ProbeAnswer>>,
+        context: &mut Context<Self, Answer<ProbeAnswer>>,
     ) -> Answer<ProbeAnswer> {
-        self.merge(&probe.updates);
-        self.note_version(&probe.node, probe.version).await;
-        Answer(ProbeAnswer {
-            incarnation: self.own.incarnation,
-            version: self.context.served().snapshot.version(),
-            member_digest: 0,
-            updates: vec![self.own.clone()],
-        })
+        let keeper = context.actor_ref().clone();
+        self.observe(&probe.updates);
+        let (answer, effects) = self.detector.on_probe(&probe, self.now());
+        self.carry_out(effects, &keeper).await;
+        self.compare_version(probe.version).await;
+        Answer(answer)
     }
 }
 
@@ -134,13 +245,13 @@
     async fn handle(
         &mut self,
         AnswerSync(sync): AnswerSync,
-        _: &mut Context<Self, Answer<SyncAnswer>>,
+        context: &mut Context<Self, Answer<SyncAnswer>>,
     ) -> Answer<SyncAnswer> {
-        self.merge(&sync.entries);
-        Answer(SyncAnswer {
-            digests: Vec::new(),
-            entries: self.table.members().cloned().collect(),
-        })
+        let keeper = context.actor_ref().clone();
+        self.observe(&sync.entries);
+        let (answer, effects) = self.detector.on_sync(&sync, self.now());
+        self.carry_out(effects, &keeper).await;
+        Answer(answer)
     }
 }
 
@@ -153,88 +264,137 @@
     async fn handle(
         &mut self,
         AnswerJoin(join): AnswerJoin,
-        _: &mut Context<Self, Answer<JoinAnswer>>,
+        context: &mut Context<Self, Answer<JoinAnswer>>,
     ) -> Answer<JoinAnswer> {
-        let joined = join.member.into_iter().collect::<Vec<_>>();
-        let fresh = self.merge(&joined);
-        if !fresh.is_empty() {
-            self.spread(fresh).await;
+        let keeper = context.actor_ref().clone();
+        let now = self.now();
+        let served = self.context.served();
+        let version = if served.may_serve {
+            served.snapshot.version()
+        } else {
+            0
+        };
+        let table = self.detector.table();
+        let answer = self.gate.answer(&join, table, &self.ledger, version, now);
+        if answer.accepted {
+            let joined: Vec<Member> = join.member.into_iter().collect();
+            let effects = self.detector.merge(&joined, now);
+            self.carry_out(effects, &keeper).await;
         }
-        Answer(JoinAnswer {
-            accepted: true,
-            floor: 0,
-            version: self.context.served().snapshot.version(),
-            members: self.table.members().cloned().collect(),
-        })
+        Answer(answer)
+    }
+}
+
+/// Another node is about to put a version in force, or asks which one it held.
+pub(crate) struct RecordFloor(pub(crate) FloorRecord);
+
+impl Message<RecordFloor> for MemberKeeper {
+    type Reply = Answer<FloorAnswer>;
+
+    async fn handle(
+        &mut self,
+        RecordFloor(record): RecordFloor,
+        _: &mut Context<Self, Answer<FloorAnswer>>,
+    ) -> Answer<FloorAnswer> {
+        Answer(self.ledger.record(&record))
     }
 }
 
-/// Time to probe a node.
-pub(crate) struct ProbeTick;
+/// A version is in force at this node.
+pub(crate) struct VersionInForce(pub(crate) u64);
 
-impl Message<ProbeTick> for MemberKeeper {
+impl Message<VersionInForce> for MemberKeeper {
     type Reply = ();
 
-    async fn handle(&mut self, _: ProbeTick, context: &mut Context<Self, ()>) {
-        let peers = self
-            .table
-            .live()
-            .filter(|member| member.node != self.own.node);
-        let Some(target) = peers.choose(&mut rand::rng()).cloned() else {
-            return;
-        };
-        let Some(peer) = PeerAddress::of(&target) else {
-            return;
-        };
-        let probe = Probe {
-            node: self.own.node.clone(),
-            incarnation: self.own.incarnation,
-            version: self.context.served().snapshot.version(),
-            member_digest: 0,
-            updates: vec![self.own.clone()],
-        };
-        let (node_context, keeper) = (self.context.clone(), context.actor_ref().clone());
-        tokio::spawn(async move {
-            let request = ControlPlaneRequest::Probe { probe };
-            let deadline = Instant::now() + PROBE_TIMEOUT;
-            let answer = node_context.transport.send(&peer, request, deadline).await;
-            if let Ok(ControlPlaneResponse::Probe(answer)) = answer {
-                let _ = keeper
-                    .tell(ProbeAnswered {
-                        node: target.node,
-                        answer,
-                    })
-                    .await;
-            }
-        });
+    async fn handle(&mut self, VersionInForce(version): VersionInForce, _: &mut Context<Self, ()>) {
+        self.detector.set_version(version);
     }
 }
 
-struct ProbeAnswered {
-    node: String,
-    answer: ProbeAnswer,
+/// What came back from a node that was asked.
+enum PeerNews {
+    Probed {
+        node: String,
+        answer: ProbeAnswer,
+    },
+    Indirect {
+        node: String,
+        answer: IndirectAnswer,
+    },
+    Synced {
+        from: String,
+        answer: SyncAnswer,
+    },
 }
 
-impl Message<ProbeAnswered> for MemberKeeper {
+impl Message<PeerNews> for MemberKeeper {
     type Reply = ();
 
-    async fn handle(&mut self, answered: ProbeAnswered, _: &mut Context<Self, ()>) {
-        self.merge(&answered.answer.updates);
-        self.note_version(&answered.node, answered.answer.version)
-            .await;
+    async fn handle(&mut self, news: PeerNews, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.now();
+        let effects = match news {
+            PeerNews::Probed { node, answer } => {
+                self.observe(&answer.updates);
+                self.compare_version(answer.version).await;
+                self.detector.on_probe_answer(&node, &answer, now)
+            }
+            PeerNews::Indirect { node, answer } => {
+                self.detector.on_indirect_answer(&node, &answer);
+                Vec::new()
+            }
+            PeerNews::Synced { from, answer } => {
+                self.observe(&answer.entries);
+                self.detector.on_sync_answer(&from, &answer, now)
+            }
+        };
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
+/// Time for the failure detector to look at its deadlines. The reply is the next deadline.
+struct DetectorTick;
+
+#[derive(kameo::Reply)]
+struct NextDeadline(Instant);
+
+impl Message<DetectorTick> for MemberKeeper {
+    type Reply = NextDeadline;
+
+    async fn handle(
+        &mut self,
+        _: DetectorTick,
+        context: &mut Context<Self, NextDeadline>,
+    ) -> NextDeadline {
+        let keeper = context.actor_ref().clone();
+        let effects = self.detector.tick(self.now(), &mut rand::rng());
+        self.carry_out(effects, &keeper).await;
+        NextDeadline(self.detector.next_deadline())
     }
 }
 
-/// The node is stopping: tell the others.
+/// Drives the failure detector until the node stops.
+pub(crate) async fn run_detector(context: NodeContext, members: ActorRef<MemberKeeper>) {
+    while let Ok(NextDeadline(deadline)) = members.ask(DetectorTick).await {
+        let latest = context.clock.now().after(MAX_TICK_PAUSE);
+        tokio::time::sleep_until(context.clock.runtime_instant(deadline.min(latest))).await;
+    }
+}
+
+/// The node takes no new work, or is stopping: tell the others.
 pub(crate) struct Leave(pub(crate) MemberStatus);
 
 impl Message<Leave> for MemberKeeper {
     type Reply = ();
 
-    async fn handle(&mut self, Leave(status): Leave, _: &mut Context<Self, ()>) {
-        self.own.status = status.into();
-        let own = self.own.clone();
-        self.merge(std::slice::from_ref(&own));
-        self.spread(vec![own]).await;
+    async fn handle(&mut self, Leave(status): Leave, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.now();
+        let effects = if status == MemberStatus::Draining {
+            self.detector.drain(now)
+        } else {
+            self.detector.leave(now)
+        };
+        self.carry_out(effects, &keeper).await;
     }
 }
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -1,10 +1,12 @@
-//! The membership that this node knows.
+//! The membership that this node knows, and how the node joins and leaves.
 
 mod bootstrap;
+mod join;
 mod keeper;
 
-pub(crate) use bootstrap::announce;
+pub(crate) use bootstrap::run_bootstrap;
+pub(crate) use join::{JoinKeeper, StartDrain, VersionHeld, WorkDrained, run_join};
 pub(crate) use keeper::{
     AnswerJoin, AnswerProbe, AnswerSync, Leave, MemberKeeper, MergeMembers, PROBE_TIMEOUT,
-    ProbeTick,
+    RecordFloor, VersionInForce, run_detector,
 };
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -14,10 +14,10 @@
 use tokio::time::Instant;
 
 use crate::admin::survey;
-use crate::config::{ConfigKeeper, OfferVersion, PullVersions, RecordFloor};
+use crate::config::{ConfigKeeper, OfferVersion, PullVersions};
 use crate::context::NodeContext;
 use crate::member::{
-    AnswerJoin, AnswerProbe, AnswerSync, MemberKeeper, MergeMembers, PROBE_TIMEOUT,
+    AnswerJoin, AnswerProbe, AnswerSync, MemberKeeper, MergeMembers, PROBE_TIMEOUT, RecordFloor,
 };
 use crate::peer::PeerAddress;
 use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
@@ -147,7 +147,7 @@
     }
 
     async fn record_floor(self, _: Context, record: FloorRecord) -> FloorAnswer {
-        self.config
+        self.members
             .ask(RecordFloor(record))
             .await
             .unwrap_or_default()
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use agatedeck_chart::ChartError;
-use agatedeck_control::{MemberTable, PollSpread, SpreadPolicy, TreeSpread};
-use agatedeck_platform::{HttpStore, HttpStoreSettings, StoreError};
+use agatedeck_control::{JoinState, MemberTable, PollSpread, SpreadPolicy, TreeSpread};
+use agatedeck_platform::{HttpStore, HttpStoreSettings, PlatformStore, StoreError};
 use agatedeck_records::NEWEST_SCHEMA;
 use agatedeck_wire::{Member, MemberStatus};
 use axum::Router;
@@ -23,7 +23,10 @@
 use crate::clock::{ProcessClock, unix_ms};
 use crate::config::ConfigKeeper;
 use crate::context::{NodeContext, ServedConfig};
-use crate::member::{Leave, MemberKeeper, ProbeTick, announce};
+use crate::member::{
+    JoinKeeper, Leave, MemberKeeper, StartDrain, VersionHeld, VersionInForce, WorkDrained,
+    run_bootstrap, run_detector, run_join,
+};
 use crate::peer::{
     ControlServer, DelayedTransport, LinkMeters, LinkTransport, PeerTransport, serve_control,
 };
@@ -31,8 +34,8 @@
 use crate::spread::SpreadRelay;
 use crate::store::{ChangeAcceptor, StoreReader, run_reader};
 
-/// Time between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that the last messages of a node are given to reach the others.
+const LEAVE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a node did not start.
 #[derive(Debug, Display, Error, From)]
@@ -75,6 +78,7 @@
 pub struct Node {
     addresses: NodeAddresses,
     members: ActorRef<MemberKeeper>,
+    join: ActorRef<JoinKeeper>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -165,6 +169,82 @@
     })
 }
 
+/// The sending ends of what [`NodeContext`] publishes.
+struct PublishedState {
+    config: watch::Sender<ServedConfig>,
+    members: watch::Sender<Arc<MemberTable>>,
+    phase: watch::Sender<JoinState>,
+}
+
+fn context(
+    settings: NodeSettings,
+    addresses: &NodeAddresses,
+    store: Arc<dyn PlatformStore>,
+    meters: &LinkMeters,
+) -> (PublishedState, NodeContext) {
+    let (published_config, config) = watch::channel(ServedConfig::default());
+    let (published_members, members) = watch::channel(Arc::new(MemberTable::default()));
+    let (published_phase, phase) = watch::channel(JoinState::Starting);
+    let context = NodeContext {
+        own: Arc::new(own_member(&settings, addresses)),
+        clock: ProcessClock::start(),
+        store,
+        transport: transport(&settings, meters),
+        policy: spread_policy(&settings),
+        settings: Arc::new(settings),
+        config,
+        members,
+        phase,
+    };
+    let published = PublishedState {
+        config: published_config,
+        members: published_members,
+        phase: published_phase,
+    };
+    (published, context)
+}
+
+/// The actors of the control plane.
+struct ControlActors {
+    config: ActorRef<ConfigKeeper>,
+    relay: ActorRef<SpreadRelay>,
+    members: ActorRef<MemberKeeper>,
+    acceptor: ActorRef<ChangeAcceptor>,
+    join: ActorRef<JoinKeeper>,
+}
+
+impl ControlActors {
+    fn spawn(context: &NodeContext, published: PublishedState) -> Result<Self, ChartError> {
+        let config = ConfigKeeper::new(context.clone(), published.config)?;
+        let config = ConfigKeeper::spawn(config);
+        let relay = SpreadRelay::spawn(SpreadRelay::new(context.clone()));
+        let members = MemberKeeper::spawn(MemberKeeper::new(
+            context.clone(),
+            published.members,
+            relay.clone(),
+            config.clone(),
+        ));
+        let acceptor = ChangeAcceptor::spawn(ChangeAcceptor {
+            context: context.clone(),
+            config: config.clone(),
+            relay: relay.clone(),
+        });
+        let join = JoinKeeper::spawn(JoinKeeper::new(
+            context.clone(),
+            config.clone(),
+            members.clone(),
+            published.phase,
+        ));
+        Ok(Self {
+            config,
+            relay,
+            members,
+            acceptor,
+            join,
+        })
+    }
+}
+
 impl Node {
     /// Starts a node. It returns once every listener is open; joining the mesh goes on after that.
     ///
@@ -184,31 +264,14 @@
             base_url,
             ..Default::default()
         })?;
-        let (published_config, config) = watch::channel(ServedConfig::default());
-        let (published_members, members) = watch::channel(Arc::new(MemberTable::default()));
-        let context = NodeContext {
-            own: Arc::new(own_member(&settings, &addresses)),
-            clock: ProcessClock::start(),
-            store: Arc::new(store),
-            transport: transport(&settings, &meters),
-            policy: spread_policy(&settings),
-            settings: Arc::new(settings),
+        let (published, context) = context(settings, &addresses, Arc::new(store), &meters);
+        let ControlActors {
             config,
+            relay,
             members,
-        };
-        let config = ConfigKeeper::spawn(ConfigKeeper::new(context.clone(), published_config)?);
-        let relay = SpreadRelay::spawn(SpreadRelay::new(context.clone()));
-        let members = MemberKeeper::spawn(MemberKeeper::new(
-            context.clone(),
-            published_members,
-            relay.clone(),
-            config.clone(),
-        ));
-        let acceptor = ChangeAcceptor::spawn(ChangeAcceptor {
-            context: context.clone(),
-            config: config.clone(),
-            relay: relay.clone(),
-        });
+            acceptor,
+            join,
+        } = ControlActors::spawn(&context, published)?;
         let client = Client::builder().no_proxy().build()?;
         let target = context
             .settings
@@ -245,8 +308,17 @@
             config,
             relay,
         };
-        tasks.push(tokio::spawn(join_mesh(context, members.clone(), reader)));
-        tasks.push(tokio::spawn(probe(members.clone())));
+        tasks.extend([
+            tokio::spawn(run_reader(reader)),
+            tokio::spawn(run_detector(context.clone(), members.clone())),
+            tokio::spawn(run_join(join.clone())),
+            tokio::spawn(run_bootstrap(context.clone(), join.clone())),
+            tokio::spawn(follow_config(
+                context.config.clone(),
+                members.clone(),
+                join.clone(),
+            )),
+        ]);
         log::info!(
             "listening: calls {}, peer {}, control {}, admin {}",
             addresses.calls,
@@ -257,6 +329,7 @@
         Ok(Self {
             addresses,
             members,
+            join,
             tasks,
         })
     }
@@ -268,9 +341,12 @@
 
     /// Leaves the mesh and stops.
     pub async fn shutdown(self) {
-        // The keeper runs until it is dropped below.
+        // The actors run until they are dropped below.
+        let _ = self.join.ask(StartDrain).await;
+        let _ = self.members.ask(Leave(MemberStatus::Draining)).await;
+        let _ = self.join.ask(WorkDrained).await;
         let _ = self.members.ask(Leave(MemberStatus::Left)).await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        tokio::time::sleep(LEAVE_PAUSE).await;
         for task in &self.tasks {
             task.abort();
         }
@@ -278,20 +354,16 @@
     }
 }
 
-async fn join_mesh(context: NodeContext, members: ActorRef<MemberKeeper>, reader: StoreReader) {
-    announce(&context, &members).await;
-    let head = reader.start_from_store().await;
-    log::info!("the floor is version {}", head.version);
-    run_reader(reader).await;
-}
-
-async fn probe(members: ActorRef<MemberKeeper>) {
-    let mut interval = tokio::time::interval(PROBE_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        if members.tell(ProbeTick).await.is_err() {
-            break;
-        }
+/// Tells the actors that depend on it which version is in force.
+async fn follow_config(
+    mut config: watch::Receiver<ServedConfig>,
+    members: ActorRef<MemberKeeper>,
+    join: ActorRef<JoinKeeper>,
+) {
+    while config.changed().await.is_ok() {
+        let version = config.borrow_and_update().snapshot.version();
+        // Both actors are gone only when the node is stopping.
+        let _ = members.tell(VersionInForce(version)).await;
+        let _ = join.tell(VersionHeld(version)).await;
     }
 }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -5,4 +5,5 @@
 mod reader;
 
 pub(crate) use acceptor::{AcceptChange, AcceptReply, ChangeAcceptor, LookedUp, look_up};
+pub(crate) use fetch::{catch_up, read_head};
 pub(crate) use reader::{StoreReader, run_reader};
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use agatedeck_control::{SpreadOrder, SpreadReach};
-use agatedeck_wire::Head;
 use kameo::actor::ActorRef;
 use rand::Rng;
 use tokio::time::sleep;
 
 use super::fetch::{CatchUpError, catch_up, read_head, tip_version};
-use crate::config::{ConfigKeeper, RaiseFloor};
+use crate::config::ConfigKeeper;
 use crate::context::NodeContext;
 use crate::spread::{SpreadPayload, SpreadRelay, StartSpread};
 
@@ -91,29 +90,4 @@
         // The relay is gone only when the node is stopping.
         let _ = self.relay.tell(StartSpread { order, payload }).await;
     }
-
-    /// Reads the floor and the versions up to it, until it succeeds.
-    pub(crate) async fn start_from_store(&self) -> Head {
-        let mut failures = 0;
-        loop {
-            match self.try_start().await {
-                Ok(head) => return head,
-                Err(error) => log::warn!("the floor could not be read from the store: {error}"),
-            }
-            let backoff = Duration::from_millis(200).saturating_mul(1 << u32::min(failures, 6));
-            failures += 1;
-            sleep(jittered(backoff.min(MAX_BACKOFF))).await;
-        }
-    }
-
-    async fn try_start(&self) -> Result<Head, CatchUpError> {
-        let (head, _) = read_head(&self.context).await?;
-        catch_up(&self.context, &self.config, &head).await?;
-        let floor = RaiseFloor(head.version);
-        self.config
-            .ask(floor)
-            .await
-            .map_err(|_| CatchUpError::Stopping)?;
-        Ok(head)
-    }
 }
