Keep the outcome of a sent change when its report cannot be written

A full disk behind standard output ended `apply` with exit code 1, which says refused, although the change was accepted. Once a change is sent, a failure to write progress or the report no longer decides the exit status; reporting it as "not yet known" was ruled out, because the outcome is known.

--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -26,7 +26,7 @@
         let held = context.client.records(RecordFilter::default()).await?;
         let writes = records
             .iter()
-            .map(|record| record.write(held.revision(&record.key)))
+            .map(|record| record.to_write(held.revision(&record.key)))
             .collect();
         submit_change(context, &self.options, writes).await
     }
--- a/crates/ctl/src/process.rs
+++ b/crates/ctl/src/process.rs
@@ -91,9 +91,7 @@
         progress,
         json: invocation.json,
     };
-    let status = invocation.command.run(&mut context).await?;
-    context.out.flush()?;
-    Ok(status)
+    invocation.command.run(&mut context).await
 }
 
 fn report_error(
--- a/crates/ctl/src/submission.rs
+++ b/crates/ctl/src/submission.rs
@@ -68,6 +68,17 @@
     },
 }
 
+impl ChangeResult {
+    fn status(&self) -> ExitStatus {
+        match self {
+            Self::Accepted { .. } => ExitStatus::Success,
+            Self::Refused { .. } | Self::NotAccepted { .. } => ExitStatus::Refused,
+            Self::NotYetKnown { .. } => ExitStatus::NotYetKnown,
+            Self::Unreachable { .. } => ExitStatus::Unreachable,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct ChangeReport<'a> {
     change_id: &'a str,
@@ -98,26 +109,30 @@
         Ok(ChangeAnswer::Unreachable { reasons }) => ChangeResult::Unreachable { reasons },
         Ok(ChangeAnswer::NotYetKnown { .. }) => {
             let reason = "the node cannot tell yet whether the change is accepted";
-            follow_up(context, options, reason).await?
+            follow_up(context, options, reason).await
         }
         Err(error @ ClientError::Unanswered(_)) => {
-            follow_up(context, options, &error.to_string()).await?
+            follow_up(context, options, &error.to_string()).await
         }
         Err(error @ ClientError::Unreachable(_)) => ChangeResult::Unreachable {
             reasons: vec![error.to_string()],
         },
     };
-    Ok(report(context, &options.change_id, &result)?)
+    if let Err(error) = report(context, &options.change_id, &result) {
+        // The exit status tells what became of the change even if the report cannot be written.
+        let _ = writeln!(context.progress, "the result cannot be written: {error}");
+    }
+    Ok(result.status())
 }
 
 async fn follow_up(
     context: &mut CommandContext<'_>,
     options: &ChangeOptions,
     reason: &str,
-) -> Result<ChangeResult, CtlError> {
-    writeln!(context.progress, "{reason}; looking the change up")?;
-    context.progress.flush()?;
-    Ok(look_up_repeatedly(context.client, &options.change_id, &options.submission).await)
+) -> ChangeResult {
+    // The change is sent, so that a failure to write progress must not end the command.
+    let _ = writeln!(context.progress, "{reason}; looking the change up");
+    look_up_repeatedly(context.client, &options.change_id, &options.submission).await
 }
 
 /// Looks a change up until it is found or the time is over. The node that was sent the change may
@@ -174,12 +189,7 @@
     } else {
         print_result(context, change_id, result)?;
     }
-    Ok(match result {
-        ChangeResult::Accepted { .. } => ExitStatus::Success,
-        ChangeResult::Refused { .. } | ChangeResult::NotAccepted { .. } => ExitStatus::Refused,
-        ChangeResult::NotYetKnown { .. } => ExitStatus::NotYetKnown,
-        ChangeResult::Unreachable { .. } => ExitStatus::Unreachable,
-    })
+    Ok(result.status())
 }
 
 fn print_result(
--- a/crates/records/src/file.rs
+++ b/crates/records/src/file.rs
@@ -47,7 +47,7 @@
 
 impl FileRecord {
     /// The write of this record on the revision that the file states, or else on `held`.
-    pub fn write(&self, held: u64) -> RecordWrite {
+    pub fn to_write(&self, held: u64) -> RecordWrite {
         RecordWrite {
             name: Some(RecordName::from(&self.key)),
             forms: self.forms.clone(),
