--- /dev/null
+++ b/crates/ctl/tests/front_end.rs
@@ -0,0 +1,122 @@
+//! Guards the border of the crate: commands run with a client and writers of another front end.
+
+use std::io::{self, ErrorKind, Write};
+use std::net::SocketAddr;
+
+use agatedeck_ctl::{
+    AdminClient, AdminCommand, ChangeAnswer, ChangeOptions, ClientError, CommandContext,
+    ExitStatus, HistoryAnswer, LookUpAnswer, LookUpCommand, RecordFilter, RecordsAnswer,
+    RetireCommand, StatusAnswer, StatusCommand, SubmissionSettings,
+};
+use agatedeck_records::RecordKey;
+use agatedeck_wire::{Change, Record, RecordKind};
+use futures::FutureExt;
+use futures::future::{BoxFuture, ready};
+
+/// Answers from memory and knows no node.
+#[derive(Debug)]
+struct FixedClient;
+
+type Answer<'a, T> = BoxFuture<'a, Result<T, ClientError>>;
+
+impl AdminClient for FixedClient {
+    fn nodes(&self) -> &[SocketAddr] {
+        &[]
+    }
+
+    fn submit<'a>(&'a self, _: &'a Change) -> Answer<'a, ChangeAnswer> {
+        ready(Ok(ChangeAnswer::Accepted { version: 10 })).boxed()
+    }
+
+    fn look_up<'a>(&'a self, _: &'a str) -> Answer<'a, LookUpAnswer> {
+        ready(Ok(LookUpAnswer::NotAccepted)).boxed()
+    }
+
+    fn records<'a>(&'a self, _: RecordFilter<'a>) -> Answer<'a, RecordsAnswer> {
+        let record = Record {
+            kind: RecordKind::Policy.into(),
+            name: "p".to_owned(),
+            revision: 4,
+            forms: Vec::new(),
+        };
+        let (version, records) = (9, vec![record]);
+        ready(Ok(RecordsAnswer { version, records })).boxed()
+    }
+
+    fn history(&self, _: Option<u64>, _: u64) -> Answer<'_, HistoryAnswer> {
+        ready(Ok(HistoryAnswer::default())).boxed()
+    }
+
+    fn status(&self) -> Answer<'_, StatusAnswer> {
+        ready(Ok(StatusAnswer::default())).boxed()
+    }
+}
+
+#[tokio::test]
+async fn commands_run_without_http() {
+    let change_id = "c1".to_owned();
+    let commands: [Box<dyn AdminCommand>; 2] = [
+        Box::new(StatusCommand),
+        Box::new(LookUpCommand { change_id }),
+    ];
+    let (mut out, mut progress) = (Vec::new(), Vec::new());
+    let mut context = CommandContext {
+        client: &FixedClient,
+        out: &mut out,
+        progress: &mut progress,
+        json: false,
+    };
+    let mut ends = Vec::new();
+    for command in commands {
+        ends.push(command.run(&mut context).await.unwrap());
+    }
+    assert_eq!(ends, [ExitStatus::Success, ExitStatus::Refused]);
+    let expected = "change c1: not accepted\n  to ask again: agatedeckctl lookup c1\n";
+    let out = String::from_utf8(out).unwrap();
+    assert!(out.starts_with("version 0, 0 nodes, 0 lagging\n"), "{out}");
+    assert!(out.ends_with(expected), "{out}");
+}
+
+/// A full disk.
+#[derive(Debug)]
+struct FullWriter;
+
+impl Write for FullWriter {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        Err(ErrorKind::StorageFull.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against an accepted change that looks refused because its report cannot be written.
+#[tokio::test]
+async fn accepted_change_without_a_place_for_its_report() {
+    let mut progress = Vec::new();
+    let mut context = CommandContext {
+        client: &FixedClient,
+        out: &mut FullWriter,
+        progress: &mut progress,
+        json: false,
+    };
+    let command = RetireCommand {
+        key: RecordKey::new(RecordKind::Policy, "p"),
+        options: ChangeOptions {
+            change_id: "c1".to_owned(),
+            operator: "desk".to_owned(),
+            insist: false,
+            submission: SubmissionSettings::default(),
+        },
+    };
+    assert_eq!(
+        command.run(&mut context).await.unwrap(),
+        ExitStatus::Success
+    );
+    let progress = String::from_utf8(progress).unwrap();
+    assert!(
+        progress.contains("the result cannot be written"),
+        "{progress}"
+    );
+}
