--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -33,7 +33,7 @@
 async fn a_change_reaches_every_node_and_calls_are_answered() {
     let fleet = Fleet::start(FleetSettings::default()).await;
     let records = agatedeck::read_record_file("records.toml", RECORDS).expect("records are valid");
-    let writes: Vec<_> = records.iter().map(|record| record.write(0)).collect();
+    let writes: Vec<_> = records.iter().map(|record| record.to_write(0)).collect();
     let change = json!({
         "change_id": "first", "operator": "test", "writes": writes, "insist": false,
     });
