Add the quickstart example

It starts 24 nodes with stand-ins in one process, applies the records of both adopters, makes calls and changes a policy under load.

They no longer sleep when no delay is set.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use logging::{LogError, start_logging};
 pub use peer::link_chart;
-pub use runtime::{Node, NodeAddresses, NodeError};
+pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError};
 pub use settings::{
     EmulationSettings, ListenSettings, LogLevel, NodeSettings, SpreadChoice, StoreSettings,
     TargetSettings,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -9,7 +9,7 @@
 use agatedeck_control::{JoinState, MemberTable, PollSpread, SpreadPolicy, TreeSpread};
 use agatedeck_platform::{HttpStore, HttpStoreSettings, PlatformStore, StoreError};
 use agatedeck_records::NEWEST_SCHEMA;
-use agatedeck_wire::{Member, MemberStatus};
+use agatedeck_wire::{ByteMeter, Member, MemberStatus};
 use axum::Router;
 use derive_more::{Display, Error, From};
 use kameo::actor::{ActorRef, Spawn};
@@ -73,10 +73,25 @@
     pub admin: SocketAddr,
 }
 
+/// Bytes of the control protocol, sent and received. The sum over all nodes counts each byte once.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ControlBytes {
+    /// All connections.
+    pub all: u64,
+    /// Connections to other regions.
+    pub cross_region: u64,
+}
+
+fn served_version(served: &ServedConfig) -> Option<u64> {
+    served.may_serve.then(|| served.snapshot.version())
+}
+
 /// A running node.
 #[derive(Debug)]
 pub struct Node {
     addresses: NodeAddresses,
+    config: watch::Receiver<ServedConfig>,
+    meters: LinkMeters,
     members: ActorRef<MemberKeeper>,
     join: ActorRef<JoinKeeper>,
     tasks: Vec<JoinHandle<()>>,
@@ -288,7 +303,7 @@
             context: context.clone(),
             config: config.clone(),
             acceptor,
-            meters,
+            meters: meters.clone(),
         };
         let gateway = GatewayState {
             context: context.clone(),
@@ -328,6 +343,8 @@
         );
         Ok(Self {
             addresses,
+            config: context.config,
+            meters,
             members,
             join,
             tasks,
@@ -339,6 +356,28 @@
         self.addresses
     }
 
+    /// Version that the node serves calls by; `None` while it may not serve.
+    pub fn version(&self) -> Option<u64> {
+        served_version(&self.config.borrow())
+    }
+
+    /// Waits until the node serves calls by `version` or a newer one.
+    pub async fn in_force(&self, version: u64) {
+        let mut config = self.config.clone();
+        let reached = |served: &ServedConfig| served_version(served) >= Some(version);
+        // The keeper that publishes runs as long as the node.
+        let _ = config.wait_for(reached).await;
+    }
+
+    /// Bytes of the control protocol so far, on connections that this node opened.
+    pub fn control_bytes(&self) -> ControlBytes {
+        let total = |meter: &ByteMeter| meter.sent() + meter.received();
+        ControlBytes {
+            all: total(&self.meters.all),
+            cross_region: total(&self.meters.cross_region),
+        }
+    }
+
     /// Leaves the mesh and stops.
     pub async fn shutdown(self) {
         // The actors run until they are dropped below.
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,5 +1,7 @@
 //! Faults of the platform stand-in.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Faults that are in effect. The default is none.
@@ -15,3 +17,11 @@
     /// Number of coming requests of any kind that are answered with 503 and not run.
     pub refuse_requests: u32,
 }
+
+/// Waits for `delay`. The runtime's timer takes at least a millisecond even for no delay at all,
+/// which would dominate the latency of calls.
+pub(crate) async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+}
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use crate::faults::PlatformFaults;
+use crate::faults::{PlatformFaults, pause};
 use crate::table::{
     ReadCounters, SetFaults, TableAnswer, TableKeeper, TableReply, TableRequest, TransactionBody,
 };
@@ -176,7 +176,7 @@
     else {
         return StatusCode::INTERNAL_SERVER_ERROR.into_response();
     };
-    tokio::time::sleep(delay).await;
+    pause(delay).await;
     match answer {
         None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         // The client sees a gateway's answer in place of the platform's own.
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::faults::pause;
+
 /// Header that identifies a request in the counters and in the answer.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -287,7 +289,7 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
     let body = axum::body::to_bytes(request.into_body(), MAX_BODY_BYTES).await;
-    tokio::time::sleep(Duration::from_millis(order.behaviour.work_ms)).await;
+    pause(Duration::from_millis(order.behaviour.work_ms)).await;
     // A keeper that is gone counts nothing any more.
     let _ = keeper.tell(FinishRun).await;
     if order.behaviour.failing {
--- /dev/null
+++ b/examples/quickstart/load.rs
@@ -0,0 +1,180 @@
+//! Callers of the quickstart.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use reqwest::Method;
+use serde_json::Value;
+
+use crate::mesh::Mesh;
+
+/// Callers at the same time.
+const CALLERS: usize = 16;
+
+/// Pause of a caller between two calls, so that the load is that of callers and not of a flood.
+const CALL_PAUSE: Duration = Duration::from_millis(5);
+
+/// A kind of call that callers make.
+struct CallKind {
+    class: &'static str,
+    method: Method,
+    path: &'static str,
+    service: &'static str,
+    needs_key: bool,
+}
+
+const KINDS: [CallKind; 4] = [
+    CallKind {
+        class: "search",
+        method: Method::GET,
+        path: "/slots/today",
+        service: "slotfinder",
+        needs_key: false,
+    },
+    CallKind {
+        class: "deposit",
+        method: Method::POST,
+        path: "/deposits",
+        service: "depositdesk",
+        needs_key: true,
+    },
+    CallKind {
+        class: "browse",
+        method: Method::GET,
+        path: "/catalogue/glow-sticks",
+        service: "catalogue",
+        needs_key: false,
+    },
+    CallKind {
+        class: "upload",
+        method: Method::PUT,
+        path: "/manifests/7",
+        service: "manifests",
+        needs_key: false,
+    },
+];
+
+/// What became of the calls.
+#[derive(Debug, Default)]
+pub(crate) struct CallTally {
+    pub(crate) calls: u64,
+    pub(crate) answered: u64,
+    pub(crate) wrong: u64,
+    pub(crate) outcomes: BTreeMap<String, u64>,
+    /// Latency in microseconds by class.
+    pub(crate) latencies: BTreeMap<&'static str, Histogram<u64>>,
+}
+
+impl CallTally {
+    fn record(&mut self, kind: &CallKind, result: &CallResult) {
+        self.calls += 1;
+        self.answered += u64::from(result.outcome == "answered" && result.status == 200);
+        self.wrong += u64::from(result.wrong);
+        let outcome = format!("{} ({})", result.outcome, result.status);
+        *self.outcomes.entry(outcome).or_default() += 1;
+        let histogram = self
+            .latencies
+            .entry(kind.class)
+            .or_insert_with(new_histogram);
+        // The bounds hold any latency below a minute; a longer one is clamped.
+        histogram.saturating_record(result.micros);
+    }
+
+    fn add(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.answered += other.answered;
+        self.wrong += other.wrong;
+        for (outcome, count) in other.outcomes {
+            *self.outcomes.entry(outcome).or_default() += count;
+        }
+        for (class, histogram) in other.latencies {
+            let sum = self.latencies.entry(class).or_insert_with(new_histogram);
+            sum.add(histogram)
+                .expect("all histograms have the same bounds");
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are valid")
+}
+
+struct CallResult {
+    status: u16,
+    outcome: String,
+    wrong: bool,
+    micros: u64,
+}
+
+/// Makes calls at all nodes for `time`.
+pub(crate) async fn drive_calls(mesh: &Mesh, time: Duration) -> CallTally {
+    let deadline = Instant::now() + time;
+    let callers = (0..CALLERS).map(|caller| run_caller(mesh, caller, deadline));
+    let mut tally = CallTally::default();
+    for part in futures::future::join_all(callers).await {
+        tally.add(part);
+    }
+    tally
+}
+
+async fn run_caller(mesh: &Mesh, caller: usize, deadline: Instant) -> CallTally {
+    let mut tally = CallTally::default();
+    let mut number = 0;
+    while Instant::now() < deadline {
+        let kind = &KINDS[number % KINDS.len()];
+        let node = &mesh.nodes[(caller + 7 * number) % mesh.nodes.len()];
+        let id = format!("call-{caller}-{number}");
+        let result = call(mesh, node.addresses().calls, kind, &id).await;
+        tally.record(kind, &result);
+        number += 1;
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    tally
+}
+
+async fn call(mesh: &Mesh, address: std::net::SocketAddr, kind: &CallKind, id: &str) -> CallResult {
+    let url = format!("http://{address}{}", kind.path);
+    let mut request = mesh.client.request(kind.method.clone(), url);
+    request = request
+        .header("x-request-id", id)
+        .header("agatedeck-tenant", "quickstart");
+    if kind.needs_key {
+        request = request.header("idempotency-key", id);
+    }
+    let start = Instant::now();
+    let answer = request.send().await;
+    let Ok(answer) = answer else {
+        return lost("no answer", start);
+    };
+    let status = answer.status().as_u16();
+    let outcome = answer.headers().get("agatedeck-outcome");
+    let outcome = outcome
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("none")
+        .to_owned();
+    let Ok(body) = answer.bytes().await else {
+        return lost("broken off", start);
+    };
+    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let matches = body["request"] == id && body["service"] == kind.service;
+    CallResult {
+        status,
+        wrong: outcome == "answered" && !matches,
+        outcome,
+        micros: elapsed_micros(start),
+    }
+}
+
+fn lost(outcome: &str, start: Instant) -> CallResult {
+    CallResult {
+        status: 0,
+        outcome: outcome.to_owned(),
+        wrong: false,
+        micros: elapsed_micros(start),
+    }
+}
+
+fn elapsed_micros(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/examples/quickstart/main.rs
@@ -0,0 +1,168 @@
+//! Starts a whole mesh in one process, drives it and reports what happened.
+//!
+//! The mesh has stand-ins for the platform and for the targets of both adopters, and one node beside
+//! each target, in three regions with two failure domains each. The last line printed is one JSON
+//! object; the exit code is 0 only if every node holds the last version and no call was lost,
+//! answered wrongly or run twice.
+
+mod load;
+mod mesh;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use agatedeck::read_record_file;
+use agatedeck_wire::{Change, RecordWrite};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use serde::Serialize;
+
+use load::{CallTally, drive_calls};
+use mesh::Mesh;
+
+/// Time in which a change must be in force on every node.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(7);
+
+/// Time for which calls are made.
+const LOAD_TIME: Duration = Duration::from_secs(3);
+
+/// Time after the start of the load at which a record is changed.
+const CHANGE_AFTER: Duration = Duration::from_secs(1);
+
+const LOTUSMERE: &str = include_str!("../records/lotusmere.toml");
+const ABEBE: &str = include_str!("../records/abebe.toml");
+
+/// The last line printed.
+#[derive(Debug, Serialize)]
+struct Summary {
+    version: u64,
+    nodes: usize,
+    nodes_in_force: usize,
+    convergence_ms: f64,
+    calls: u64,
+    calls_answered: u64,
+    calls_lost: u64,
+    calls_wrong: u64,
+    calls_doubled: u64,
+    control_bytes: u64,
+    cross_region_control_bytes: u64,
+}
+
+impl Summary {
+    fn is_clean(&self) -> bool {
+        let faulty = self.calls_lost + self.calls_wrong + self.calls_doubled;
+        self.nodes_in_force == self.nodes && faulty == 0 && self.calls > 0
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<ExitCode> {
+    let mesh = Mesh::start().await?;
+    println!(
+        "started {} nodes in 3 regions with 2 failure domains each",
+        mesh.nodes.len()
+    );
+    let mut version = 0;
+    for (adopter, text) in [("lotusmere", LOTUSMERE), ("abebe", ABEBE)] {
+        let (accepted, in_force) = change_and_wait(&mesh, adopter, record_writes(text)?).await?;
+        println!(
+            "records of {adopter}: version {accepted}, in force everywhere after {in_force:?}"
+        );
+        version = accepted;
+    }
+    println!("making calls for {LOAD_TIME:?}");
+    let (tally, changed) = tokio::join!(drive_calls(&mesh, LOAD_TIME), change_under_load(&mesh));
+    let (accepted, in_force) = changed?;
+    println!("changed a policy under load: version {accepted}, in force after {in_force:?}");
+    let summary = summarise(&mesh, version.max(accepted), in_force, &tally).await;
+    print_calls(&tally);
+    println!("{}", serde_json::to_string(&summary).into_diagnostic()?);
+    mesh.shutdown().await;
+    Ok(if summary.is_clean() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn record_writes(text: &str) -> Result<Vec<RecordWrite>> {
+    let records = read_record_file("records", text).map_err(|findings| miette!("{findings}"))?;
+    Ok(records.iter().map(|record| record.to_write(0)).collect())
+}
+
+/// Has one node accept a change and waits until it is in force on every node.
+async fn change_and_wait(
+    mesh: &Mesh,
+    change_id: &str,
+    writes: Vec<RecordWrite>,
+) -> Result<(u64, Duration)> {
+    let change = Change {
+        change_id: change_id.to_owned(),
+        operator: "quickstart".to_owned(),
+        writes,
+        insist: false,
+    };
+    let sent = Instant::now();
+    let version = mesh.accept(&change).await?;
+    let waits = mesh.nodes.iter().map(|node| node.in_force(version));
+    let all = futures::future::join_all(waits);
+    tokio::time::timeout(CONVERGENCE_LIMIT, all)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("version {version} is not in force everywhere"))?;
+    Ok((version, sent.elapsed()))
+}
+
+/// Raises the timeout of one policy while calls are made.
+async fn change_under_load(mesh: &Mesh) -> Result<(u64, Duration)> {
+    tokio::time::sleep(CHANGE_AFTER).await;
+    let changed = LOTUSMERE.replace("timeout_ms = 800", "timeout_ms = 900");
+    let writes = record_writes(&changed)?.into_iter();
+    let mut writes: Vec<RecordWrite> = writes
+        .filter(|write| {
+            write
+                .name
+                .as_ref()
+                .is_some_and(|name| name.name == "search")
+        })
+        .collect();
+    for write in &mut writes {
+        write.base_revision = 1;
+    }
+    change_and_wait(mesh, "longer-search", writes).await
+}
+
+async fn summarise(mesh: &Mesh, version: u64, in_force: Duration, tally: &CallTally) -> Summary {
+    let nodes_in_force = mesh
+        .nodes
+        .iter()
+        .filter(|node| node.version() == Some(version))
+        .count();
+    let bytes = mesh.nodes.iter().map(agatedeck::Node::control_bytes);
+    let (control_bytes, cross_region_control_bytes) = bytes.fold((0, 0), |(all, cross), bytes| {
+        (all + bytes.all, cross + bytes.cross_region)
+    });
+    Summary {
+        version,
+        nodes: mesh.nodes.len(),
+        nodes_in_force,
+        convergence_ms: in_force.as_secs_f64() * 1_000.0,
+        calls: tally.calls,
+        calls_answered: tally.answered,
+        calls_lost: tally.calls - tally.answered,
+        calls_wrong: tally.wrong,
+        calls_doubled: mesh.doubled_runs().await,
+        control_bytes,
+        cross_region_control_bytes,
+    }
+}
+
+fn print_calls(tally: &CallTally) {
+    println!("calls by outcome:");
+    for (outcome, count) in &tally.outcomes {
+        println!("  {outcome}: {count}");
+    }
+    for (class, histogram) in &tally.latencies {
+        let latency = |quantile| Duration::from_micros(histogram.value_at_quantile(quantile));
+        println!("  {class}: p50 {:?}, p99 {:?}", latency(0.5), latency(0.99));
+    }
+}
--- /dev/null
+++ b/examples/quickstart/mesh.rs
@@ -0,0 +1,108 @@
+//! The mesh of the quickstart: stand-ins and nodes.
+
+use std::net::SocketAddr;
+
+use agatedeck::{ListenSettings, Node, NodeSettings, StoreSettings, TargetSettings};
+use agatedeck_standin::{PlatformServer, TargetServer, TargetSettings as StandinSettings};
+use agatedeck_wire::Change;
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use reqwest::Client;
+use serde_json::Value;
+
+const REGIONS: [&str; 3] = ["kolkata", "mumbai", "chennai"];
+
+const SERVICES: [&str; 8] = [
+    "slotfinder",
+    "depositdesk",
+    "waiverbox",
+    "packprice",
+    "catalogue",
+    "orders",
+    "manifests",
+    "inventory",
+];
+
+/// A running mesh.
+pub(crate) struct Mesh {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) client: Client,
+    targets: Vec<TargetServer>,
+    // Stops when dropped.
+    _platform: PlatformServer,
+}
+
+impl Mesh {
+    /// Starts one target of each service in each region, with a node beside it.
+    pub(crate) async fn start() -> Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any).await.into_diagnostic()?;
+        let client = Client::builder().no_proxy().build().into_diagnostic()?;
+        let (mut nodes, mut targets) = (Vec::new(), Vec::new());
+        for (number, service) in SERVICES.into_iter().enumerate() {
+            for region in REGIONS {
+                let domain = format!("{region}-{}", if number % 2 == 0 { "a" } else { "b" });
+                let name = format!("{domain}-{service}");
+                let target = StandinSettings {
+                    service: service.to_owned(),
+                    name: name.clone(),
+                    ..Default::default()
+                };
+                let target = TargetServer::start(target).await.into_diagnostic()?;
+                let settings = NodeSettings {
+                    name,
+                    region: region.to_owned(),
+                    domain,
+                    listen: ListenSettings::default(),
+                    store: StoreSettings {
+                        url: platform.base_url(),
+                        region: REGIONS[0].to_owned(),
+                        ..Default::default()
+                    },
+                    target: Some(TargetSettings {
+                        service: service.to_owned(),
+                        address: target.address(),
+                    }),
+                    ..Default::default()
+                };
+                targets.push(target);
+                nodes.push(Node::start(settings).await.into_diagnostic()?);
+            }
+        }
+        Ok(Self {
+            nodes,
+            client,
+            targets,
+            _platform: platform,
+        })
+    }
+
+    /// Has the first node accept a change.
+    pub(crate) async fn accept(&self, change: &Change) -> Result<u64> {
+        let url = format!("http://{}/v1/changes", self.nodes[0].addresses().admin);
+        let answer = self.client.post(url).json(change).send().await;
+        let answer = answer
+            .into_diagnostic()
+            .wrap_err("the admin API does not answer")?;
+        let answer: Value = answer.json().await.into_diagnostic()?;
+        let version = answer["version"].as_u64();
+        version.ok_or_else(|| miette!("the change was not accepted: {answer}"))
+    }
+
+    /// Number of requests that ran more than once at the targets.
+    pub(crate) async fn doubled_runs(&self) -> u64 {
+        let mut runs = std::collections::BTreeMap::new();
+        for target in &self.targets {
+            for (request, count) in target.counters().await.runs {
+                *runs.entry(request).or_insert(0) += count;
+            }
+        }
+        // Probes and other requests without an id all count under `none`.
+        runs.remove("none");
+        runs.values().filter(|count| **count > 1).count() as u64
+    }
+
+    /// Stops every node.
+    pub(crate) async fn shutdown(self) {
+        futures::future::join_all(self.nodes.into_iter().map(Node::shutdown)).await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! `agatedeckctl` are thin programs over what is listed here.
 
 pub use agatedeck_node::{
-    EmulationSettings, ListenSettings, LogLevel, Node, NodeAddresses, NodeError, NodeSettings,
-    SpreadChoice, StoreSettings, TargetSettings, start_logging,
+    ControlBytes, EmulationSettings, ListenSettings, LogLevel, Node, NodeAddresses, NodeError,
+    NodeSettings, SpreadChoice, StoreSettings, TargetSettings, start_logging,
 };
 pub use agatedeck_records::{
     ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, RecordConflict, RecordFault,
