Say "not yet known" when a node that may be writing stays silent

A node that is paused while it accepts a change takes connections but does not answer. Another node then reports the change as not accepted, although the paused one may write it when it resumes. A silent node now turns "not accepted" into "not yet known"; a node that refuses the connection is passed over. Treating every failed connection as "not yet known" was ruled out, because a host that is gone for good would then keep the answer open forever.

--- a/crates/ctl/src/http_client.rs
+++ b/crates/ctl/src/http_client.rs
@@ -114,7 +114,7 @@
             let answer = self.read_from(node, path, query, self.settings.request_ms);
             match answer.await {
                 Ok(answer) => return Ok(answer),
-                Err(failure) => failures.push(failure),
+                Err(failure) => failures.push(failure.into_failure()),
             }
         }
         Err(ClientError::Unreachable(failures))
@@ -126,15 +126,12 @@
         path: &str,
         query: &[(&str, String)],
         limit_ms: u64,
-    ) -> Result<T, NodeFailure> {
+    ) -> Result<T, ExchangeFailure> {
         let request = self.client.get(format!("http://{node}{path}")).query(query);
-        let (status, body) = self
-            .exchange(node, request, limit_ms)
-            .await
-            .map_err(ExchangeFailure::into_failure)?;
-        serde_json::from_slice(&body).map_err(|error| NodeFailure {
-            node,
-            reason: format!("status {status} with an answer that cannot be read: {error}"),
+        let (status, body) = self.exchange(node, request, limit_ms).await?;
+        serde_json::from_slice(&body).map_err(|error| {
+            let reason = format!("status {status} with an answer that cannot be read: {error}");
+            ExchangeFailure::Unanswered(NodeFailure { node, reason })
         })
     }
 
@@ -157,7 +154,8 @@
     /// Asks all nodes at once, so that one that hangs does not hide the answer of another.
     ///
     /// "Not yet known" counts more than "not accepted", because it may come from the node that is
-    /// still writing the change.
+    /// still writing the change. So does the silence of a node that takes connections: a paused
+    /// process may write the change when it resumes. A node that takes none is passed over.
     async fn look_up_anywhere(&self, change_id: &str) -> Result<LookUpAnswer, ClientError> {
         let path = format!("/v1/changes/{change_id}");
         let limit_ms = self.settings.request_ms / LOOK_UP_SHARE;
@@ -166,7 +164,7 @@
             .map(|&node| self.read_from(node, &path, &[], limit_ms))
             .collect();
         let mut failures = Vec::new();
-        let (mut absent, mut undecided) = (None, None);
+        let (mut absent, mut undecided, mut silent) = (None, None, false);
         while let Some(answer) = answers.next().await {
             match answer {
                 Ok(LookUpAnswer::Accepted { version }) => {
@@ -174,9 +172,16 @@
                 }
                 Ok(answer @ LookUpAnswer::NotAccepted) => absent = Some(answer),
                 Ok(answer @ LookUpAnswer::NotYetKnown { .. }) => undecided = Some(answer),
-                Err(failure) => failures.push(failure),
+                Err(failure) => {
+                    silent |= matches!(failure, ExchangeFailure::Unanswered(_));
+                    failures.push(failure.into_failure());
+                }
             }
         }
+        if silent && absent.is_some() {
+            let change_id = change_id.to_owned();
+            return Ok(LookUpAnswer::NotYetKnown { change_id });
+        }
         undecided
             .or(absent)
             .ok_or(ClientError::Unreachable(failures))
