Catch a cleared crash report that counts again

Cause: with cleared reports dropped from the ledger the tests still passed, because each report was merged again before the next one was cleared.

Change: all copies are merged after the last answer. With the fault in place the test fails; a failing claim case now prints the decoded row.

Conclusion: the test guards what its comment says.

--- a/crates/calls/tests/claim_machine.rs
+++ b/crates/calls/tests/claim_machine.rs
@@ -219,10 +219,6 @@
     unsettled: Vec<u8>,
 }
 
-fn row_key(key: u8) -> String {
-    format!("claim/orders/{key}")
-}
-
 impl World {
     fn time(&self, node: usize) -> ClaimTime {
         let now_ms = i64::try_from(self.now.as_micros() / 1_000).unwrap();
@@ -541,7 +537,8 @@
             Stage::Granted
         };
         let attempt = self.attempts.last().unwrap();
-        let row = self.store.rows.get(&row_key(key));
+        let row = self.store.rows.get(&format!("claim/orders/{key}"));
+        let row = row.map(|row| decode_claim(&row.1));
         assert_eq!(attempt.stage, expected, "key {key} is not settled: {row:?}");
     }
 }
--- a/crates/calls/tests/crash_ledger.rs
+++ b/crates/calls/tests/crash_ledger.rs
@@ -64,10 +64,12 @@
     for crash in 1..=3 {
         ledger.merge(&notice("/innocent", "a", crash), now);
         ledger.completed(innocent, now);
-        // Another copy of a cleared report must not count again.
-        ledger.merge(&notice("/innocent", "a", crash), now);
         ledger.merge(&notice("/bad", "a", crash), now);
     }
+    // Other copies of cleared reports must not count again.
+    for crash in 1..=3 {
+        ledger.merge(&notice("/innocent", "a", crash), now);
+    }
     ledger.completed(bad, now);
     assert_eq!(ledger.refused_until(innocent, now), None);
     assert!(ledger.refused_until(bad, now).is_some());
