--- /dev/null
+++ b/crates/standin/tests/http_store.rs
@@ -0,0 +1,179 @@
+//! `HttpStore` against the platform stand-in over loopback.
+
+use std::time::Duration;
+
+use agatedeck_platform::{
+    HttpStore, HttpStoreSettings, PlatformStore, RowCondition, RowWrite, StoreError,
+    StoreTransaction, TransactionOutcome,
+};
+use agatedeck_standin::{PlatformFaults, PlatformServer};
+use tokio::time::Instant;
+
+async fn start() -> (PlatformServer, HttpStore) {
+    let server = PlatformServer::start(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let settings = HttpStoreSettings {
+        base_url: server.base_url(),
+        ..HttpStoreSettings::default()
+    };
+    let store = HttpStore::new(&settings).unwrap();
+    (server, store)
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+/// A write of each key on condition that its row has this revision.
+fn transaction(rows: &[(&str, u64, Option<&[u8]>)]) -> StoreTransaction {
+    let condition = |row: &(&str, u64, _)| RowCondition {
+        key: row.0.to_owned(),
+        revision: row.1,
+    };
+    let write = |row: &(&str, u64, Option<&[u8]>)| RowWrite {
+        key: row.0.to_owned(),
+        value: row.2.map(<[u8]>::to_vec),
+    };
+    StoreTransaction {
+        conditions: rows.iter().map(condition).collect(),
+        writes: rows.iter().map(write).collect(),
+    }
+}
+
+async fn value(store: &HttpStore, key: &str) -> Option<Vec<u8>> {
+    let row = store.read_row(key, soon()).await.unwrap();
+    row.map(|row| row.value)
+}
+
+/// Guards against a transaction that writes a part of its rows, a condition that is not checked,
+/// and a revision that comes back after a deletion.
+#[tokio::test]
+async fn conditions_decide_the_whole_transaction() {
+    let (_server, store) = start().await;
+    let first = transaction(&[("a", 0, Some(b"1")), ("b & c/ü", 0, Some(&[0, 255]))]);
+    let outcome = store.transact(&first, soon()).await.unwrap();
+    let TransactionOutcome::Committed(revision) = outcome else {
+        panic!("refused: {outcome:?}");
+    };
+    let row = store.read_row("b & c/ü", soon()).await.unwrap().unwrap();
+    assert_eq!(
+        (row.value.as_slice(), row.revision),
+        ([0, 255].as_slice(), revision)
+    );
+
+    let mixed = transaction(&[("a", 0, Some(b"2")), ("new", 0, Some(b"2"))]);
+    let outcome = store.transact(&mixed, soon()).await.unwrap();
+    assert_eq!(outcome, TransactionOutcome::Refused(vec!["a".to_owned()]));
+    assert_eq!(value(&store, "a").await, Some(b"1".to_vec()));
+    assert_eq!(value(&store, "new").await, None);
+
+    let delete = transaction(&[("a", revision, None)]);
+    store.transact(&delete, soon()).await.unwrap();
+    assert_eq!(value(&store, "a").await, None);
+    let again = transaction(&[("a", 0, Some(b"3"))]);
+    let outcome = store.transact(&again, soon()).await.unwrap();
+    assert!(matches!(outcome, TransactionOutcome::Committed(later) if later > revision));
+}
+
+/// Guards against a lost answer that is taken for a write without effect.
+#[tokio::test]
+async fn a_lost_answer_leaves_the_write_in_effect() {
+    let (server, store) = start().await;
+    let faults = PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    };
+    server.set_faults(faults).await;
+    let write = transaction(&[("a", 0, Some(b"1"))]);
+    let error = store.transact(&write, soon()).await.unwrap_err();
+    assert!(matches!(error, StoreError::Unanswered(_)), "{error:?}");
+    assert_eq!(value(&store, "a").await, Some(b"1".to_vec()));
+    let repeated = store.transact(&write, soon()).await.unwrap();
+    assert_eq!(repeated, TransactionOutcome::Refused(vec!["a".to_owned()]));
+}
+
+/// Guards against an outage that is taken for a write that may have taken effect.
+#[yare::parameterized(
+    outage = { PlatformFaults { outage: true, ..PlatformFaults::default() } },
+    refused = { PlatformFaults { refuse_requests: 1, ..PlatformFaults::default() } },
+)]
+#[test_macro(tokio::test)]
+async fn an_outage_runs_nothing(faults: PlatformFaults) {
+    let (server, store) = start().await;
+    server.set_faults(faults).await;
+    let write = transaction(&[("a", 0, Some(b"1"))]);
+    let error = store.transact(&write, soon()).await.unwrap_err();
+    assert!(matches!(error, StoreError::Unreachable(_)), "{error:?}");
+    server.set_faults(PlatformFaults::default()).await;
+    assert_eq!(value(&store, "a").await, None);
+    assert_eq!(server.counters().await.refused, 1);
+}
+
+/// Guards against a platform that is gone being taken for one that may have run the write.
+#[tokio::test]
+async fn a_closed_port_is_unreachable() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let base_url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let store = HttpStore::new(&HttpStoreSettings {
+        base_url,
+        ..HttpStoreSettings::default()
+    });
+    let error = store.unwrap().read_row("a", soon()).await.unwrap_err();
+    assert!(matches!(error, StoreError::Unreachable(_)), "{error:?}");
+}
+
+/// Guards against requests that outlive their deadline, and against a late write that is taken for
+/// one without effect.
+#[tokio::test]
+async fn a_delay_past_the_deadline_is_unanswered() {
+    let (server, store) = start().await;
+    let faults = PlatformFaults {
+        delay_ms: 60_000,
+        ..PlatformFaults::default()
+    };
+    server.set_faults(faults).await;
+    let write = transaction(&[("a", 0, Some(b"1"))]);
+    let started = Instant::now();
+    let deadline = started + Duration::from_millis(500);
+    let error = store.transact(&write, deadline).await.unwrap_err();
+    assert!(matches!(error, StoreError::Unanswered(_)), "{error:?}");
+    assert!(
+        started.elapsed() < Duration::from_secs(30),
+        "the deadline was not kept"
+    );
+    server.set_faults(PlatformFaults::default()).await;
+    assert_eq!(value(&store, "a").await, Some(b"1".to_vec()));
+}
+
+/// Guards against rows that a scan in pages repeats or leaves out.
+#[tokio::test]
+async fn scans_in_the_order_of_keys() {
+    let (_server, store) = start().await;
+    let keys = [
+        "delta/10", "delta/02", "delta/1", "other", "delta/01", "delt",
+    ];
+    let rows: Vec<_> = keys.map(|key| (key, 0, Some(key.as_bytes()))).into();
+    store.transact(&transaction(&rows), soon()).await.unwrap();
+    let (mut after, mut found) = (String::new(), Vec::new());
+    loop {
+        let page = store.scan_rows("delta/", &after, 2, soon()).await.unwrap();
+        assert!(page.len() <= 2);
+        let Some(last) = page.last() else { break };
+        after.clone_from(&last.key);
+        found.extend(page.into_iter().map(|row| row.key));
+    }
+    assert_eq!(found, ["delta/01", "delta/02", "delta/1", "delta/10"]);
+}
+
+/// Guards against objects that come back changed, and an absent object taken for a failure.
+#[tokio::test]
+async fn objects_come_back_as_written() {
+    let (_server, store) = start().await;
+    let key = "snapshot/00000000000000000064";
+    assert_eq!(store.read_object(key, soon()).await.unwrap(), None);
+    let bytes: Vec<u8> = (0..=255).cycle().take(100_000).collect();
+    store.write_object(key, &bytes, soon()).await.unwrap();
+    assert_eq!(store.read_object(key, soon()).await.unwrap(), Some(bytes));
+}
