Share test values, and test long calls of one tenant

Turns count calls, so a tenant with long calls is held back only by its share of the slots. The new test offers such calls beside short ones of another tenant.

--- a/crates/calls/tests/admission.rs
+++ b/crates/calls/tests/admission.rs
@@ -151,6 +151,8 @@
 struct Load {
     tenant: &'static str,
     gap_us: u64,
+    /// Factor on the service time.
+    work: u64,
 }
 
 const SLOTS: u32 = 10;
@@ -165,7 +167,7 @@
     let mut admission = queue(SLOTS, 40);
     let mut arrivals: BTreeSet<(u64, usize)> = (0..loads.len()).map(|load| (0, load)).collect();
     let mut ends: BTreeSet<(u64, u64)> = BTreeSet::new();
-    let mut calls: BTreeMap<u64, (&'static str, u64)> = BTreeMap::new();
+    let mut calls: BTreeMap<u64, (Load, u64)> = BTreeMap::new();
     let mut good = HashMap::new();
     let mut next_call = 0;
     loop {
@@ -178,30 +180,30 @@
         let now = Instant::from_micros(at);
         let effects = if end <= arrival {
             let (_, call) = ends.pop_first().expect("an end is due");
-            let (tenant, deadline) = calls[&call];
+            let (Load { tenant, .. }, deadline) = calls[&call];
             if at <= deadline {
                 *good.entry(tenant).or_default() += 1;
             }
             admission.release(id(call), now)
         } else {
             let (_, load) = arrivals.pop_first().expect("an arrival is due");
-            let Load { tenant, gap_us } = loads[load];
-            arrivals.insert((at + rng.random_range(1..=2 * gap_us), load));
+            arrivals.insert((at + rng.random_range(1..=2 * loads[load].gap_us), load));
             next_call += 1;
-            calls.insert(next_call, (tenant, at + DEADLINE_US));
+            calls.insert(next_call, (loads[load], at + DEADLINE_US));
             let deadline = Instant::from_micros(at + DEADLINE_US);
             admission.admit(
                 &CallTicket {
                     deadline,
-                    ..ticket(next_call, tenant)
+                    ..ticket(next_call, loads[load].tenant)
                 },
                 now,
             )
         };
         for effect in effects {
             if let Run(call) = effect {
+                let call = u64::from(call);
                 let time = rng.random_range(SERVICE_US / 2..=SERVICE_US * 3 / 2);
-                ends.insert((at + time, call.into()));
+                ends.insert((at + time * calls[&call].0.work, call));
             }
         }
         assert!(admission.running() <= SLOTS && admission.queued() <= 40);
@@ -211,7 +213,11 @@
 /// Offered load as a share of the capacity of all slots, in percent.
 fn load(tenant: &'static str, percent: u64) -> Load {
     let gap_us = SERVICE_US * 100 / (u64::from(SLOTS) * percent);
-    Load { tenant, gap_us }
+    Load {
+        tenant,
+        gap_us,
+        work: 1,
+    }
 }
 
 /// Guards against goodput that collapses under overload. The peak is the best of the loads up to
@@ -238,3 +244,17 @@
     let capacity = RUN_US / SERVICE_US * u64::from(SLOTS);
     assert!((quiet + flood) * 100 >= capacity * 95, "slots stay empty");
 }
+
+/// Guards against a tenant that takes the slots with long calls: turns count calls, so only the cap
+/// on its share keeps it from holding nearly all slots.
+#[test]
+fn long_calls_of_one_tenant_leave_others_their_share() {
+    let alone = goodput(&[load("quiet", 30)])["quiet"];
+    let long = Load {
+        work: 3,
+        ..load("long", 600)
+    };
+    let quiet = goodput(&[long, load("quiet", 30)])["quiet"];
+    println!("quiet alone {alone}, beside long calls {quiet}");
+    assert!(quiet * 100 >= alone * 95, "{quiet} of {alone}");
+}
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -1,9 +1,8 @@
 //! What the caller of a call is told after each event of an attempt.
 
 use agatedeck_calls::{
-    AttemptEvent, BoardSettings, CallContext, CallEffect, CallEvent, CallLife, CallOutcome,
-    CallState, CallTerms, NodePlace, PickRequest, PickedTarget, RetryBudget, RetrySettings,
-    TargetBoard, TargetStatus, TargetView, TwoChoices,
+    AttemptEvent, CallContext, CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms,
+    PickedTarget, RetryBudget, RetrySettings, TargetKey,
 };
 use agatedeck_clock::Instant;
 use rand::SeedableRng;
@@ -11,30 +10,10 @@
 use yare::parameterized;
 
 fn any_target() -> PickedTarget {
-    let place = NodePlace {
-        node: "node-1",
-        domain: "d1",
-        region: "r1",
-    };
-    let mut board = TargetBoard::new(&place, BoardSettings::default(), Box::new(TwoChoices));
-    let view = TargetView {
-        place,
+    PickedTarget {
+        key: TargetKey::default(),
         peer: ([127, 0, 0, 1], 9_000).into(),
-        generation: 1,
-        slots: 10,
-        warm: true,
-        status: TargetStatus::Alive,
-    };
-    board.replace_targets("orders", &[view], &[place], 0);
-    let request = PickRequest {
-        service: "orders",
-        avoid: &[],
-        idempotent: true,
-    };
-    let mut rng = SmallRng::seed_from_u64(1);
-    board
-        .pick(&request, Instant::default(), &mut rng)
-        .expect("the board has a target")
+    }
 }
 
 /// Runs the events in order and returns all effects. The call is never tried again.
--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -4,12 +4,14 @@
 //! are told. A run of the fixed seed is part of each test run; `AGATEDECK_PROPTEST_CASES` and
 //! `AGATEDECK_PROPTEST_SEED` set the number of cases and the seed of longer runs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod common;
+
+use std::collections::{BTreeMap, HashMap};
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, AttemptEvent, BoardSettings, CallContext,
-    CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, NodePlace,
-    PickRequest, RetryBudget, RetrySettings, TargetBoard, TargetStatus, TargetView, TwoChoices,
+    CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, RetryBudget,
+    RetrySettings, TargetBoard, TargetStatus, TwoChoices,
 };
 use agatedeck_clock::Instant;
 use proptest::prelude::*;
@@ -18,6 +20,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use common::{OWN, request, view};
+
 fn setting(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(default, |value| {
@@ -53,8 +57,7 @@
     },
     Resend(usize),
     Deliver(usize),
-    Fail(usize),
-    Truncate(usize),
+    Fail(usize, bool),
     Advance(u64),
     Cancel(usize),
     Crash(usize),
@@ -79,8 +82,7 @@
             ),
             1 => pick.clone().prop_map(Action::Resend),
             20 => pick.clone().prop_map(Action::Deliver),
-            3 => pick.clone().prop_map(Action::Fail),
-            1 => pick.clone().prop_map(Action::Truncate),
+            4 => (pick.clone(), any::<bool>()).prop_map(|(at, truncate)| Action::Fail(at, truncate)),
             4 => (1_u64..40).prop_map(Action::Advance),
             1 => pick.clone().prop_map(Action::Cancel),
             1 => pick.clone().prop_map(Action::Crash),
@@ -109,8 +111,7 @@
     Request(Try),
     Running(Try, u64),
     Answer(Try, usize),
-    Refusal(Try),
-    Lost(Try),
+    Event(Try, AttemptEvent),
     Stop(Try),
 }
 
@@ -162,12 +163,6 @@
 
 const NODES: [&str; 3] = ["t0", "t1", "t2"];
 const TENANTS: [&str; 3] = ["a", "b", "c"];
-const OWN: NodePlace<'static> = NodePlace {
-    node: "caller",
-    domain: "d0",
-    region: "r1",
-};
-
 fn admission(now: Instant) -> AdmissionQueue {
     let settings = AdmissionSettings {
         slots: 2,
@@ -208,22 +203,16 @@
     }
 
     fn update_board(&mut self) {
-        let views: Vec<_> = (0..NODES.len())
-            .map(|index| TargetView {
-                place: NodePlace {
-                    node: NODES[index],
-                    domain: ["d0", "d0", "d1"][index],
-                    region: "r1",
-                },
-                peer: ([127, 0, 0, 1], u16::try_from(index).expect("few targets")).into(),
-                generation: self.targets[index].generation,
-                slots: 2,
-                warm: false,
-                status: if self.targets[index].draining {
-                    TargetStatus::Draining
-                } else {
-                    TargetStatus::Alive
-                },
+        let views: Vec<_> = (0..)
+            .zip(&self.targets)
+            .map(|(port, target)| {
+                let index = usize::from(port);
+                let mut view = view(NODES[index], ["d1", "d1", "d2"][index], "r1", port);
+                (view.generation, view.slots, view.warm) = (target.generation, 2, false);
+                if target.draining {
+                    view.status = TargetStatus::Draining;
+                }
+                view
             })
             .collect();
         self.board.replace_targets("orders", &views, &[OWN], 20);
@@ -269,11 +258,7 @@
         match effect {
             CallEffect::Claim => self.messages.push(Message::ClaimWrite(index)),
             CallEffect::Pick => {
-                let request = PickRequest {
-                    service: "orders",
-                    avoid: call.life.used_targets(),
-                    idempotent: call.idempotent,
-                };
+                let request = request(call.life.used_targets(), call.idempotent);
                 let event = match self.board.pick(&request, now, &mut self.rng) {
                     Ok(picked) => CallEvent::TargetPicked(picked),
                     Err(_) => CallEvent::NoTarget,
@@ -360,7 +345,8 @@
                 AdmissionEffect::Refuse(id, _) => {
                     let tried = entry.held.remove(&u64::from(id));
                     let tried = tried.expect("a refused call was held");
-                    self.messages.push(Message::Refusal(tried));
+                    self.messages
+                        .push(Message::Event(tried, AttemptEvent::Refused));
                 }
                 AdmissionEffect::Stop(id) => {
                     // The target stops at once; the caller's connection is closed already.
@@ -436,8 +422,7 @@
                 self.calls[tried.call].complete = Some(tried.attempt);
                 self.attempt(tried, AttemptEvent::AnswerEnded);
             }
-            Message::Refusal(tried) => self.attempt(tried, AttemptEvent::Refused),
-            Message::Lost(tried) => self.attempt(tried, AttemptEvent::ConnectionLost),
+            Message::Event(tried, event) => self.attempt(tried, event),
             Message::Stop(tried) => {
                 let target = &mut self.targets[tried.target];
                 let id = target.held.iter().find(|(_, held)| **held == tried);
@@ -457,7 +442,7 @@
         match message {
             Message::ClaimWrite(index) => self.raise(index, CallEvent::ClaimRefused),
             Message::Connect(tried) => self.attempt(tried, AttemptEvent::ConnectFailed),
-            Message::Request(tried) | Message::Refusal(tried) => {
+            Message::Request(tried) | Message::Event(tried, _) => {
                 self.attempt(tried, AttemptEvent::ConnectionLost);
             }
             Message::Answer(tried, _) if truncate => {
@@ -470,7 +455,7 @@
                 self.messages.push(message);
                 self.attempt(tried, AttemptEvent::ConnectionLost);
             }
-            Message::Lost(_) | Message::Stop(_) => self.deliver(message),
+            Message::Stop(_) => self.deliver(message),
         }
     }
 
@@ -483,7 +468,8 @@
         self.messages.retain(
             |message| !matches!(message, Message::Running(tried, _) if tried.target == index),
         );
-        self.messages.extend(held.into_values().map(Message::Lost));
+        let lost = |tried| Message::Event(tried, AttemptEvent::ConnectionLost);
+        self.messages.extend(held.into_values().map(lost));
         self.update_board();
     }
 
@@ -576,9 +562,9 @@
                     mesh.deliver(message);
                 }
             }
-            Action::Fail(index) | Action::Truncate(index) => {
+            Action::Fail(index, truncate) => {
                 if let Some(message) = message(&mut mesh, index) {
-                    mesh.fail(message, matches!(action, Action::Truncate(_)));
+                    mesh.fail(message, truncate);
                 }
             }
             Action::Advance(millis) => mesh.advance(millis),
@@ -604,13 +590,8 @@
             mesh.deliver(message);
         }
         mesh.check();
-        let untold: BTreeSet<_> = (0..mesh.calls.len())
-            .filter(|index| mesh.calls[*index].told.is_none())
-            .collect();
-        assert!(
-            untold.is_empty(),
-            "calls that were told nothing: {untold:?}"
-        );
+        let told = mesh.calls.iter().all(|call| call.told.is_some());
+        assert!(told, "calls that were told nothing");
         let held = mesh.targets.iter().map(|target| target.held.len());
         assert_eq!(held.sum::<usize>(), 0, "calls left at targets");
     }
--- /dev/null
+++ b/crates/calls/tests/common/mod.rs
@@ -0,0 +1,40 @@
+//! Values that several tests share.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use agatedeck_calls::{NodePlace, PickRequest, TargetKey, TargetStatus, TargetView};
+
+pub(crate) const OWN: NodePlace<'static> = place("caller", "d1", "r1");
+
+pub(crate) const fn place<'a>(node: &'a str, domain: &'a str, region: &'a str) -> NodePlace<'a> {
+    NodePlace {
+        node,
+        domain,
+        region,
+    }
+}
+
+/// A warm target with ten slots; `port` tells targets apart when a pick returns their address.
+pub(crate) fn view<'a>(
+    node: &'a str,
+    domain: &'a str,
+    region: &'a str,
+    port: u16,
+) -> TargetView<'a> {
+    TargetView {
+        place: place(node, domain, region),
+        peer: ([127, 0, 0, 1], port).into(),
+        generation: 1,
+        slots: 10,
+        warm: true,
+        status: TargetStatus::Alive,
+    }
+}
+
+pub(crate) fn request(avoid: &[TargetKey], idempotent: bool) -> PickRequest<'_> {
+    PickRequest {
+        service: "orders",
+        avoid,
+        idempotent,
+    }
+}
--- a/crates/calls/tests/failing_targets.rs
+++ b/crates/calls/tests/failing_targets.rs
@@ -1,11 +1,12 @@
 //! Calls while a third of the targets fail, in virtual time.
 
+mod common;
+
 use std::collections::BTreeMap;
 
 use agatedeck_calls::{
     AttemptEvent, BoardSettings, CallContext, CallEffect, CallEvent, CallLife, CallOutcome,
-    CallTerms, NodePlace, PickRequest, RetryBudget, RetrySettings, TargetBoard, TargetStatus,
-    TargetView, TwoChoices,
+    CallTerms, RetryBudget, RetrySettings, TargetBoard, TwoChoices,
 };
 use agatedeck_clock::Instant;
 use rand::SeedableRng;
@@ -13,20 +14,13 @@
 use yare::parameterized;
 
 use AttemptEvent::{AnswerEnded, AnswerStarted, ConnectFailed, ConnectionLost, RequestSent};
+use common::{OWN, request, view};
 
 const CALLS: usize = 20_000;
 const NODES: [&str; 12] = [
     "n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9", "n10", "n11",
 ];
 
-fn place(node: &str) -> NodePlace<'_> {
-    NodePlace {
-        node,
-        domain: "d1",
-        region: "r1",
-    }
-}
-
 /// Events of an attempt at a failing target, with their delay in microseconds. After
 /// `RequestSent` alone, nothing is heard of the call until its deadline.
 type Failure = &'static [(u64, AttemptEvent)];
@@ -39,21 +33,12 @@
     silence = { &[(0, RequestSent)] },
 )]
 fn attempts_per_call_stay_within_the_goal(failure: Failure) {
-    let views: Vec<_> = NODES
-        .iter()
-        .enumerate()
-        .map(|(index, node)| TargetView {
-            place: place(node),
-            peer: ([127, 0, 0, 1], u16::try_from(index).expect("few targets")).into(),
-            generation: 1,
-            slots: 10,
-            warm: true,
-            status: TargetStatus::Alive,
-        })
+    let views: Vec<_> = (0..)
+        .zip(NODES)
+        .map(|(port, node)| view(node, "d1", "r1", port))
         .collect();
-    let own = place("caller");
-    let mut board = TargetBoard::new(&own, BoardSettings::default(), Box::new(TwoChoices));
-    board.replace_targets("orders", &views, &[own], 1_000);
+    let mut board = TargetBoard::new(&OWN, BoardSettings::default(), Box::new(TwoChoices));
+    board.replace_targets("orders", &views, &[OWN], 1_000);
     let settings = RetrySettings::default();
     let mut budget = RetryBudget::new(&settings);
     let mut rng = SmallRng::seed_from_u64(5);
@@ -92,11 +77,7 @@
                 };
                 match effect {
                     CallEffect::Pick => {
-                        let request = PickRequest {
-                            service: "orders",
-                            avoid: lives[call].used_targets(),
-                            idempotent: true,
-                        };
+                        let request = request(lives[call].used_targets(), true);
                         let picked = board.pick(&request, now, &mut rng);
                         pending.push(CallEvent::TargetPicked(picked.expect("there are targets")));
                     }
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -1,8 +1,10 @@
 //! The target board: locality, spill-over, ejection, warm-up, draining and subsets.
 
+mod common;
+
 use agatedeck_calls::{
-    AttemptResult, BalancePolicy, BoardSettings, NodePlace, PickError, PickRequest, PickedTarget,
-    RoundRobin, SubsetSettings, TargetBoard, TargetState, TargetStatus, TargetView, TwoChoices,
+    AttemptResult, BalancePolicy, BoardSettings, NodePlace, PickError, PickedTarget, RoundRobin,
+    SubsetSettings, TargetBoard, TargetState, TargetStatus, TargetSummary, TargetView, TwoChoices,
     choose_subset,
 };
 use agatedeck_clock::Instant;
@@ -10,31 +12,10 @@
 use rand::rngs::SmallRng;
 use yare::parameterized;
 
-const OWN: NodePlace<'static> = NodePlace {
-    node: "caller",
-    domain: "d1",
-    region: "r1",
-};
-
-const REQUEST: PickRequest<'static> = PickRequest {
-    service: "orders",
-    avoid: &[],
-    idempotent: true,
-};
+use common::{OWN, request};
 
 fn view(node: &'static str, domain: &'static str, region: &'static str) -> TargetView<'static> {
-    TargetView {
-        place: NodePlace {
-            node,
-            domain,
-            region,
-        },
-        peer: ([127, 0, 0, 1], 9_000).into(),
-        generation: 1,
-        slots: 10,
-        warm: true,
-        status: TargetStatus::Alive,
-    }
+    common::view(node, domain, region, 9_000)
 }
 
 fn near(count: usize) -> Vec<TargetView<'static>> {
@@ -65,28 +46,30 @@
         self.board.replace_targets("orders", views, &[OWN], 800);
     }
 
-    fn try_pick(&mut self, request: &PickRequest<'_>) -> Result<PickedTarget, PickError> {
-        self.board.pick(request, self.now, &mut self.rng)
+    fn try_pick(&mut self, idempotent: bool) -> Result<PickedTarget, PickError> {
+        self.board
+            .pick(&request(&[], idempotent), self.now, &mut self.rng)
     }
 
     fn pick(&mut self) -> PickedTarget {
-        self.try_pick(&REQUEST).expect("there is a target")
+        self.try_pick(true).expect("there is a target")
     }
 
     fn finish(&mut self, picked: PickedTarget, result: AttemptResult) {
         self.board.finish(picked.key, self.now, result, self.now);
     }
 
-    fn node(&self, picked: PickedTarget) -> String {
-        let mut summaries = self.board.summaries("orders");
-        let summary = summaries.find(|summary| summary.key == picked.key);
-        summary.expect("the target is on the board").node.to_owned()
+    fn summary(&self, wanted: impl Fn(&TargetSummary<'_>) -> bool) -> TargetSummary<'_> {
+        let summary = self.board.summaries("orders").find(wanted);
+        summary.expect("the target is on the board")
+    }
+
+    fn node(&self, picked: PickedTarget) -> &str {
+        self.summary(|summary| summary.key == picked.key).node
     }
 
     fn state(&self, node: &str) -> TargetState {
-        let mut summaries = self.board.summaries("orders");
-        let summary = summaries.find(|summary| summary.node == node);
-        summary.expect("the target is on the board").state
+        self.summary(|summary| summary.node == node).state
     }
 
     fn ejected(&self) -> usize {
@@ -137,17 +120,17 @@
     let mut bench = Bench::new(&views, policy);
     let picked: Vec<_> = (0..30).map(|_| bench.pick()).collect();
     let nodes: Vec<_> = picked.iter().map(|picked| bench.node(*picked)).collect();
-    assert!(nodes[..8].iter().all(|node| node == "own"), "{nodes:?}");
+    assert!(nodes[..8].iter().all(|node| *node == "own"), "{nodes:?}");
     assert!(
-        nodes[8..16].iter().all(|node| node == "region"),
+        nodes[8..16].iter().all(|node| *node == "region"),
         "{nodes:?}"
     );
     assert!(
-        nodes[16..24].iter().all(|node| node == "beyond"),
+        nodes[16..24].iter().all(|node| *node == "beyond"),
         "{nodes:?}"
     );
     for name in ["own", "region", "beyond"] {
-        assert_eq!(nodes.iter().filter(|node| *node == name).count(), 10);
+        assert_eq!(nodes.iter().filter(|node| **node == name).count(), 10);
     }
 }
 
@@ -176,9 +159,9 @@
         view.status = TargetStatus::Draining;
     }
     bench.replace(&views);
-    assert_eq!(bench.try_pick(&REQUEST), Err(PickError::AllDraining));
+    assert_eq!(bench.try_pick(true), Err(PickError::AllDraining));
     bench.finish(early, AttemptResult::Answered);
-    assert_eq!(bench.try_pick(&REQUEST), Err(PickError::AllDraining));
+    assert_eq!(bench.try_pick(true), Err(PickError::AllDraining));
 }
 
 /// Guards against a board that ejects every target when its own link fails.
@@ -229,18 +212,14 @@
 fn once_only_call_is_a_trial_only_after_a_wait() {
     let mut bench = Bench::new(&near(4), Box::new(TwoChoices));
     bench.eject("t1");
-    let once_only = PickRequest {
-        idempotent: false,
-        ..REQUEST
-    };
     bench.wait_ms(1_000);
     for _ in 0..20 {
-        let picked = bench.try_pick(&once_only).expect("there is a target");
+        let picked = bench.try_pick(false).expect("there is a target");
         assert_ne!(bench.node(picked), "t1");
         bench.finish(picked, AttemptResult::Answered);
     }
     bench.wait_ms(5_000);
-    let picked = bench.try_pick(&once_only).expect("there is a target");
+    let picked = bench.try_pick(false).expect("there is a target");
     assert_eq!(bench.node(picked), "t1");
 }
 
