--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -4,12 +4,14 @@
 //! are told. A run of the fixed seed is part of each test run; `AGATEDECK_PROPTEST_CASES` and
 //! `AGATEDECK_PROPTEST_SEED` set the number of cases and the seed of longer runs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod common;
+
+use std::collections::{BTreeMap, HashMap};
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, AttemptEvent, BoardSettings, CallContext,
-    CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, NodePlace,
-    PickRequest, RetryBudget, RetrySettings, TargetBoard, TargetStatus, TargetView, TwoChoices,
+    CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, RetryBudget,
+    RetrySettings, TargetBoard, TargetStatus, TwoChoices,
 };
 use agatedeck_clock::Instant;
 use proptest::prelude::*;
@@ -18,6 +20,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use common::{OWN, request, view};
+
 fn setting(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(default, |value| {
@@ -46,15 +50,11 @@
 /// What happens next. Numbers select among what exists at that time.
 #[derive(Clone, Debug)]
 enum Action {
-    Submit {
-        idempotent: bool,
-        tenant: usize,
-        deadline_ms: u64,
-    },
+    /// Whether the call may run twice, its tenant, and the time to its deadline in milliseconds.
+    Submit(bool, usize, u64),
     Resend(usize),
     Deliver(usize),
-    Fail(usize),
-    Truncate(usize),
+    Fail(usize, bool),
     Advance(u64),
     Cancel(usize),
     Crash(usize),
@@ -74,13 +74,11 @@
     fn transitions((): &()) -> BoxedStrategy<Action> {
         let pick = 0_usize..64;
         prop_oneof![
-            6 => (any::<bool>(), 0_usize..3, 1_u64..200).prop_map(
-                |(idempotent, tenant, deadline_ms)| Action::Submit { idempotent, tenant, deadline_ms }
-            ),
+            6 => (any::<bool>(), 0_usize..3, 1_u64..200)
+                .prop_map(|(idempotent, tenant, millis)| Action::Submit(idempotent, tenant, millis)),
             1 => pick.clone().prop_map(Action::Resend),
             20 => pick.clone().prop_map(Action::Deliver),
-            3 => pick.clone().prop_map(Action::Fail),
-            1 => pick.clone().prop_map(Action::Truncate),
+            4 => (pick.clone(), any::<bool>()).prop_map(|(at, truncate)| Action::Fail(at, truncate)),
             4 => (1_u64..40).prop_map(Action::Advance),
             1 => pick.clone().prop_map(Action::Cancel),
             1 => pick.clone().prop_map(Action::Crash),
@@ -109,8 +107,7 @@
     Request(Try),
     Running(Try, u64),
     Answer(Try, usize),
-    Refusal(Try),
-    Lost(Try),
+    Event(Try, AttemptEvent),
     Stop(Try),
 }
 
@@ -162,11 +159,6 @@
 
 const NODES: [&str; 3] = ["t0", "t1", "t2"];
 const TENANTS: [&str; 3] = ["a", "b", "c"];
-const OWN: NodePlace<'static> = NodePlace {
-    node: "caller",
-    domain: "d0",
-    region: "r1",
-};
 
 fn admission(now: Instant) -> AdmissionQueue {
     let settings = AdmissionSettings {
@@ -208,22 +200,16 @@
     }
 
     fn update_board(&mut self) {
-        let views: Vec<_> = (0..NODES.len())
-            .map(|index| TargetView {
-                place: NodePlace {
-                    node: NODES[index],
-                    domain: ["d0", "d0", "d1"][index],
-                    region: "r1",
-                },
-                peer: ([127, 0, 0, 1], u16::try_from(index).expect("few targets")).into(),
-                generation: self.targets[index].generation,
-                slots: 2,
-                warm: false,
-                status: if self.targets[index].draining {
-                    TargetStatus::Draining
-                } else {
-                    TargetStatus::Alive
-                },
+        let views: Vec<_> = (0..)
+            .zip(&self.targets)
+            .map(|(port, target)| {
+                let index = usize::from(port);
+                let mut view = view(NODES[index], ["d1", "d1", "d2"][index], "r1", port);
+                (view.generation, view.slots, view.warm) = (target.generation, 2, false);
+                if target.draining {
+                    view.status = TargetStatus::Draining;
+                }
+                view
             })
             .collect();
         self.board.replace_targets("orders", &views, &[OWN], 20);
@@ -269,11 +255,7 @@
         match effect {
             CallEffect::Claim => self.messages.push(Message::ClaimWrite(index)),
             CallEffect::Pick => {
-                let request = PickRequest {
-                    service: "orders",
-                    avoid: call.life.used_targets(),
-                    idempotent: call.idempotent,
-                };
+                let request = request(call.life.used_targets(), call.idempotent);
                 let event = match self.board.pick(&request, now, &mut self.rng) {
                     Ok(picked) => CallEvent::TargetPicked(picked),
                     Err(_) => CallEvent::NoTarget,
@@ -321,16 +303,11 @@
             CallEffect::WakeAt(at) => call.wake_at = Some(at),
             CallEffect::SettleClaim(outcome) => {
                 // A claim whose write is still on its way is released when it arrives.
-                if !self.messages.contains(&Message::ClaimWrite(index)) {
-                    match outcome {
-                        CallOutcome::Answered => {
-                            self.claims.insert(call.key, Claim::Answered);
-                        }
-                        CallOutcome::NotRun => {
-                            self.claims.remove(&call.key);
-                        }
-                        CallOutcome::Unknown => {}
-                    }
+                let written = !self.messages.contains(&Message::ClaimWrite(index));
+                if written && outcome == CallOutcome::Answered {
+                    self.claims.insert(call.key, Claim::Answered);
+                } else if written && outcome == CallOutcome::NotRun {
+                    self.claims.remove(&call.key);
                 }
             }
             CallEffect::Tell(outcome) => {
@@ -360,7 +337,8 @@
                 AdmissionEffect::Refuse(id, _) => {
                     let tried = entry.held.remove(&u64::from(id));
                     let tried = tried.expect("a refused call was held");
-                    self.messages.push(Message::Refusal(tried));
+                    self.messages
+                        .push(Message::Event(tried, AttemptEvent::Refused));
                 }
                 AdmissionEffect::Stop(id) => {
                     // The target stops at once; the caller's connection is closed already.
@@ -436,8 +414,7 @@
                 self.calls[tried.call].complete = Some(tried.attempt);
                 self.attempt(tried, AttemptEvent::AnswerEnded);
             }
-            Message::Refusal(tried) => self.attempt(tried, AttemptEvent::Refused),
-            Message::Lost(tried) => self.attempt(tried, AttemptEvent::ConnectionLost),
+            Message::Event(tried, event) => self.attempt(tried, event),
             Message::Stop(tried) => {
                 let target = &mut self.targets[tried.target];
                 let id = target.held.iter().find(|(_, held)| **held == tried);
@@ -457,7 +434,7 @@
         match message {
             Message::ClaimWrite(index) => self.raise(index, CallEvent::ClaimRefused),
             Message::Connect(tried) => self.attempt(tried, AttemptEvent::ConnectFailed),
-            Message::Request(tried) | Message::Refusal(tried) => {
+            Message::Request(tried) | Message::Event(tried, _) => {
                 self.attempt(tried, AttemptEvent::ConnectionLost);
             }
             Message::Answer(tried, _) if truncate => {
@@ -470,7 +447,7 @@
                 self.messages.push(message);
                 self.attempt(tried, AttemptEvent::ConnectionLost);
             }
-            Message::Lost(_) | Message::Stop(_) => self.deliver(message),
+            Message::Stop(_) => self.deliver(message),
         }
     }
 
@@ -483,7 +460,8 @@
         self.messages.retain(
             |message| !matches!(message, Message::Running(tried, _) if tried.target == index),
         );
-        self.messages.extend(held.into_values().map(Message::Lost));
+        let lost = |tried| Message::Event(tried, AttemptEvent::ConnectionLost);
+        self.messages.extend(held.into_values().map(lost));
         self.update_board();
     }
 
@@ -557,11 +535,9 @@
             (count > 0).then(|| mesh.messages.swap_remove(index % count))
         };
         match action {
-            Action::Submit {
-                idempotent,
-                tenant,
-                deadline_ms,
-            } => mesh.submit(mesh.calls.len(), idempotent, tenant, deadline_ms),
+            Action::Submit(idempotent, tenant, millis) => {
+                mesh.submit(mesh.calls.len(), idempotent, tenant, millis);
+            }
             Action::Resend(index) if !mesh.calls.is_empty() => {
                 let call = &mesh.calls[index % mesh.calls.len()];
                 let (key, idempotent, tenant) = (call.key, call.idempotent, call.tenant);
@@ -576,9 +552,9 @@
                     mesh.deliver(message);
                 }
             }
-            Action::Fail(index) | Action::Truncate(index) => {
+            Action::Fail(index, truncate) => {
                 if let Some(message) = message(&mut mesh, index) {
-                    mesh.fail(message, matches!(action, Action::Truncate(_)));
+                    mesh.fail(message, truncate);
                 }
             }
             Action::Advance(millis) => mesh.advance(millis),
@@ -604,13 +580,8 @@
             mesh.deliver(message);
         }
         mesh.check();
-        let untold: BTreeSet<_> = (0..mesh.calls.len())
-            .filter(|index| mesh.calls[*index].told.is_none())
-            .collect();
-        assert!(
-            untold.is_empty(),
-            "calls that were told nothing: {untold:?}"
-        );
+        let told = mesh.calls.iter().all(|call| call.told.is_some());
+        assert!(told, "calls that were told nothing");
         let held = mesh.targets.iter().map(|target| target.held.len());
         assert_eq!(held.sum::<usize>(), 0, "calls left at targets");
     }
