--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -4,6 +4,9 @@
 //! each target, in three regions with two failure domains each. The last line printed is one JSON
 //! object; the exit code is 0 only if every node holds the last version and no call was lost,
 //! answered wrongly or run twice.
+//!
+//! With `--keep` the mesh runs on until Ctrl-C. The first node then takes calls at 127.0.0.1:7401
+//! and operators at 127.0.0.1:7404, for the tour in the README.
 
 mod load;
 mod mesh;
@@ -56,7 +59,8 @@
 
 #[tokio::main]
 async fn main() -> Result<ExitCode> {
-    let mesh = Mesh::start().await?;
+    let keep = keep_running()?;
+    let mesh = Mesh::start(keep).await?;
     println!(
         "started {} nodes in 3 regions with 2 failure domains each",
         mesh.nodes.len()
@@ -76,6 +80,12 @@
     let summary = summarise(&mesh, version.max(accepted), in_force, &tally).await;
     print_calls(&tally);
     println!("{}", serde_json::to_string(&summary).into_diagnostic()?);
+    if keep {
+        println!(
+            "running on; calls at 127.0.0.1:7401, operators at 127.0.0.1:7404; end with Ctrl-C"
+        );
+        tokio::signal::ctrl_c().await.into_diagnostic()?;
+    }
     mesh.shutdown().await;
     Ok(if summary.is_clean() {
         ExitCode::SUCCESS
@@ -84,6 +94,19 @@
     })
 }
 
+/// Reads the command line.
+fn keep_running() -> Result<bool> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut keep = false;
+    while let Some(argument) = parser.next().into_diagnostic()? {
+        match argument {
+            lexopt::Arg::Long("keep") => keep = true,
+            other => return Err(other.unexpected()).into_diagnostic(),
+        }
+    }
+    Ok(keep)
+}
+
 fn record_writes(text: &str) -> Result<Vec<RecordWrite>> {
     let records = read_record_file("records", text).map_err(|findings| miette!("{findings}"))?;
     Ok(records.iter().map(|record| record.to_write(0)).collect())
--- a/examples/quickstart/mesh.rs
+++ b/examples/quickstart/mesh.rs
@@ -22,6 +22,16 @@
     "inventory",
 ];
 
+fn tour_addresses() -> ListenSettings {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    ListenSettings {
+        calls: address(7401),
+        peer: address(7402),
+        control: address(7403),
+        admin: address(7404),
+    }
+}
+
 /// A running mesh.
 pub(crate) struct Mesh {
     pub(crate) nodes: Vec<Node>,
@@ -32,8 +42,9 @@
 }
 
 impl Mesh {
-    /// Starts one target of each service in each region, with a node beside it.
-    pub(crate) async fn start() -> Result<Self> {
+    /// Starts one target of each service in each region, with a node beside it. With `fixed_ports`
+    /// the first node listens where the tour in the README expects it.
+    pub(crate) async fn start(fixed_ports: bool) -> Result<Self> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = PlatformServer::start(any).await.into_diagnostic()?;
         let client = Client::builder().no_proxy().build().into_diagnostic()?;
@@ -52,7 +63,11 @@
                     name,
                     region: region.to_owned(),
                     domain,
-                    listen: ListenSettings::default(),
+                    listen: if fixed_ports && nodes.is_empty() {
+                        tour_addresses()
+                    } else {
+                        ListenSettings::default()
+                    },
                     store: StoreSettings {
                         url: platform.base_url(),
                         region: REGIONS[0].to_owned(),
@@ -68,6 +83,8 @@
                 nodes.push(Node::start(settings).await.into_diagnostic()?);
             }
         }
+        // Every node has read its floor once it serves the empty version 0.
+        futures::future::join_all(nodes.iter().map(|node| node.in_force(0))).await;
         Ok(Self {
             nodes,
             client,
