Let the subset of a service be chosen apart from the board

Ruled out: plain ranks without the rounds, which are cheaper but do not bound the connections of a target. choose_subset can now run anywhere, and set_targets puts its result in place; replace_targets does both for small services.

--- a/crates/calls/src/routing/board.rs
+++ b/crates/calls/src/routing/board.rs
@@ -231,11 +231,11 @@
         }
     }
 
-    /// Replaces the targets of `service` by those of the membership view.
+    /// Chooses the subset of `service` and puts it in place.
     ///
-    /// `callers` are the nodes that call the service; they decide which of the targets this node
-    /// connects to. A target keeps its measurements unless its generation has changed. The cost
-    /// grows with callers times targets once there are more callers than connections at a target.
+    /// Does the work of [`choose_subset`] and [`set_targets`](Self::set_targets) at once. For
+    /// services with more callers than connections at a target, call the two apart, because choosing
+    /// takes milliseconds there and must not hold up the task that picks targets.
     pub fn replace_targets(
         &mut self,
         service: &str,
@@ -243,18 +243,26 @@
         callers: &[NodePlace<'_>],
         warm_up_ms: u32,
     ) {
-        let own = NodePlace {
-            node: &self.node,
-            domain: &self.domain,
-            region: &self.region,
-        };
-        // Draining targets stay in the subset only if they are in it already, so that their place
-        // is taken by others at once.
-        let (draining, live): (Vec<&TargetView<'_>>, Vec<&TargetView<'_>>) = views
+        let (draining, live): (Vec<TargetView<'_>>, Vec<TargetView<'_>>) = views
             .iter()
             .partition(|view| view.status == TargetStatus::Draining);
         let places: Vec<_> = live.iter().map(|view| view.place).collect();
-        let subset = choose_subset(&own, callers, &places, &self.settings.subset);
+        let subset = choose_subset(&self.own(), callers, &places, &self.settings.subset);
+        let chosen: Vec<_> = subset.into_iter().map(|index| live[index]).collect();
+        self.set_targets(service, &chosen, &draining, warm_up_ms);
+    }
+
+    /// Replaces the targets of `service` by those that were chosen from the membership view.
+    ///
+    /// `draining` targets stay only if they are on the board already, since their place in the
+    /// subset is taken by others. A target keeps its measurements unless its generation has changed.
+    pub fn set_targets(
+        &mut self,
+        service: &str,
+        chosen: &[TargetView<'_>],
+        draining: &[TargetView<'_>],
+        warm_up_ms: u32,
+    ) {
         let old = self
             .services
             .get(service)
@@ -264,13 +272,11 @@
             .iter()
             .map(|&key| (self.targets[key].node.clone(), key))
             .collect();
-        let kept = draining
-            .into_iter()
-            .filter(|view| by_node.contains_key(view.place.node))
-            .collect::<Vec<_>>();
-        let mut keys = Vec::with_capacity(subset.len() + kept.len());
-        for view in subset.into_iter().map(|index| live[index]).chain(kept) {
-            let tier = LocalityTier::between(&own, &view.place);
+        let known = |view: &&TargetView<'_>| by_node.contains_key(view.place.node);
+        let kept: Vec<_> = draining.iter().filter(known).collect();
+        let mut keys = Vec::with_capacity(chosen.len() + kept.len());
+        for view in chosen.iter().chain(kept) {
+            let tier = LocalityTier::between(&self.own(), &view.place);
             let known = by_node
                 .get(view.place.node)
                 .copied()
@@ -303,6 +309,14 @@
         }
     }
 
+    fn own(&self) -> NodePlace<'_> {
+        NodePlace {
+            node: &self.node,
+            domain: &self.domain,
+            region: &self.region,
+        }
+    }
+
     /// Notes the load that the target on `node` reports, as a share of its slots.
     pub fn note_load(&mut self, service: &str, node: &str, load: f64) {
         let Some(entry) = self.services.get(service) else {
--- a/crates/calls/src/routing/subset.rs
+++ b/crates/calls/src/routing/subset.rs
@@ -71,7 +71,8 @@
 
 /// Returns the indices of the targets that `own` connects to.
 ///
-/// `callers` are all nodes that call the service; `own` is added if it is not among them.
+/// `callers` are all nodes that call the service; `own` is added if it is not among them. `targets`
+/// are those that take new calls.
 pub fn choose_subset(
     own: &NodePlace<'_>,
     callers: &[NodePlace<'_>],
