Avoid a target only when it is full

Every refusal marked the target as busy for all calls of the caller's node, so one tenant over its share, or with deadlines that are too short, would have moved the calls of all others to farther targets. Refusals that concern the call alone now leave the target as it is; RefusalReason::is_full tells them apart.

Ruled out: reading the reason from the load that the target reports, which lags. The target's node has to pass the difference on with its refusal.

--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -69,6 +69,17 @@
     Draining,
 }
 
+impl RefusalReason {
+    /// Whether the target has no room for any call, so that callers' nodes should avoid it for a
+    /// while. The other reasons concern the refused call alone.
+    pub const fn is_full(self) -> bool {
+        match self {
+            Self::QueueFull | Self::Draining => true,
+            Self::TenantShare | Self::Deadline => false,
+        }
+    }
+}
+
 /// What the caller of an [`AdmissionQueue`] is to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionEffect {
--- a/crates/calls/src/call/life.rs
+++ b/crates/calls/src/call/life.rs
@@ -61,8 +61,11 @@
     /// The request is about to be written. Raised before the first byte, so that every loss of the
     /// connection before it is known to be `not-run`.
     RequestSent,
-    /// The target's node answered `not-run`.
+    /// The target's node answered `not-run` for a reason that concerns this call alone.
     Refused,
+    /// The target's node answered `not-run` because the target has no room; see
+    /// [`RefusalReason::is_full`](crate::RefusalReason::is_full).
+    TargetFull,
     /// The connection was lost before the answer, or the target's node answered `unknown`.
     ConnectionLost,
     /// The head of the answer has arrived.
@@ -79,6 +82,7 @@
             Self::ConnectFailed => ChartEvent::ConnectFailed,
             Self::RequestSent => ChartEvent::RequestSent,
             Self::Refused => ChartEvent::Refused,
+            Self::TargetFull => ChartEvent::TargetFull,
             Self::ConnectionLost => ChartEvent::ConnectionLost,
             Self::AnswerStarted => ChartEvent::AnswerStarted,
             Self::AnswerTruncated => ChartEvent::AnswerTruncated,
@@ -291,6 +295,7 @@
             ChartAction::FinishFailed => self.finish(AttemptResult::Failed, effects),
             ChartAction::FinishTimedOut => self.finish(AttemptResult::TimedOut, effects),
             ChartAction::FinishRefused => self.finish(AttemptResult::Refused, effects),
+            ChartAction::FinishFull => self.finish(AttemptResult::Full, effects),
             ChartAction::FinishCancelled => self.finish(AttemptResult::Cancelled, effects),
             ChartAction::AskRetry => return Some(self.ask_retry(context)),
             ChartAction::Wait => effects.push(CallEffect::WakeAt(self.wake_at)),
--- a/crates/calls/src/routing/board.rs
+++ b/crates/calls/src/routing/board.rs
@@ -87,7 +87,12 @@
     /// No answer by the deadline of the call. Counts as failed only if the target had several times
     /// its usual latency, so that calls with short deadlines do not eject healthy targets.
     TimedOut,
-    /// The target's node refused the call because the target is full, drains or crashes on it.
+    /// The target's node refused the call because the target has no room. The target is avoided for
+    /// a short time.
+    Full,
+    /// The target's node refused the call for a reason that concerns the call alone, such as the
+    /// share of its tenant. This says nothing about the target; otherwise one tenant's refusals would
+    /// move the calls of all others away.
     Refused,
     /// The caller cancelled the call; this says nothing about the target.
     Cancelled,
@@ -136,7 +141,7 @@
     pub state: TargetState,
     /// Calls of this node that the target has not finished.
     pub in_flight: u32,
-    /// Slots open to this node when last changed.
+    /// Slots of the target, whether or not they are open to this node yet.
     pub slots: u32,
     /// End of the ejection, if it is ejected.
     pub ejected_until: Option<Instant>,
@@ -400,10 +405,10 @@
                     self.note_failure(key, now);
                 }
             }
-            AttemptResult::Refused => {
+            AttemptResult::Full => {
                 target.busy_until = now.after(Duration::from_millis(self.settings.busy_ms));
             }
-            AttemptResult::Cancelled => {}
+            AttemptResult::Refused | AttemptResult::Cancelled => {}
         }
     }
 
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -43,7 +43,7 @@
 
 use AttemptEvent::{
     AnswerEnded, AnswerStarted, AnswerTruncated, ConnectFailed, ConnectionLost, Refused,
-    RequestSent,
+    RequestSent, TargetFull,
 };
 use CallEvent::{Attempt, Cancelled, DeadlinePassed};
 use CallOutcome::{Answered, NotRun, Unknown};
@@ -54,6 +54,7 @@
     connect_refused = { &[Attempt(1, ConnectFailed)], NotRun },
     lost_before_first_byte = { &[Attempt(1, ConnectionLost)], NotRun },
     refused_by_node = { &[Attempt(1, RequestSent), Attempt(1, Refused)], NotRun },
+    target_full = { &[Attempt(1, RequestSent), Attempt(1, TargetFull)], NotRun },
     lost_after_bytes = { &[Attempt(1, RequestSent), Attempt(1, ConnectionLost)], Unknown },
     deadline_before_bytes = { &[DeadlinePassed], NotRun },
     deadline_after_bytes = { &[Attempt(1, RequestSent), DeadlinePassed], Unknown },
--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -334,11 +334,15 @@
                     let key = self.calls[tried.call].key;
                     *self.key_runs.entry(key).or_default() += 1;
                 }
-                AdmissionEffect::Refuse(id, _) => {
+                AdmissionEffect::Refuse(id, reason) => {
                     let tried = entry.held.remove(&u64::from(id));
                     let tried = tried.expect("a refused call was held");
-                    self.messages
-                        .push(Message::Event(tried, AttemptEvent::Refused));
+                    let event = if reason.is_full() {
+                        AttemptEvent::TargetFull
+                    } else {
+                        AttemptEvent::Refused
+                    };
+                    self.messages.push(Message::Event(tried, event));
                 }
                 AdmissionEffect::Stop(id) => {
                     // The target stops at once; the caller's connection is closed already.
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -149,6 +149,24 @@
     }
 }
 
+/// Guards against one tenant's refusals that move all calls over billed links, and against sending
+/// more calls to a target that has just said that it is full.
+#[parameterized(
+    full = { AttemptResult::Full, "region" },
+    refused = { AttemptResult::Refused, "own" },
+)]
+fn only_a_full_target_is_avoided(result: AttemptResult, next: &str) {
+    let views = [view("own", "d1", "r1"), view("region", "d2", "r1")];
+    let mut bench = Bench::new(&views, Box::new(TwoChoices));
+    let picked = bench.pick();
+    bench.finish(picked, result);
+    let picked = bench.pick();
+    assert_eq!(bench.node(picked), next);
+    bench.wait_ms(BoardSettings::default().busy_ms);
+    let picked = bench.pick();
+    assert_eq!(bench.node(picked), "own");
+}
+
 /// Guards against new work at a target that leaves (I7), also when nothing else is left.
 #[test]
 fn draining_target_gets_nothing_new() {
