--- a/crates/calls/tests/claim_machine.rs
+++ b/crates/calls/tests/claim_machine.rs
@@ -19,6 +19,8 @@
 use rand::rngs::SmallRng;
 
 const NODES: usize = 3;
+/// Larger answers are stored without their body; some of the answers here are.
+const MAX_BODY_BYTES: usize = 2;
 const UNIX_BASE_MS: i64 = 1_800_000_000_000;
 /// Differences of the nodes' clocks; the last is far outside what is assumed.
 const SKEWS_MS: [i64; NODES] = [0, 900, -45_000];
@@ -37,41 +39,22 @@
     Away,
 }
 
+/// A step; `usize` picks a node or one of the requests or attempts that the step applies to.
 #[derive(Clone, Debug)]
 enum Step {
-    Send {
-        node: usize,
-        key: u8,
-        body: u8,
-        patience_ms: u64,
-    },
-    Serve {
-        pick: usize,
-        fate: Fate,
-    },
-    Land {
-        pick: usize,
-    },
-    Advance {
-        ms: u64,
-    },
-    Start {
-        pick: usize,
-        runs: bool,
-    },
-    Finish {
-        pick: usize,
-        answered: bool,
-    },
-    Crash {
-        node: usize,
-    },
-    Freeze {
-        node: usize,
-    },
-    Thaw {
-        node: usize,
-    },
+    /// Node, key, body and time until the deadline in milliseconds.
+    Send(usize, u8, u8, u64),
+    Serve(usize, Fate),
+    /// A late transaction takes effect.
+    Land(usize),
+    AdvanceMs(u64),
+    /// A granted call is dispatched; whether the target runs it.
+    Start(usize, bool),
+    /// A started call ends; whether its end is known.
+    Finish(usize, bool),
+    Crash(usize),
+    Freeze(usize),
+    Thaw(usize),
 }
 
 /// Generates steps; every step is possible in every state.
@@ -96,17 +79,16 @@
         ];
         let wait = prop_oneof![10 => 1..20_u64, 2 => 20..600_u64, 1 => 600..60_000_u64];
         prop_oneof![
-            5 => (node.clone(), 0..2_u8, 0..8_u8, 200..5_000_u64).prop_map(
-                |(node, key, body, patience_ms)| Step::Send { node, key, body: body / 7, patience_ms }
-            ),
-            9 => (pick.clone(), fate).prop_map(|(pick, fate)| Step::Serve { pick, fate }),
-            1 => pick.clone().prop_map(|pick| Step::Land { pick }),
-            8 => wait.prop_map(|ms| Step::Advance { ms }),
-            4 => (pick.clone(), 0..4_u8).prop_map(|(pick, n)| Step::Start { pick, runs: n > 0 }),
-            3 => (pick, 0..5_u8).prop_map(|(pick, n)| Step::Finish { pick, answered: n > 0 }),
-            1 => node.clone().prop_map(|node| Step::Crash { node }),
-            1 => node.clone().prop_map(|node| Step::Freeze { node }),
-            2 => node.prop_map(|node| Step::Thaw { node }),
+            5 => (node.clone(), 0..2_u8, 0..8_u8, 200..5_000_u64)
+                .prop_map(|(node, key, body, ms)| Step::Send(node, key, body / 7, ms)),
+            9 => (pick.clone(), fate).prop_map(|(pick, fate)| Step::Serve(pick, fate)),
+            1 => pick.clone().prop_map(Step::Land),
+            8 => wait.prop_map(Step::AdvanceMs),
+            4 => (pick.clone(), 0..4_u8).prop_map(|(pick, n)| Step::Start(pick, n > 0)),
+            3 => (pick, 0..5_u8).prop_map(|(pick, n)| Step::Finish(pick, n > 0)),
+            1 => node.clone().prop_map(Step::Crash),
+            1 => node.clone().prop_map(Step::Freeze),
+            2 => node.prop_map(Step::Thaw),
         ]
         .boxed()
     }
@@ -115,53 +97,43 @@
 }
 
 /// A request on its way to the store.
-#[derive(Debug)]
 enum Request {
     Write(ClaimBatch),
     Read(ClaimOp, String),
 }
 
 /// What a node learns of a request.
-#[derive(Debug)]
 enum Reply {
-    Transaction(BatchId, Outcome),
+    /// The outcome, or the keys that were refused.
+    Transaction(BatchId, Result<BatchOutcome<'static>, Vec<String>>),
     Row(ClaimOp, Option<(u64, Vec<u8>)>),
     ReadFailed(ClaimOp),
 }
 
-#[derive(Debug)]
-enum Outcome {
-    Committed(u64),
-    Refused(Vec<String>),
-    Unreachable,
-    Unanswered,
-}
-
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Store {
     rows: BTreeMap<String, (u64, Vec<u8>)>,
     revision: u64,
 }
 
 impl Store {
-    fn transact(&mut self, batch: &ClaimBatch) -> Outcome {
+    fn transact(&mut self, batch: &ClaimBatch) -> Result<BatchOutcome<'static>, Vec<String>> {
         let revision = |key: &String| self.rows.get(key).map_or(0, |row| row.0);
         let failed = batch.writes.iter();
         let failed = failed.filter(|write| revision(&write.key) != write.revision);
         let failed: Vec<String> = failed.map(|write| write.key.clone()).collect();
         if !failed.is_empty() {
-            return Outcome::Refused(failed);
+            return Err(failed);
         }
         self.revision += 1;
         for write in &batch.writes {
             let row = (self.revision, encode_claim(&write.record));
             self.rows.insert(write.key.clone(), row);
         }
-        Outcome::Committed(self.revision)
+        Ok(BatchOutcome::Committed(self.revision))
     }
 }
 
-#[derive(Debug)]
 struct Node {
     table: ClaimTable,
     batcher: ClaimBatcher<ClaimOp>,
@@ -171,8 +143,12 @@
 }
 
 fn new_node(node: usize, starts: u32) -> Node {
+    let settings = ClaimSettings {
+        max_body_bytes: MAX_BODY_BYTES,
+        ..ClaimSettings::default()
+    };
     Node {
-        table: ClaimTable::new(&format!("n{node}"), ClaimSettings::default()).unwrap(),
+        table: ClaimTable::new(&format!("n{node}"), settings).unwrap(),
         batcher: ClaimBatcher::new(BatchSettings::default()),
         starts,
         frozen: false,
@@ -186,6 +162,8 @@
     Granted,
     Started,
     Ended,
+    /// The caller was told the stored answer.
+    Stored,
 }
 
 /// What the oracle knows of one attempt.
@@ -203,7 +181,6 @@
 }
 
 /// The system under test, its surroundings and the oracle.
-#[derive(Debug)]
 struct World {
     now: Instant,
     rng: SmallRng,
@@ -215,6 +192,8 @@
     /// Body and answer of the run of each key.
     runs: BTreeMap<u8, (u8, ClaimAnswer)>,
     faults: u32,
+    /// Lease in the row that was read last, and the time at the reader.
+    lease_seen: (u64, u64),
     /// Keys for which a row may be left in progress.
     unsettled: Vec<u8>,
 }
@@ -269,11 +248,6 @@
                 ClaimEffect::Tell { id, verdict } => self.told(node, id, verdict),
             }
         }
-        self.flush(node);
-    }
-
-    fn flush(&mut self, node: usize) {
-        let starts = self.nodes[node].starts;
         while let Some(batch) = self.nodes[node].batcher.take_due(self.now) {
             self.wire.push((node, starts, Request::Write(batch)));
         }
@@ -307,14 +281,19 @@
                 }
             }
             ClaimVerdict::Stored(answer) => {
-                let run = Some(&(body, answer));
+                attempt.stage = Stage::Stored;
+                let run = self.runs.get(&key);
+                assert_eq!(Some(&(body, answer)), run, "not the answer of the run");
+            }
+            verdict => {
+                let (lease_unix_ms, unix_ms) = self.lease_seen;
+                let passed = lease_unix_ms <= unix_ms;
                 assert_eq!(
-                    run,
-                    self.runs.get(&key),
-                    "stored answer is not that of the run"
+                    verdict == ClaimVerdict::Unknown,
+                    passed,
+                    "wrong for the lease"
                 );
             }
-            ClaimVerdict::InProgress | ClaimVerdict::Unknown | ClaimVerdict::Granted => {}
         }
     }
 
@@ -333,15 +312,15 @@
                 let id = batch.id;
                 let outcome = match fate {
                     Fate::Answered => self.store.transact(&batch),
-                    Fate::Away => Outcome::Unreachable,
-                    Fate::Lost => Outcome::Unanswered,
+                    Fate::Away => Ok(BatchOutcome::Unreachable),
+                    Fate::Lost => Ok(BatchOutcome::Unanswered),
                     Fate::AnswerLost => {
-                        self.store.transact(&batch);
-                        Outcome::Unanswered
+                        _ = self.store.transact(&batch);
+                        Ok(BatchOutcome::Unanswered)
                     }
                     Fate::Late => {
                         self.late.push(batch);
-                        Outcome::Unanswered
+                        Ok(BatchOutcome::Unanswered)
                     }
                 };
                 Reply::Transaction(id, outcome)
@@ -367,20 +346,16 @@
                 Reply::ReadFailed(op) => effects = table.read(op, ReadOutcome::Failed, time, rng),
                 Reply::Row(op, None) => effects = table.read(op, ReadOutcome::Absent, time, rng),
                 Reply::Row(op, Some((revision, value))) => {
-                    let record = decode_claim(&value).ok();
-                    let record = record.as_ref();
+                    let record = decode_claim(&value).unwrap();
+                    self.lease_seen = (record.lease_unix_ms, time.unix_ms);
+                    let record = Some(&record);
                     let row = ReadOutcome::Found(StoredClaim { revision, record });
                     effects = table.read(op, row, time, rng);
                 }
                 Reply::Transaction(id, outcome) => {
-                    let report = match &outcome {
-                        Outcome::Committed(revision) => {
-                            batcher.settle(id, BatchOutcome::Committed(*revision))
-                        }
-                        Outcome::Refused(keys) => batcher.settle(id, BatchOutcome::Refused(keys)),
-                        Outcome::Unreachable => batcher.settle(id, BatchOutcome::Unreachable),
-                        Outcome::Unanswered => batcher.settle(id, BatchOutcome::Unanswered),
-                    };
+                    let outcome = outcome.as_ref();
+                    let outcome = outcome.map_or_else(|keys| BatchOutcome::Refused(keys), |it| *it);
+                    let report = batcher.settle(id, outcome);
                     for (op, outcome) in report.outcomes {
                         effects.extend(table.written(op, outcome, time, rng));
                     }
@@ -434,18 +409,17 @@
         }
         attempt.stage = Stage::Started;
         assert!(!attempt.not_run, "started after not-run was told");
-        assert!(
-            !attempt.deadline.is_past(self.now),
-            "started after the deadline"
-        );
+        let late = attempt.deadline.is_past(self.now);
+        assert!(!late, "started after the deadline");
         if runs {
-            let number = u16::try_from(index).unwrap();
             let answer = ClaimAnswer {
-                status: 200 + number,
+                status: 200 + u16::try_from(index).unwrap(),
                 content_type: "text/plain".to_owned(),
-                body: Some(format!("run {index}").into_bytes()),
+                body: Some(vec![b'x'; index]),
             };
             attempt.answer = Some(answer.clone());
+            let body = answer.body.filter(|body| body.len() <= MAX_BODY_BYTES);
+            let answer = ClaimAnswer { body, ..answer };
             let run = self.runs.insert(attempt.key, (attempt.body, answer));
             assert!(run.is_none(), "key {} ran twice", attempt.key);
         }
@@ -483,7 +457,7 @@
     fn thaw(&mut self, node: usize) {
         self.nodes[node].frozen = false;
         self.receive(node);
-        self.flush(node);
+        self.carry_out(node, Vec::new());
     }
 
     /// Ends all faults and waits until no node has work left.
@@ -491,7 +465,7 @@
         (0..NODES).for_each(|node| self.thaw(node));
         for _ in 0..200 {
             while let Some(batch) = self.late.pop() {
-                self.store.transact(&batch);
+                _ = self.store.transact(&batch);
             }
             while !self.wire.is_empty() {
                 self.serve(0, Fate::Answered);
@@ -509,10 +483,8 @@
         }
         for attempt in &self.attempts {
             let lost = self.nodes[attempt.node].starts != attempt.starts;
-            assert!(
-                lost || attempt.stage == Stage::Ended,
-                "no verdict: {attempt:?}"
-            );
+            let told = matches!(attempt.stage, Stage::Ended | Stage::Stored);
+            assert!(lost || told, "no verdict: {attempt:?}");
         }
     }
 
@@ -531,11 +503,8 @@
             self.serve(0, Fate::Answered);
             self.advance(5);
         }
-        let expected = if self.runs.contains_key(&key) {
-            Stage::Ended
-        } else {
-            Stage::Granted
-        };
+        let ran = self.runs.contains_key(&key);
+        let expected = if ran { Stage::Stored } else { Stage::Granted };
         let attempt = self.attempts.last().unwrap();
         let row = self.store.rows.get(&format!("claim/orders/{key}"));
         let row = row.map(|row| decode_claim(&row.1));
@@ -560,31 +529,27 @@
             attempts: Vec::new(),
             runs: BTreeMap::new(),
             faults: 0,
+            lease_seen: (0, 0),
             unsettled: Vec::new(),
         }
     }
 
     fn apply(mut world: World, (): &(), step: Step) -> World {
         match step {
-            Step::Send {
-                node,
-                key,
-                body,
-                patience_ms,
-            } => world.send(node, key, body, patience_ms),
-            Step::Serve { pick, fate } => world.serve(pick, fate),
-            Step::Land { pick } => {
+            Step::Send(node, key, body, ms) => world.send(node, key, body, ms),
+            Step::Serve(pick, fate) => world.serve(pick, fate),
+            Step::Land(pick) => {
                 if !world.late.is_empty() {
                     let batch = world.late.remove(pick % world.late.len());
-                    world.store.transact(&batch);
+                    _ = world.store.transact(&batch);
                 }
             }
-            Step::Advance { ms } => world.advance(ms),
-            Step::Start { pick, runs } => world.start(pick, runs),
-            Step::Finish { pick, answered } => world.finish(pick, answered),
-            Step::Crash { node } => world.crash(node),
-            Step::Freeze { node } => world.nodes[node].frozen = true,
-            Step::Thaw { node } => world.thaw(node),
+            Step::AdvanceMs(ms) => world.advance(ms),
+            Step::Start(pick, runs) => world.start(pick, runs),
+            Step::Finish(pick, known) => world.finish(pick, known),
+            Step::Crash(node) => world.crash(node),
+            Step::Freeze(node) => world.nodes[node].frozen = true,
+            Step::Thaw(node) => world.thaw(node),
         }
         world
     }
@@ -597,12 +562,10 @@
 }
 
 fn from_environment(name: &str, default: u64) -> u64 {
-    match std::env::var(name) {
-        Ok(text) => text
-            .parse()
-            .unwrap_or_else(|_| panic!("{name} is not a number: {text}")),
-        Err(_) => default,
-    }
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| {
+        text.parse().expect("the variable is a number")
+    })
 }
 
 fn config() -> Config {
--- a/crates/standin/tests/http_store.rs
+++ b/crates/standin/tests/http_store.rs
@@ -1,5 +1,6 @@
 //! `HttpStore` against the platform stand-in over loopback.
 
+use std::io::Read as _;
 use std::time::Duration;
 
 use agatedeck_platform::{
@@ -21,6 +22,12 @@
     (server, store)
 }
 
+fn faults(change: impl FnOnce(&mut PlatformFaults)) -> PlatformFaults {
+    let mut faults = PlatformFaults::default();
+    change(&mut faults);
+    faults
+}
+
 fn soon() -> Instant {
     Instant::now() + Duration::from_secs(10)
 }
@@ -80,11 +87,9 @@
 #[tokio::test]
 async fn a_lost_answer_leaves_the_write_in_effect() {
     let (server, store) = start().await;
-    let faults = PlatformFaults {
-        lose_answers: 1,
-        ..PlatformFaults::default()
-    };
-    server.set_faults(faults).await;
+    server
+        .set_faults(faults(|faults| faults.lose_answers = 1))
+        .await;
     let write = transaction(&[("a", 0, Some(b"1"))]);
     let error = store.transact(&write, soon()).await.unwrap_err();
     assert!(matches!(error, StoreError::Unanswered(_)), "{error:?}");
@@ -95,8 +100,8 @@
 
 /// Guards against an outage that is taken for a write that may have taken effect.
 #[yare::parameterized(
-    outage = { PlatformFaults { outage: true, ..PlatformFaults::default() } },
-    refused = { PlatformFaults { refuse_requests: 1, ..PlatformFaults::default() } },
+    outage = { faults(|faults| faults.outage = true) },
+    refused = { faults(|faults| faults.refuse_requests = 1) },
 )]
 #[test_macro(tokio::test)]
 async fn an_outage_runs_nothing(faults: PlatformFaults) {
@@ -110,17 +115,26 @@
     assert_eq!(server.counters().await.refused, 1);
 }
 
-/// Guards against a platform that is gone being taken for one that may have run the write.
+/// Guards against a platform that is gone being taken for one that may have run the write, and
+/// against a connection that breaks after the request being taken for one that was never opened.
 #[tokio::test]
-async fn a_closed_port_is_unreachable() {
+async fn a_broken_connection_is_unanswered_and_a_closed_port_unreachable() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let base_url = format!("http://{}", listener.local_addr().unwrap());
-    drop(listener);
-    let store = HttpStore::new(&HttpStoreSettings {
+    let settings = HttpStoreSettings {
         base_url,
         ..HttpStoreSettings::default()
+    };
+    let store = HttpStore::new(&settings).unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().unwrap();
+        connection.read(&mut [0; 1_024]).unwrap()
     });
-    let error = store.unwrap().read_row("a", soon()).await.unwrap_err();
+    let write = transaction(&[("a", 0, Some(b"1"))]);
+    let error = store.transact(&write, soon()).await.unwrap_err();
+    assert!(matches!(error, StoreError::Unanswered(_)), "{error:?}");
+    assert!(server.join().unwrap() > 0);
+    let error = store.transact(&write, soon()).await.unwrap_err();
     assert!(matches!(error, StoreError::Unreachable(_)), "{error:?}");
 }
 
@@ -129,11 +143,9 @@
 #[tokio::test]
 async fn a_delay_past_the_deadline_is_unanswered() {
     let (server, store) = start().await;
-    let faults = PlatformFaults {
-        delay_ms: 60_000,
-        ..PlatformFaults::default()
-    };
-    server.set_faults(faults).await;
+    server
+        .set_faults(faults(|faults| faults.delay_ms = 60_000))
+        .await;
     let write = transaction(&[("a", 0, Some(b"1"))]);
     let started = Instant::now();
     let deadline = started + Duration::from_millis(500);
