Shorten the state machine test of claims

Change: an attempt has one owner in place of node and start, and the answers of the store are decided in one match. The checks are the same.

--- a/crates/calls/tests/claim_machine.rs
+++ b/crates/calls/tests/claim_machine.rs
@@ -169,8 +169,8 @@
 /// What the oracle knows of one attempt.
 #[derive(Debug)]
 struct Attempt {
-    node: usize,
-    starts: u32,
+    /// The node and the number of its restarts.
+    owner: (usize, u32),
     id: ClaimId,
     key: u8,
     body: u8,
@@ -222,8 +222,7 @@
         let table = &mut self.nodes[node].table;
         let (id, effects) = table.begin(&request, time, &mut self.rng).unwrap();
         self.attempts.push(Attempt {
-            node,
-            starts: self.nodes[node].starts,
+            owner: (node, self.nodes[node].starts),
             id,
             key,
             body,
@@ -255,11 +254,10 @@
 
     /// Checks a verdict against the oracle.
     fn told(&mut self, node: usize, id: ClaimId, verdict: ClaimVerdict) {
-        let starts = self.nodes[node].starts;
-        let same = |attempt: &&mut Attempt| {
-            (attempt.node, attempt.starts, attempt.id) == (node, starts, id)
-        };
-        let attempt = self.attempts.iter_mut().find(same).unwrap();
+        let owner = (node, self.nodes[node].starts);
+        let mut attempts = self.attempts.iter_mut();
+        let attempt = attempts.find(|attempt| (attempt.owner, attempt.id) == (owner, id));
+        let attempt = attempt.unwrap();
         let (key, body) = (attempt.key, attempt.body);
         match (attempt.stage, &verdict) {
             (Stage::Claiming, ClaimVerdict::Granted) => {
@@ -310,27 +308,21 @@
             Request::Read(op, _) => Reply::ReadFailed(op),
             Request::Write(batch) => {
                 let id = batch.id;
-                let outcome = match fate {
-                    Fate::Answered => self.store.transact(&batch),
-                    Fate::Away => Ok(BatchOutcome::Unreachable),
-                    Fate::Lost => Ok(BatchOutcome::Unanswered),
-                    Fate::AnswerLost => {
-                        _ = self.store.transact(&batch);
-                        Ok(BatchOutcome::Unanswered)
-                    }
-                    Fate::Late => {
-                        self.late.push(batch);
-                        Ok(BatchOutcome::Unanswered)
-                    }
-                };
+                let mut outcome = Ok(BatchOutcome::Unanswered);
+                match fate {
+                    Fate::Answered => outcome = self.store.transact(&batch),
+                    Fate::Away => outcome = Ok(BatchOutcome::Unreachable),
+                    Fate::AnswerLost => _ = self.store.transact(&batch),
+                    Fate::Late => self.late.push(batch),
+                    Fate::Lost => {}
+                }
                 Reply::Transaction(id, outcome)
             }
         };
-        if self.nodes[node].starts != starts {
-            return;
+        if self.nodes[node].starts == starts {
+            self.nodes[node].inbox.push_back(reply);
+            self.receive(node);
         }
-        self.nodes[node].inbox.push_back(reply);
-        self.receive(node);
     }
 
     fn receive(&mut self, node: usize) {
@@ -370,10 +362,10 @@
 
     fn advance(&mut self, ms: u64) {
         self.now = self.now.after(Duration::from_millis(ms));
-        for node in 0..NODES {
-            if self.nodes[node].frozen {
-                continue;
-            }
+        for node in (0..NODES)
+            .filter(|node| !self.nodes[*node].frozen)
+            .collect::<Vec<_>>()
+        {
             let time = self.time(node);
             let effects = self.nodes[node].table.tick(time, &mut self.rng);
             self.carry_out(node, effects);
@@ -383,12 +375,11 @@
     /// Index of one of the attempts in this stage whose node is running.
     fn attempt_in(&self, stage: Stage, pick: usize) -> Option<usize> {
         let able = |attempt: &Attempt| {
-            let node = &self.nodes[attempt.node];
-            attempt.stage == stage && node.starts == attempt.starts && !node.frozen
+            let node = &self.nodes[attempt.owner.0];
+            attempt.stage == stage && node.starts == attempt.owner.1 && !node.frozen
         };
-        let able: Vec<usize> = (0..self.attempts.len())
-            .filter(|index| able(&self.attempts[*index]))
-            .collect();
+        let attempts = self.attempts.iter().enumerate();
+        let able: Vec<usize> = attempts.filter(|it| able(it.1)).map(|it| it.0).collect();
         able.get(pick.checked_rem(able.len())?).copied()
     }
 
@@ -396,9 +387,8 @@
         let Some(index) = self.attempt_in(Stage::Granted, pick) else {
             return;
         };
-        let node = self.attempts[index].node;
-        let time = self.time(node);
-        let id = self.attempts[index].id;
+        let Attempt { owner, id, .. } = self.attempts[index];
+        let (node, time) = (owner.0, self.time(owner.0));
         let started = self.nodes[node].table.start(id, time, &mut self.rng);
         let attempt = &mut self.attempts[index];
         if let Err((_, effects)) = started {
@@ -429,7 +419,7 @@
         let Some(index) = self.attempt_in(Stage::Started, pick) else {
             return;
         };
-        let time = self.time(self.attempts[index].node);
+        let time = self.time(self.attempts[index].owner.0);
         let attempt = &mut self.attempts[index];
         attempt.stage = Stage::Ended;
         let end = match &attempt.answer {
@@ -444,7 +434,7 @@
             }),
             None => CallEnd::NotRun,
         };
-        let (node, id) = (attempt.node, attempt.id);
+        let (node, id) = (attempt.owner.0, attempt.id);
         let effects = self.nodes[node].table.finish(id, end, time, &mut self.rng);
         self.carry_out(node, effects);
     }
@@ -482,7 +472,7 @@
             assert!(node.table.is_empty(), "work is left: {:?}", node.table);
         }
         for attempt in &self.attempts {
-            let lost = self.nodes[attempt.node].starts != attempt.starts;
+            let lost = self.nodes[attempt.owner.0].starts != attempt.owner.1;
             let told = matches!(attempt.stage, Stage::Ended | Stage::Stored);
             assert!(lost || told, "no verdict: {attempt:?}");
         }
