--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -5,7 +5,7 @@
 //! in flight and the recent changes. Only nodes of the own failure domain are declared dead: a
 //! probe that fails between domains may be a partition, on both sides of which nodes go on serving.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use agatedeck_clock::Instant;
 use agatedeck_wire::{
@@ -70,6 +70,7 @@
     own: Member,
     table: MemberTable,
     updates: UpdateQueue,
+    contacts: Vec<String>,
     /// Nodes of the domain that are still to be probed in this round, in random order.
     round: Vec<String>,
     open: BTreeMap<String, OpenProbe>,
@@ -96,6 +97,7 @@
             own: own.clone(),
             table,
             updates: UpdateQueue::default(),
+            contacts: Vec::new(),
             round: Vec::new(),
             open: BTreeMap::new(),
             probe_at,
@@ -118,6 +120,15 @@
         &self.own
     }
 
+    /// Replaces the control addresses at which nodes are expected, such as those of the bootstrap
+    /// rows. An address at which no live node is listed is sent a `Sync` now and then.
+    pub fn set_contacts(&mut self, addresses: &[&str]) {
+        self.contacts = addresses
+            .iter()
+            .map(|address| (*address).to_owned())
+            .collect();
+    }
+
     /// Notes the version in force at this node.
     pub fn set_version(&mut self, version: u64) {
         self.own.version = version;
@@ -166,12 +177,7 @@
         self.probe_groups(now, rng, &mut effects);
         if self.reconnect_at.is_past(now) {
             self.reconnect_at = after_ms(now, self.settings.reconnect_period_ms);
-            let dead = self.table.members().filter(|member| {
-                member.status() == MemberStatus::Dead && member.domain == self.own.domain
-            });
-            if let Some(member) = dead.choose(rng).cloned() {
-                effects.push(self.probe(&member));
-            }
+            self.reconnect(rng, &mut effects);
         }
         self.paused_if_after = after_ms(self.next_deadline().max(now), self.settings.pause_ms);
         effects
@@ -272,6 +278,35 @@
         }
     }
 
+    /// Contacts a dead node of the domain and a known address at which no live node is listed.
+    ///
+    /// The first joins the two sides of a split domain. The second joins nodes that started
+    /// together and so far know only each other, and nodes that have forgotten one another.
+    fn reconnect(&mut self, rng: &mut impl Rng, effects: &mut Vec<MemberEffect>) {
+        let dead = self.table.members().filter(|member| {
+            member.status() == MemberStatus::Dead && member.domain == self.own.domain
+        });
+        if let Some(member) = dead.choose(rng).cloned() {
+            effects.push(self.probe(&member));
+        }
+        let live: BTreeSet<&str> = self
+            .table
+            .live()
+            .map(|member| member.control_address.as_str())
+            .collect();
+        let unlisted = self
+            .contacts
+            .iter()
+            .filter(|address| !live.contains(address.as_str()));
+        effects.extend(unlisted.choose(rng).map(|address| MemberEffect::Sync {
+            address: address.clone(),
+            sync: Sync {
+                digests: self.table.domain_digests(),
+                entries: Vec::new(),
+            },
+        }));
+    }
+
     /// A live node of the group or, where all are thought dead, one of those: after a partition
     /// they may be alive.
     fn pick(&self, group: PeerGroup<'_>, rng: &mut impl Rng) -> Option<&Member> {
@@ -367,20 +402,28 @@
             let newer = self.table.newest(&entry.node);
             add_once(&mut entries, newer.filter(|newer| is_newer(newer, entry)));
         }
-        let answer = SyncAnswer {
-            digests: self.table.domain_digests(),
-            entries,
+        // Without digests, the answer ends the exchange.
+        let digests = if sync.digests.is_empty() {
+            Vec::new()
+        } else {
+            self.table.domain_digests()
         };
+        let answer = SyncAnswer { digests, entries };
         (answer, effects)
     }
 
-    /// Takes in the answer to a comparison and sends back what the answering node lacks.
+    /// Takes in the answer to a comparison and sends back what the answering node lacks. The answer
+    /// to that is taken in without a further message, so that two nodes that cannot agree on an
+    /// entry exchange at most two requests per comparison.
     pub fn on_sync_answer(
         &mut self,
         address: &str,
         answer: &SyncAnswer,
         now: Instant,
     ) -> Vec<MemberEffect> {
+        if answer.digests.is_empty() {
+            return self.merge(&answer.entries, now);
+        }
         let theirs: BTreeMap<&str, &Member> = answer
             .entries
             .iter()
@@ -475,15 +518,14 @@
     }
 
     /// Answers an update about this node itself. One of a later incarnation stems from an earlier
-    /// process of this host whose wall clock was ahead.
+    /// process of this host whose wall clock was ahead; a node that left refutes only those, since
+    /// it would otherwise stay listed as live.
     fn refute(&mut self, update: &Member, now: Instant, effects: &mut Vec<MemberEffect>) {
-        if self.own.status() == MemberStatus::Left {
-            return;
-        }
+        let has_left = self.own.status() == MemberStatus::Left;
         let same = update.incarnation == self.own.incarnation;
         let worse = update.status > self.own.status;
         let foreign = update.control_address != self.own.control_address;
-        if update.incarnation > self.own.incarnation || same && (worse || foreign) {
+        if update.incarnation > self.own.incarnation || same && !has_left && (worse || foreign) {
             self.own.incarnation = update.incarnation.saturating_add(1);
             self.publish_own(now, effects);
         }
--- a/crates/control/src/member/settings.rs
+++ b/crates/control/src/member/settings.rs
@@ -20,8 +20,9 @@
     /// Time between two probes by a delegate of another region, in milliseconds; longer, since
     /// these bytes are billed.
     pub region_period_ms: u64,
-    /// Time between two probes of a dead node of the own domain, in milliseconds. They join the two
-    /// sides of a domain again that was split.
+    /// Time between two contacts with a dead node of the own domain, and with a known address at
+    /// which no live node is listed, in milliseconds. They join parts of the mesh that lost sight
+    /// of each other.
     pub reconnect_period_ms: u64,
     /// Shortest time between two `Sync` requests of one node, in milliseconds. Updates that are
     /// still on their way make digests differ for a moment, and each `Sync` costs whole domains.
