Test the join gate, the backoff and the resumption of a paused node

Cause: the fault test neither fills the gate nor looks at waiting times.

Change: three tests with the clock passed in. A first form of the backoff test took the end of the next round for a wait where the wait drawn was 0 ms; it now recognises that round by its request.

--- /dev/null
+++ b/crates/control/tests/limits.rs
@@ -0,0 +1,86 @@
+//! Limits that the fault test does not reach.
+
+use agatedeck_clock::Instant;
+use agatedeck_control::{
+    FailureDetector, FloorLedger, GateSettings, JoinEffect, JoinGate, JoinProcess, JoinSettings,
+    MemberEffect, MemberSettings, MemberTable,
+};
+use agatedeck_wire::{Join, Member, MemberStatus};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn member(node: &str) -> Member {
+    Member {
+        node: node.to_owned(),
+        domain: "d0".to_owned(),
+        control_address: node.to_owned(),
+        ..Member::default()
+    }
+}
+
+/// Guards against a reconnect storm in which one node sends its whole table to every joiner.
+#[test]
+fn gate_refuses_joins_beyond_its_limit_until_one_ends() {
+    let mut gate = JoinGate::new(&GateSettings::default());
+    let (table, ledger) = (MemberTable::default(), FloorLedger::new("d0"));
+    let accepted = |gate: &mut JoinGate, node: &str, millis: u64| {
+        let join = Join {
+            member: Some(member(node)),
+        };
+        let now = Instant::from_millis(millis);
+        gate.answer(&join, &table, &ledger, 1, now).accepted
+    };
+    let answers: Vec<bool> = ["a", "b", "c", "d", "e"]
+        .iter()
+        .map(|node| accepted(&mut gate, node, 0))
+        .collect();
+    assert_eq!(answers, [true, true, true, true, false]);
+    gate.release("a");
+    assert!(accepted(&mut gate, "e", 1));
+    assert!(!accepted(&mut gate, "f", 1));
+    assert!(accepted(&mut gate, "f", 2_000), "unreleased joins expire");
+}
+
+/// Guards against nodes that were refused together and ask again together, or ever faster.
+#[test]
+fn retries_wait_for_a_random_time_up_to_a_growing_limit() {
+    let settings = JoinSettings::default();
+    let mut longest = vec![0; 10];
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut process = JoinProcess::new(&member("a"), &[], &settings);
+        process.start(Instant::default(), &mut rng);
+        for (attempt, longest) in longest.iter_mut().enumerate() {
+            let end = process.next_deadline().expect("the round ends");
+            if process.tick(end, &mut rng).contains(&JoinEffect::ReadHead) {
+                // A wait of 0 ms was drawn, so the next round has begun.
+                continue;
+            }
+            let retry = process.next_deadline().expect("a retry is due");
+            let wait = retry.since(end).as_millis();
+            let limit = u128::from(settings.backoff_limit_ms).min(500 << attempt);
+            assert!(wait <= limit, "attempt {attempt} waits {wait} ms");
+            *longest = wait.max(*longest);
+            process.tick(retry, &mut rng);
+        }
+    }
+    assert!(longest[0] > 400 && longest[9] > 13_000, "{longest:?}");
+}
+
+/// Guards against a node that was paused past its suspicions' deadlines and, before it reads the
+/// refutations that wait in its sockets, declares their subjects dead.
+#[test]
+fn paused_node_declares_nobody_dead_when_it_resumes() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Instant::default();
+    let settings = MemberSettings::default();
+    let mut detector = FailureDetector::new(&member("a"), &settings, now, &mut rng);
+    let suspect = Member {
+        status: MemberStatus::Suspect.into(),
+        ..member("b")
+    };
+    detector.merge(&[suspect], now);
+    let effects = detector.tick(Instant::from_millis(60_000), &mut rng);
+    let announced = |effect: &MemberEffect| matches!(effect, MemberEffect::Announce(_));
+    assert!(!effects.iter().any(announced), "{effects:?}");
+}
