--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -51,7 +51,7 @@
 
     let referred = ctl(&fleet, 1, &["retire", "service", "slotfinder"]);
     assert_eq!(code(&referred), Some(1), "{referred:?}");
-    let text = String::from_utf8_lossy(&referred.stderr);
+    let text = String::from_utf8_lossy(&referred.stdout);
     assert!(
         text.contains("route `slots`"),
         "the referrer is not named: {text}"
