Ask for retries by an effect, and tell claimed calls from unrepeated ones

Cause: `CallLife::handle` took the retry budget by `&mut`. The budget is state of one actor of the node, and the life of a call is driven by the task of the call, so no task could pass it in without a lock. A call that is not idempotent was always claimed, so that a POST under the repeat rule `safe-methods`, which needs no idempotency key, could not be made at all. The load that a target reports was looked up by node name, which the task of a call does not know.

Ruled out: a budget behind a trait object, since its owner is reached by a message and `handle` does not wait; a token taken ahead of each event, since most calls need none.

Change: `CallEffect::AskRetry` carries the question and `CallEvent::RetryDecided` the answer. The state `deciding` now lasts until the answer comes, so it handles the deadline and a cancellation. `CallTerms::claimed` says whether the call is claimed. `TargetBoard::note_load` takes the key of the target.

--- a/crates/calls/src/call/chart.rs
+++ b/crates/calls/src/call/chart.rs
@@ -22,7 +22,7 @@
     Dispatched,
     /// The answer is passed on to the caller.
     Answering,
-    /// An attempt has ended and the retry is being decided.
+    /// An attempt has ended and the owner of the retry budget is asked.
     Deciding,
     /// The call waits for its next attempt.
     Backoff,
--- a/crates/calls/src/call/life.rs
+++ b/crates/calls/src/call/life.rs
@@ -1,23 +1,19 @@
 //! Interprets `charts/call.toml` for one call.
 
-use std::fmt;
-
 use agatedeck_clock::Instant;
-use rand::RngCore;
 
 use super::chart::{CALL_CHART, CallState, ChartAction, ChartEvent};
-use crate::retry::{
-    CallOutcome, RetryBudget, RetryDecision, RetryQuestion, RetrySettings, decide_retry,
-    owns_retries,
-};
+use crate::retry::{CallOutcome, RetryDecision, RetryQuestion, owns_retries};
 use crate::routing::{AttemptResult, PickedTarget, TargetKey};
 
 /// What is known of a call when it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTerms {
-    /// Whether the endpoint policy says that the call may run more than once. A call that may not
-    /// is claimed before its first attempt.
+    /// Whether the endpoint policy says that the call may run more than once.
     pub idempotent: bool,
+    /// Whether the call is claimed before its first attempt. A call that is neither idempotent nor
+    /// claimed is not tried again once it may have run; its caller may resend it.
+    pub claimed: bool,
     /// Whether the whole request is kept, so that it can be sent again.
     pub replayable: bool,
     /// Hops between the outermost caller's node and this one.
@@ -45,6 +41,8 @@
     NoTarget,
     /// Something happened to the attempt of this number.
     Attempt(u32, AttemptEvent),
+    /// Answer to [`CallEffect::AskRetry`].
+    RetryDecided(RetryDecision),
     /// The time of [`CallEffect::WakeAt`] has come.
     BackoffEnded,
     /// The deadline of the call has passed.
@@ -111,6 +109,9 @@
     PassAnswer(u32),
     /// Break off the answer to the caller in a way that it cannot take for a complete one.
     CutAnswer,
+    /// Ask the owner of the retry budget, with [`decide_retry`](crate::decide_retry), and raise
+    /// [`CallEvent::RetryDecided`].
+    AskRetry(RetryQuestion),
     /// Raise [`CallEvent::BackoffEnded`] at this time.
     WakeAt(Instant),
     /// Settle the claim of the call: store the answer, release the claim after `not-run`, or leave
@@ -120,29 +121,6 @@
     Tell(CallOutcome),
 }
 
-/// What a call needs of its node to handle an event.
-pub struct CallContext<'a> {
-    /// Current time.
-    pub now: Instant,
-    /// Settings of retries.
-    pub settings: &'a RetrySettings,
-    /// Budget that the call shares with others.
-    pub budget: &'a mut RetryBudget,
-    /// Source of random numbers, as a trait object so that any generator fits.
-    pub rng: &'a mut (dyn RngCore + 'a),
-}
-
-impl fmt::Debug for CallContext<'_> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter
-            .debug_struct("CallContext")
-            .field("now", &self.now)
-            .field("settings", &self.settings)
-            .field("budget", &self.budget)
-            .finish_non_exhaustive()
-    }
-}
-
 /// One call at the caller's node.
 ///
 /// Invariants: the caller is told exactly once. It is told `not-run` only if no attempt can have
@@ -207,51 +185,45 @@
     }
 
     /// Moves the call on by `event` and returns what is to be done.
-    pub fn handle(&mut self, event: CallEvent, context: &mut CallContext<'_>) -> Vec<CallEffect> {
+    pub fn handle(&mut self, event: CallEvent, now: Instant) -> Vec<CallEffect> {
         let mut effects = Vec::new();
         let event = match event {
-            CallEvent::Started => {
-                if self.state == CallState::Received {
-                    context.budget.note_call();
-                }
-                if self.terms.idempotent {
-                    ChartEvent::ClaimNotNeeded
-                } else {
-                    ChartEvent::ClaimNeeded
-                }
-            }
+            CallEvent::Started if self.terms.claimed => ChartEvent::ClaimNeeded,
+            CallEvent::Started => ChartEvent::ClaimNotNeeded,
             CallEvent::ClaimGranted => ChartEvent::ClaimGranted,
             CallEvent::ClaimRefused => ChartEvent::ClaimRefused,
             CallEvent::ClaimReplayed => ChartEvent::ClaimReplayed,
             CallEvent::ClaimUnknown => ChartEvent::ClaimUnknown,
             CallEvent::TargetPicked(target) => {
                 if matches!(self.state, CallState::Picking | CallState::Done) {
-                    self.target = Some((target, context.now));
+                    self.target = Some((target, now));
                 }
                 ChartEvent::TargetPicked
             }
             CallEvent::NoTarget => ChartEvent::NoTarget,
             CallEvent::Attempt(attempt, _) if attempt != self.attempts => return effects,
             CallEvent::Attempt(_, event) => event.chart_event(),
-            CallEvent::BackoffEnded if !self.wake_at.is_past(context.now) => return effects,
+            CallEvent::RetryDecided(RetryDecision::RetryAt(at)) => {
+                if self.state == CallState::Deciding {
+                    self.wake_at = at;
+                }
+                ChartEvent::RetryGranted
+            }
+            CallEvent::RetryDecided(RetryDecision::Stop(_)) => ChartEvent::RetryDenied,
+            CallEvent::BackoffEnded if !self.wake_at.is_past(now) => return effects,
             CallEvent::BackoffEnded => ChartEvent::BackoffEnded,
             CallEvent::DeadlinePassed => ChartEvent::DeadlinePassed,
             CallEvent::Cancelled => ChartEvent::Cancelled,
         };
-        self.raise(event, context, &mut effects);
+        self.raise(event, now, &mut effects);
         effects
     }
 
-    fn raise(
-        &mut self,
-        event: ChartEvent,
-        context: &mut CallContext<'_>,
-        effects: &mut Vec<CallEffect>,
-    ) {
+    fn raise(&mut self, event: ChartEvent, now: Instant, effects: &mut Vec<CallEffect>) {
         let mut next = Some(event);
         while let Some(event) = next.take() {
             for action in CALL_CHART.advance(&mut self.state, event) {
-                if let Some(event) = self.act(*action, context, effects) {
+                if let Some(event) = self.act(*action, now, effects) {
                     next = Some(event);
                 }
             }
@@ -262,13 +234,13 @@
     fn act(
         &mut self,
         action: ChartAction,
-        context: &mut CallContext<'_>,
+        now: Instant,
         effects: &mut Vec<CallEffect>,
     ) -> Option<ChartEvent> {
         match action {
             ChartAction::Claim => effects.push(CallEffect::Claim),
             ChartAction::Pick => {
-                if self.terms.deadline.is_past(context.now) {
+                if self.terms.deadline.is_past(now) {
                     return Some(ChartEvent::DeadlinePassed);
                 }
                 self.attempts += 1;
@@ -292,10 +264,10 @@
             ChartAction::FinishTimedOut => self.finish(AttemptResult::TimedOut, effects),
             ChartAction::FinishRefused => self.finish(AttemptResult::Refused, effects),
             ChartAction::FinishCancelled => self.finish(AttemptResult::Cancelled, effects),
-            ChartAction::AskRetry => return Some(self.ask_retry(context)),
+            ChartAction::AskRetry => effects.push(CallEffect::AskRetry(self.retry_question())),
             ChartAction::Wait => effects.push(CallEffect::WakeAt(self.wake_at)),
             ChartAction::SettleClaim => {
-                if !self.terms.idempotent {
+                if self.terms.claimed {
                     effects.push(CallEffect::SettleClaim(self.outcome()));
                 }
             }
@@ -315,22 +287,14 @@
         }
     }
 
-    fn ask_retry(&mut self, context: &mut CallContext<'_>) -> ChartEvent {
-        let question = RetryQuestion {
+    fn retry_question(&self) -> RetryQuestion {
+        RetryQuestion {
             outcome: self.last,
             attempts: self.attempts,
             idempotent: self.terms.idempotent,
             replayable: self.terms.replayable,
             owns_retries: owns_retries(self.terms.depth),
             deadline: self.terms.deadline,
-        };
-        let (settings, now) = (context.settings, context.now);
-        match decide_retry(&question, settings, context.budget, now, context.rng) {
-            RetryDecision::RetryAt(at) => {
-                self.wake_at = at;
-                ChartEvent::RetryGranted
-            }
-            RetryDecision::Stop(_) => ChartEvent::RetryDenied,
         }
     }
 }
--- a/crates/calls/src/call/mod.rs
+++ b/crates/calls/src/call/mod.rs
@@ -4,4 +4,4 @@
 mod life;
 
 pub use chart::CallState;
-pub use life::{AttemptEvent, CallContext, CallEffect, CallEvent, CallLife, CallTerms};
+pub use life::{AttemptEvent, CallEffect, CallEvent, CallLife, CallTerms};
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -15,7 +15,7 @@
 pub use admission::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
 };
-pub use call::{AttemptEvent, CallContext, CallEffect, CallEvent, CallLife, CallState, CallTerms};
+pub use call::{AttemptEvent, CallEffect, CallEvent, CallLife, CallState, CallTerms};
 pub use claim::{
     AnswerView, BatchId, BatchOutcome, BatchReport, BatchSettings, CallEnd, ClaimAnswer,
     ClaimBatch, ClaimBatcher, ClaimEffect, ClaimId, ClaimOp, ClaimPhase, ClaimRecord, ClaimRefusal,
--- a/crates/calls/src/retry/decide.rs
+++ b/crates/calls/src/retry/decide.rs
@@ -37,7 +37,7 @@
 }
 
 /// What is asked after an attempt.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RetryQuestion {
     /// Outcome of the attempt.
     pub outcome: CallOutcome,
--- a/crates/calls/src/routing/board.rs
+++ b/crates/calls/src/routing/board.rs
@@ -303,20 +303,16 @@
         }
     }
 
-    /// Notes the load that the target on `node` reports, as a share of its slots.
-    pub fn note_load(&mut self, service: &str, node: &str, load: f64) {
-        let Some(entry) = self.services.get(service) else {
-            return;
-        };
-        for &key in &entry.targets {
-            let target = &mut self.targets[key];
-            if target.node == node {
-                target.reported_load = if load.is_nan() {
-                    0.0
-                } else {
-                    load.clamp(0.0, 1.0)
-                };
-            }
+    /// Notes the load that a target reports with an answer, as a share of its slots.
+    ///
+    /// A target that has left the board since is passed over.
+    pub fn note_load(&mut self, key: TargetKey, load: f64) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.reported_load = if load.is_nan() {
+                0.0
+            } else {
+                load.clamp(0.0, 1.0)
+            };
         }
     }
 
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -1,9 +1,9 @@
 //! What the caller of a call is told after each event of an attempt.
 
 use agatedeck_calls::{
-    AttemptEvent, BoardSettings, CallContext, CallEffect, CallEvent, CallLife, CallOutcome,
-    CallState, CallTerms, NodePlace, PickRequest, PickedTarget, RetryBudget, RetrySettings,
-    TargetBoard, TargetStatus, TargetView, TwoChoices,
+    AttemptEvent, BoardSettings, CallEffect, CallEvent, CallLife, CallOutcome, CallState,
+    CallTerms, NodePlace, PickRequest, PickedTarget, RetryDecision, RetryRefusal, TargetBoard,
+    TargetStatus, TargetView, TwoChoices,
 };
 use agatedeck_clock::Instant;
 use rand::SeedableRng;
@@ -39,25 +39,20 @@
 
 /// Runs the events in order and returns all effects. The call is never tried again.
 fn run(idempotent: bool, events: &[CallEvent]) -> (CallLife, Vec<CallEffect>) {
-    let settings = RetrySettings {
-        max_attempts: 1,
-        ..RetrySettings::default()
-    };
     let mut life = CallLife::new(CallTerms {
         idempotent,
+        claimed: !idempotent,
         replayable: true,
         depth: 0,
         deadline: Instant::from_millis(100),
     });
     let mut effects = Vec::new();
     for event in events {
-        let mut context = CallContext {
-            now: Instant::default(),
-            settings: &settings,
-            budget: &mut RetryBudget::new(&settings),
-            rng: &mut SmallRng::seed_from_u64(1),
-        };
-        effects.extend(life.handle(*event, &mut context));
+        effects.extend(life.handle(*event, Instant::default()));
+        if let Some(CallEffect::AskRetry(_)) = effects.last() {
+            let denied = RetryDecision::Stop(RetryRefusal::Attempts);
+            effects.extend(life.handle(CallEvent::RetryDecided(denied), Instant::default()));
+        }
     }
     (life, effects)
 }
@@ -128,3 +123,39 @@
     let (_, effects) = run(true, &[CallEvent::Started, Cancelled, picked]);
     assert!(matches!(effects.last(), Some(CallEffect::Finish { .. })));
 }
+
+/// Guards against an answer to the retry question that restarts a call which has ended meanwhile.
+#[parameterized(cancelled = { Cancelled }, deadline = { DeadlinePassed })]
+fn retry_granted_after_the_end_changes_nothing(end: CallEvent) {
+    let mut life = CallLife::new(CallTerms {
+        idempotent: true,
+        claimed: false,
+        replayable: true,
+        depth: 0,
+        deadline: Instant::from_millis(100),
+    });
+    let picked = CallEvent::TargetPicked(any_target());
+    for event in [CallEvent::Started, picked, Attempt(1, ConnectFailed)] {
+        life.handle(event, Instant::default());
+    }
+    assert_eq!(life.state(), CallState::Deciding);
+    let effects = life.handle(end, Instant::default());
+    assert_eq!(effects, [CallEffect::Tell(NotRun)]);
+    let granted = CallEvent::RetryDecided(RetryDecision::RetryAt(Instant::default()));
+    assert_eq!(life.handle(granted, Instant::default()), []);
+    assert_eq!(life.state(), CallState::Done);
+}
+
+/// Guards against a claim for calls that are merely not repeated, which need no idempotency key.
+#[test]
+fn a_call_that_is_neither_idempotent_nor_claimed_makes_no_claim() {
+    let mut life = CallLife::new(CallTerms {
+        idempotent: false,
+        claimed: false,
+        replayable: true,
+        depth: 0,
+        deadline: Instant::from_millis(100),
+    });
+    let effects = life.handle(CallEvent::Started, Instant::default());
+    assert_eq!(effects, [CallEffect::Pick]);
+}
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -158,8 +158,14 @@
         &[view("own", "d1", "r1"), view("region", "d2", "r1")],
         Box::new(TwoChoices),
     );
-    bench.board.note_load("orders", "own", 1e9);
-    bench.board.note_load("orders", "region", f64::NAN);
+    let targets: Vec<_> = bench.board.summaries("orders").collect();
+    let loads = targets.iter().map(|target| {
+        let load = if target.node == "own" { 1e9 } else { f64::NAN };
+        (target.key, load)
+    });
+    for (key, load) in loads.collect::<Vec<_>>() {
+        bench.board.note_load(key, load);
+    }
     for _ in 0..5 {
         let picked = bench.pick();
         assert_eq!(bench.node(picked), "own");
