--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agatedeck_calls::{LatencySummary, RefusedRequest};
 use agatedeck_control::{AcceptOutcome, DELTA_PREFIX, delta_key};
 use agatedeck_records::{
     ChangeRefusal, RecordConflict, RecordKey, decompress, kind_from_name, kind_name,
@@ -18,6 +19,9 @@
 use tokio::time::Instant;
 
 use super::survey::{own_report, survey};
+use crate::calls::{
+    CrashKeeper, LatencyKeeper, LatencyList, ReadLatencies, ReadRefused, RefusedList,
+};
 use crate::config::ConfigKeeper;
 use crate::context::NodeContext;
 use crate::peer::LinkMeters;
@@ -39,6 +43,8 @@
     pub(crate) config: ActorRef<ConfigKeeper>,
     pub(crate) acceptor: ActorRef<ChangeAcceptor>,
     pub(crate) meters: LinkMeters,
+    pub(crate) latency: ActorRef<LatencyKeeper>,
+    pub(crate) crashes: ActorRef<CrashKeeper>,
 }
 
 /// The routes of the admin API.
@@ -219,12 +225,44 @@
     let body = json!({
         "version": version,
         "nodes": nodes,
-        "histograms": [],
-        "refused_requests": [],
+        "histograms": histograms(&state).await,
+        "refused_requests": refused_requests(&state).await,
     });
     Json(body).into_response()
 }
 
+/// Latencies of answered calls of callers at this node, from the arrival of the call to the end of
+/// its answer. They are this node's only, also in the status of the whole mesh.
+async fn histograms(state: &AdminState) -> Vec<Value> {
+    let LatencyList(summaries) = state.latency.ask(ReadLatencies).await.unwrap_or_default();
+    let histogram = |summary: &LatencySummary| {
+        json!({
+            "tenant": summary.tenant,
+            "class": summary.class,
+            "count": summary.count,
+            "p50_us": summary.p50_us,
+            "p99_us": summary.p99_us,
+            "p999_us": summary.p999_us,
+            "max_us": summary.max_us,
+        })
+    };
+    summaries.iter().map(histogram).collect()
+}
+
+/// Requests that are refused in this node's region because they crashed targets.
+async fn refused_requests(state: &AdminState) -> Vec<Value> {
+    let RefusedList(refused) = state.crashes.ask(ReadRefused).await.unwrap_or_default();
+    let entry = |(request, remaining): &(RefusedRequest, u64)| {
+        json!({
+            "fingerprint": request.fingerprint.to_string(),
+            "service": request.service,
+            "crashes": request.crashes,
+            "expires_in_ms": remaining,
+        })
+    };
+    refused.iter().map(entry).collect()
+}
+
 async fn read_node(State(state): State<AdminState>) -> Response {
     let report = own_report(&state.context, &state.config).await;
     let table = state.context.table();
@@ -238,6 +276,8 @@
         "members": members,
         "control_bytes": meters.all.sent() + meters.all.received(),
         "cross_region_control_bytes": meters.cross_region.sent() + meters.cross_region.received(),
+        "histograms": histograms(&state).await,
+        "refused_requests": refused_requests(&state).await,
     });
     Json(body).into_response()
 }
--- /dev/null
+++ b/crates/node/src/calls/attempt.rs
@@ -0,0 +1,89 @@
+//! One attempt of a call: from the caller's node to the node of a target.
+
+use agatedeck_calls::CallOutcome;
+use axum::body::Body;
+use axum::http::Request;
+use axum::http::response::Parts;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::capture_connection;
+use tokio::time::{Instant, timeout_at};
+
+use super::headers::{OUTCOME, REASON, text};
+use super::http_client::CallClient;
+use super::reason::StopReason;
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub(super) enum AttemptEnd {
+    /// No connection could be opened, so that no byte was sent.
+    NotSent,
+    /// The target's node says that the call was not run.
+    Refused(StopReason),
+    /// The call was sent and no answer came.
+    Lost(StopReason),
+    /// The answer broke off before anything of it was passed on.
+    Truncated,
+    /// The whole answer.
+    Whole(Parts, Bytes),
+    /// The head of an answer that is too large to be kept, its start, and the rest as it arrives.
+    Long(Parts, Bytes, Incoming),
+    /// The deadline passed; whether a byte may have been sent.
+    Expired { sent: bool },
+}
+
+/// Sends a request and reads its answer until it ends or exceeds `keep` bytes.
+pub(super) async fn send_attempt(
+    client: &CallClient,
+    mut request: Request<Body>,
+    keep: usize,
+    deadline: Instant,
+) -> AttemptEnd {
+    // Known once a connection is at hand, which is before the first byte is written.
+    let connection = capture_connection(&mut request);
+    let answered = timeout_at(deadline, send(client, request, keep)).await;
+    answered.unwrap_or_else(|_| AttemptEnd::Expired {
+        sent: connection.connection_metadata().is_some(),
+    })
+}
+
+async fn send(client: &CallClient, request: Request<Body>, keep: usize) -> AttemptEnd {
+    let answer = match client.request(request).await {
+        Ok(answer) => answer,
+        Err(error) if error.is_connect() => return AttemptEnd::NotSent,
+        Err(error) => {
+            log::debug!("a call was sent and not answered: {error}");
+            return AttemptEnd::Lost(StopReason::NoAnswer);
+        }
+    };
+    let (parts, mut rest) = answer.into_parts();
+    let outcome = text(&parts.headers, &OUTCOME).and_then(|text| text.parse().ok());
+    let reason = text(&parts.headers, &REASON).and_then(|text| text.parse().ok());
+    match outcome {
+        Some(CallOutcome::Answered) => {}
+        Some(CallOutcome::NotRun) => {
+            return AttemptEnd::Refused(reason.unwrap_or(StopReason::Unreachable));
+        }
+        // Without the header, the answer is not from a node, and nothing is certain.
+        Some(CallOutcome::Unknown) | None => {
+            return AttemptEnd::Lost(reason.unwrap_or(StopReason::NoAnswer));
+        }
+    }
+    let mut head = BytesMut::new();
+    loop {
+        if head.len() > keep {
+            return AttemptEnd::Long(parts, head.freeze(), rest);
+        }
+        match rest.frame().await {
+            None => return AttemptEnd::Whole(parts, head.freeze()),
+            Some(Err(_)) => return AttemptEnd::Truncated,
+            Some(Ok(frame)) => {
+                // Trailers are not passed on.
+                if let Ok(data) = frame.into_data() {
+                    head.extend_from_slice(&data);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/course.rs
@@ -0,0 +1,471 @@
+//! The task of a call at its caller's node: carries out what the life of the call decides.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_calls::{
+    AttemptEvent, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms, ClaimAnswer,
+    ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
+};
+use agatedeck_clock::Instant;
+use axum::body::Body;
+use axum::http::response::Parts;
+use axum::http::uri::{PathAndQuery, Scheme};
+use axum::http::{HeaderValue, Request, StatusCode, Uri, header, request, uri};
+use axum::response::Response;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use tokio::time::{sleep_until, timeout_at};
+use tokio_util::task::task_tracker::TaskTrackerToken;
+
+use super::answer_body::{AnswerBody, AnswerWatch};
+use super::attempt::{AttemptEnd, send_attempt};
+use super::claim_keeper::{ClaimEnd, ClaimLease, ClaimReply, claim_call};
+use super::crash_keeper::CompleteRequest;
+use super::gateway::CallDesk;
+use super::headers::{
+    ATTEMPT, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, number,
+    outcome_value, refusal, strip_hop_headers,
+};
+use super::latency_keeper::RecordCall;
+use super::plan::CallPlan;
+use super::reason::StopReason;
+use super::request_body::RequestBody;
+use super::router::{DecideRetry, PickTarget, TargetLease};
+
+/// The request of a call, as it is sent with each attempt.
+#[derive(Debug)]
+pub(super) struct CallRequest {
+    pub(super) parts: request::Parts,
+    pub(super) body: RequestBody,
+    /// Digest of the method, the path and the body.
+    pub(super) digest: [u8; 32],
+}
+
+/// An answer that is at hand and not yet passed on.
+enum ReadyAnswer {
+    Whole(Response),
+    Long(Parts, Bytes, Incoming),
+}
+
+/// What is stored of an answer with a claim.
+#[derive(Debug)]
+struct AnswerRecord {
+    status: u16,
+    content_type: String,
+    body: Option<Bytes>,
+}
+
+/// One call. It is owned by the task of the call and then, while a long answer is passed on, by the
+/// body of that answer. Dropped before the end, the caller has gone and the call is cancelled.
+#[derive(Debug)]
+pub(super) struct CallCourse {
+    desk: Arc<CallDesk>,
+    plan: CallPlan,
+    life: CallLife,
+    fingerprint: Fingerprint,
+    target: Option<TargetLease>,
+    claim: Option<ClaimLease>,
+    answer: Option<AnswerRecord>,
+    /// Load that the target reported with its answer.
+    load: Option<f64>,
+    /// Why the last attempt has no answer.
+    reason: StopReason,
+    started_at: Instant,
+    recorded: bool,
+    /// Counts the call as open until the course is dropped.
+    _open: TaskTrackerToken,
+}
+
+impl CallCourse {
+    pub(super) fn new(
+        desk: Arc<CallDesk>,
+        plan: CallPlan,
+        request: &CallRequest,
+        fingerprint: Fingerprint,
+        open: TaskTrackerToken,
+    ) -> Self {
+        let life = CallLife::new(CallTerms {
+            idempotent: plan.idempotent,
+            claimed: plan.claim_key.is_some(),
+            replayable: request.body.is_kept(),
+            depth: plan.depth,
+            deadline: plan.deadline,
+        });
+        Self {
+            started_at: desk.context.clock.now(),
+            desk,
+            plan,
+            life,
+            fingerprint,
+            target: None,
+            claim: None,
+            answer: None,
+            load: None,
+            reason: StopReason::Cancelled,
+            recorded: false,
+            _open: open,
+        }
+    }
+
+    fn raise(&mut self, event: CallEvent) -> Vec<CallEffect> {
+        self.life.handle(event, self.desk.context.clock.now())
+    }
+
+    fn raise_attempt(&mut self, event: AttemptEvent) -> Vec<CallEffect> {
+        self.raise(CallEvent::Attempt(self.life.attempts(), event))
+    }
+
+    fn deadline(&self) -> tokio::time::Instant {
+        self.desk.context.clock.runtime_instant(self.plan.deadline)
+    }
+
+    /// Drives the call until its caller is answered.
+    pub(super) async fn run(mut self, mut request: CallRequest) -> Response {
+        let mut answer = None;
+        let mut effects = VecDeque::from(self.raise(CallEvent::Started));
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                CallEffect::Claim => effects.extend(self.claim(request.digest, &mut answer).await),
+                CallEffect::Pick => effects.extend(self.pick().await),
+                CallEffect::Send(..) => {
+                    let more = self.send(&mut request, &mut answer).await;
+                    effects.extend(more);
+                }
+                CallEffect::AskRetry(question) => effects.extend(self.ask_retry(question).await),
+                CallEffect::WakeAt(at) => effects.extend(self.wait(at).await),
+                CallEffect::PassAnswer(_) => {
+                    if let Some(ReadyAnswer::Long(parts, head, rest)) = answer.take_if(is_long) {
+                        return self.pass_on(parts, head, rest);
+                    }
+                }
+                CallEffect::Tell(outcome) => {
+                    self.carry_out(&[effect]);
+                    return match answer {
+                        Some(ReadyAnswer::Whole(response)) if outcome == CallOutcome::Answered => {
+                            response
+                        }
+                        _ => refusal(outcome, self.reason),
+                    };
+                }
+                other => self.carry_out(&[other]),
+            }
+        }
+        // The chart tells the caller in every course; this keeps an unsound one from hanging.
+        refusal(self.life.outcome(), self.reason)
+    }
+
+    /// Carries out effects that do not wait.
+    fn carry_out(&mut self, effects: &[CallEffect]) {
+        for effect in effects {
+            match *effect {
+                CallEffect::Finish { result, .. } => {
+                    if let Some(target) = self.target.take() {
+                        target.settle(result, self.load.take());
+                    }
+                }
+                CallEffect::SettleClaim(outcome) => self.settle_claim(outcome),
+                CallEffect::Tell(outcome) => self.record(outcome),
+                // An attempt is stopped by dropping its future or its answer, and an answer is cut
+                // by the error that its body returns. The other effects wait.
+                _ => {}
+            }
+        }
+    }
+
+    async fn claim(
+        &mut self,
+        digest: [u8; 32],
+        answer: &mut Option<ReadyAnswer>,
+    ) -> Vec<CallEffect> {
+        let Some(key) = &self.plan.claim_key else {
+            return self.raise(CallEvent::ClaimRefused);
+        };
+        let (service, call_deadline) = (&self.plan.service, self.plan.deadline);
+        let claimed = claim_call(&self.desk.claims, service, key, digest, call_deadline);
+        let Ok(reply) = timeout_at(self.deadline(), claimed).await else {
+            return self.expire();
+        };
+        let (event, reason) = match reply {
+            ClaimReply::Granted(lease) => {
+                self.claim = Some(lease);
+                (CallEvent::ClaimGranted, StopReason::Cancelled)
+            }
+            ClaimReply::Told(ClaimVerdict::Stored(stored)) => match stored_answer(stored) {
+                Some(response) => {
+                    *answer = Some(ReadyAnswer::Whole(response));
+                    (CallEvent::ClaimReplayed, StopReason::Cancelled)
+                }
+                None => (CallEvent::ClaimUnknown, StopReason::AnswerNotKept),
+            },
+            ClaimReply::Told(ClaimVerdict::InProgress) => {
+                (CallEvent::ClaimUnknown, StopReason::InProgress)
+            }
+            ClaimReply::Told(ClaimVerdict::Refused(refusal)) => {
+                (CallEvent::ClaimRefused, refusal.into())
+            }
+            ClaimReply::Told(ClaimVerdict::Unknown | ClaimVerdict::Granted) => {
+                (CallEvent::ClaimUnknown, StopReason::UnknownEarlier)
+            }
+        };
+        self.reason = reason;
+        self.raise(event)
+    }
+
+    async fn pick(&mut self) -> Vec<CallEffect> {
+        let pick = PickTarget {
+            service: self.plan.service.clone(),
+            avoid: self.life.used_targets().to_vec(),
+            idempotent: self.plan.idempotent,
+        };
+        let picked = self.desk.router.ask(pick).await;
+        let Some(lease) = picked.ok().and_then(|reply| reply.0.ok()) else {
+            // The reason of an earlier attempt says more.
+            if self.life.attempts() == 1 {
+                self.reason = StopReason::NoTarget;
+            }
+            return self.raise(CallEvent::NoTarget);
+        };
+        let target = lease.target;
+        self.target = Some(lease);
+        self.raise(CallEvent::TargetPicked(target))
+    }
+
+    async fn send(
+        &mut self,
+        request: &mut CallRequest,
+        answer: &mut Option<ReadyAnswer>,
+    ) -> Vec<CallEffect> {
+        if let Some(claim) = &self.claim
+            && self.life.attempts() == 1
+            && let Err(refusal) = claim.start().await
+        {
+            self.reason = refusal.into();
+            return self.raise(CallEvent::DeadlinePassed);
+        }
+        let Some(message) = self.message(request) else {
+            self.reason = StopReason::Unreachable;
+            return self.raise_attempt(AttemptEvent::ConnectFailed);
+        };
+        let keep = self.desk.context.settings.calls.kept_answer_bytes;
+        let end = send_attempt(&self.desk.client, message, keep, self.deadline()).await;
+        let event = match end {
+            AttemptEnd::NotSent => {
+                self.reason = StopReason::Unreachable;
+                return self.raise_attempt(AttemptEvent::ConnectFailed);
+            }
+            AttemptEnd::Expired { sent: false } => return self.expire(),
+            AttemptEnd::Expired { sent: true } => {
+                self.raise_attempt(AttemptEvent::RequestSent);
+                return self.expire();
+            }
+            AttemptEnd::Refused(reason) => {
+                self.reason = reason;
+                AttemptEvent::Refused
+            }
+            AttemptEnd::Lost(reason) => {
+                self.reason = reason;
+                AttemptEvent::ConnectionLost
+            }
+            AttemptEnd::Truncated => {
+                self.reason = StopReason::AnswerTruncated;
+                AttemptEvent::AnswerTruncated
+            }
+            AttemptEnd::Whole(parts, body) => {
+                self.note_answer(&parts, Some(&body));
+                *answer = Some(ReadyAnswer::Whole(response(parts, Body::from(body))));
+                let mut effects = self.raise_attempt(AttemptEvent::RequestSent);
+                effects.extend(self.raise_attempt(AttemptEvent::AnswerStarted));
+                effects.extend(self.raise_attempt(AttemptEvent::AnswerEnded));
+                return effects;
+            }
+            AttemptEnd::Long(parts, head, rest) => {
+                self.note_answer(&parts, None);
+                *answer = Some(ReadyAnswer::Long(parts, head, rest));
+                AttemptEvent::AnswerStarted
+            }
+        };
+        let mut effects = self.raise_attempt(AttemptEvent::RequestSent);
+        effects.extend(self.raise_attempt(event));
+        effects
+    }
+
+    /// The message of the current attempt; `None` if the body was sent before.
+    fn message(&self, request: &mut CallRequest) -> Option<Request<Body>> {
+        let authority = self.target.as_ref()?.authority.clone();
+        let mut message = Request::new(request.body.for_attempt()?);
+        let parts = &request.parts;
+        let mut uri = uri::Parts::default();
+        uri.scheme = Some(Scheme::HTTP);
+        uri.authority = Some(authority);
+        let path = parts.uri.path_and_query().cloned();
+        uri.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+        *message.uri_mut() = Uri::from_parts(uri).ok()?;
+        *message.method_mut() = parts.method.clone();
+        let mut headers = parts.headers.clone();
+        strip_hop_headers(&mut headers);
+        let now = self.desk.context.clock.now();
+        let remaining = self.plan.deadline.since(now);
+        headers.insert(DEADLINE, millis_rounded_up(remaining).into());
+        headers.insert(DEPTH, (self.plan.depth + 1).into());
+        headers.insert(ATTEMPT, self.life.attempts().into());
+        headers.insert(TENANT, HeaderValue::from_str(&self.plan.tenant).ok()?);
+        if let Ok(class) = HeaderValue::from_str(&self.plan.class) {
+            headers.insert(CLASS, class);
+        }
+        let fingerprint = self.fingerprint.to_string();
+        headers.insert(FINGERPRINT, HeaderValue::from_str(&fingerprint).ok()?);
+        *message.headers_mut() = headers;
+        Some(message)
+    }
+
+    /// Notes what the board and the claim need of an answer.
+    fn note_answer(&mut self, parts: &Parts, body: Option<&Bytes>) {
+        let load = number(&parts.headers, &LOAD).and_then(|load| u32::try_from(load).ok());
+        self.load = load.map(|load| f64::from(load) / 1000.0);
+        if self.claim.is_some() {
+            let content_type = super::headers::text(&parts.headers, &header::CONTENT_TYPE);
+            self.answer = Some(AnswerRecord {
+                status: parts.status.as_u16(),
+                content_type: content_type.unwrap_or_default().to_owned(),
+                body: body.cloned(),
+            });
+        }
+    }
+
+    async fn ask_retry(&mut self, question: RetryQuestion) -> Vec<CallEffect> {
+        let ask = DecideRetry {
+            question,
+            max_attempts: self.plan.max_attempts,
+        };
+        let decision = self.desk.router.ask(ask).await;
+        // The router is gone only when the node is stopping.
+        let decision = decision.map_or(RetryDecision::Stop(RetryRefusal::Budget), |reply| reply.0);
+        self.raise(CallEvent::RetryDecided(decision))
+    }
+
+    async fn wait(&mut self, at: Instant) -> Vec<CallEffect> {
+        let clock = self.desk.context.clock;
+        sleep_until(clock.runtime_instant(at.min(self.plan.deadline))).await;
+        if self.plan.deadline.is_past(clock.now()) {
+            return self.expire();
+        }
+        self.raise(CallEvent::BackoffEnded)
+    }
+
+    fn expire(&mut self) -> Vec<CallEffect> {
+        self.reason = StopReason::Deadline;
+        self.raise(CallEvent::DeadlinePassed)
+    }
+
+    /// Hands the call over to the body of its answer.
+    fn pass_on(self, parts: Parts, head: Bytes, rest: Incoming) -> Response {
+        let deadline = self.deadline();
+        let body = AnswerBody::new(head, rest, deadline, self);
+        response(parts, Body::new(body))
+    }
+
+    fn settle_claim(&mut self, outcome: CallOutcome) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        claim.end(match (outcome, self.answer.take()) {
+            (CallOutcome::Answered, Some(answer)) => ClaimEnd::Answered {
+                status: answer.status,
+                content_type: answer.content_type,
+                body: answer.body,
+            },
+            (CallOutcome::NotRun, _) => ClaimEnd::NotRun,
+            _ => ClaimEnd::Unknown,
+        });
+    }
+
+    fn record(&mut self, outcome: CallOutcome) {
+        if std::mem::replace(&mut self.recorded, true) {
+            return;
+        }
+        let answered = outcome == CallOutcome::Answered;
+        if answered && self.desk.crashes.borrow().watching {
+            let complete = CompleteRequest(self.fingerprint);
+            let _ = self.desk.crash_keeper.tell(complete).try_send();
+        }
+        let now = self.desk.context.clock.now();
+        let record = RecordCall {
+            tenant: std::mem::take(&mut self.plan.tenant),
+            class: std::mem::take(&mut self.plan.class),
+            outcome,
+            attempts: self.life.attempts(),
+            reason: (!answered).then_some(self.reason),
+            latency: now.since(self.started_at),
+        };
+        // The keeper is gone only when the node is stopping.
+        let _ = self.desk.latency.tell(record).try_send();
+    }
+}
+
+impl AnswerWatch for CallCourse {
+    fn ended(&mut self) {
+        let effects = self.raise_attempt(AttemptEvent::AnswerEnded);
+        self.carry_out(&effects);
+    }
+
+    fn broken(&mut self, _: &hyper::Error) {
+        self.reason = StopReason::AnswerTruncated;
+        let effects = self.raise_attempt(AttemptEvent::AnswerTruncated);
+        self.carry_out(&effects);
+    }
+
+    fn expired(&mut self) {
+        let effects = self.expire();
+        self.carry_out(&effects);
+    }
+}
+
+impl Drop for CallCourse {
+    fn drop(&mut self) {
+        // Without effect on a call that has ended.
+        let dispatched = self.target.is_some() && !self.recorded;
+        if dispatched {
+            // The attempt was under way; whether a byte was sent is not known here.
+            self.raise_attempt(AttemptEvent::RequestSent);
+        }
+        let effects = self.raise(CallEvent::Cancelled);
+        self.carry_out(&effects);
+    }
+}
+
+fn is_long(answer: &mut ReadyAnswer) -> bool {
+    matches!(answer, ReadyAnswer::Long(..))
+}
+
+/// Whole milliseconds, rounded up so that a call that is still open never reads as expired.
+fn millis_rounded_up(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
+
+/// An answer of a target as its caller receives it.
+fn response(mut parts: Parts, body: Body) -> Response {
+    strip_hop_headers(&mut parts.headers);
+    for name in [LOAD, REASON, FINGERPRINT] {
+        parts.headers.remove(name);
+    }
+    parts
+        .headers
+        .insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    Response::from_parts(parts, body)
+}
+
+/// The stored answer of an earlier call with the same key; `None` if its body was not kept.
+fn stored_answer(stored: ClaimAnswer) -> Option<Response> {
+    let mut response = Response::new(Body::from(stored.body?));
+    *response.status_mut() = StatusCode::from_u16(stored.status).ok()?;
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(&stored.content_type)
+        && !stored.content_type.is_empty()
+    {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    headers.insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    Some(response)
+}
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -1,120 +1,129 @@
-//! The caller's side: takes calls of local callers and sends them to the node of a target.
+//! The caller's side: takes calls of local callers.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
 
-use agatedeck_records::SnapshotView;
-use agatedeck_wire::MemberStatus;
+use agatedeck_calls::{CallOutcome, Fingerprint, RequestIdentity, RequestView};
 use axum::Router;
 use axum::extract::{Request, State};
 use axum::http::request::Parts;
-use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::Response;
-use rand::seq::IteratorRandom;
-use reqwest::Client;
-use tokio::time::Instant;
+use kameo::actor::ActorRef;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
-use super::forward::{ForwardError, forward};
-use super::headers::{DEADLINE, OUTCOME, ToldOutcome, refusal};
+use super::claim_keeper::ClaimKeeper;
+use super::course::{CallCourse, CallRequest};
+use super::crash_keeper::{CrashKeeper, CrashView};
+use super::headers::{IDEMPOTENCY_KEY, refusal, text};
+use super::http_client::CallClient;
+use super::latency_keeper::{LatencyKeeper, RecordCall};
+use super::plan::CallPlan;
+use super::reason::StopReason;
+use super::request_body::RequestBody;
+use super::router::CallRouter;
 use crate::context::NodeContext;
 
-/// What the handler works with.
-#[derive(Clone)]
-pub(crate) struct GatewayState {
-    pub(crate) context: NodeContext,
-    pub(crate) client: Client,
-}
-
-/// Where a call goes by the configuration in force.
-struct CallPlan {
-    service: String,
-    deadline: Instant,
+/// What the tasks of calls work with.
+#[derive(Debug)]
+pub(super) struct CallDesk {
+    pub(super) context: NodeContext,
+    pub(super) client: CallClient,
+    pub(super) router: ActorRef<CallRouter>,
+    pub(super) claims: ActorRef<ClaimKeeper>,
+    pub(super) crash_keeper: ActorRef<CrashKeeper>,
+    pub(super) latency: ActorRef<LatencyKeeper>,
+    pub(super) crashes: watch::Receiver<Arc<CrashView>>,
+    pub(super) draining: watch::Receiver<bool>,
+    /// Calls that have not ended.
+    pub(super) open: TaskTracker,
 }
 
 /// Takes every call.
-pub(crate) fn gateway_router(state: GatewayState) -> Router {
-    Router::new().fallback(take_call).with_state(state)
+pub(super) fn gateway_router(desk: Arc<CallDesk>) -> Router {
+    Router::new().fallback(take_call).with_state(desk)
 }
 
-async fn take_call(State(state): State<GatewayState>, request: Request) -> Response {
+async fn take_call(State(desk): State<Arc<CallDesk>>, request: Request) -> Response {
+    // Taken before the check, so that a call is either counted as open or refused.
+    let open = desk.open.token();
+    if *desk.draining.borrow() {
+        return refuse(&desk, None, StopReason::Draining);
+    }
     let (parts, body) = request.into_parts();
-    let plan = match plan_call(&state.context, &parts) {
+    let plan = match CallPlan::of(&desk.context, &parts) {
         Ok(plan) => plan,
-        Err((status, reason)) => return refusal(status, ToldOutcome::NotRun, reason),
+        Err(reason) => return refuse(&desk, None, reason),
     };
-    let Some(address) = pick_target(&state.context, &plan.service) else {
-        let reason = "no target of the service is known";
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, ToldOutcome::NotRun, reason);
+    let settings = &desk.context.settings.calls;
+    let claimed = plan.claim_key.is_some();
+    let limit = if claimed {
+        settings.claimed_request_bytes
+    } else {
+        settings.kept_request_bytes
     };
-    match forward(&state.client, address, &parts, body, plan.deadline).await {
-        Ok(mut response) => {
-            let told = ToldOutcome::Answered.header();
-            response.headers_mut().entry(OUTCOME).or_insert(told);
-            response
-        }
-        Err(ForwardError::NotSent) => {
-            let reason = "the node of the target cannot be reached";
-            refusal(StatusCode::SERVICE_UNAVAILABLE, ToldOutcome::NotRun, reason)
+    let deadline = desk.context.clock.runtime_instant(plan.deadline);
+    let body = tokio::time::timeout_at(deadline, RequestBody::read(body, limit)).await;
+    let body = match body {
+        Ok(Ok(body)) if claimed && !body.is_kept() => {
+            return refuse(&desk, Some(plan), StopReason::BodyTooLarge);
         }
-        Err(ForwardError::Unanswered) => {
-            let reason = "the call was sent and no answer came";
-            refusal(StatusCode::GATEWAY_TIMEOUT, ToldOutcome::Unknown, reason)
-        }
-    }
-}
-
-fn plan_call(context: &NodeContext, parts: &Parts) -> Result<CallPlan, (StatusCode, &'static str)> {
-    let served = context.served();
-    if !served.may_serve {
-        let reason = "the node does not know yet which version it may serve";
-        return Err((StatusCode::SERVICE_UNAVAILABLE, reason));
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => return refuse(&desk, Some(plan), StopReason::BodyIncomplete),
+        Err(_) => return refuse(&desk, Some(plan), StopReason::Deadline),
+    };
+    let digest = request_digest(&parts, &body);
+    let fingerprint = fingerprint(&plan.service, &parts, &digest);
+    let now = desk.context.clock.now();
+    if desk.crashes.borrow().refuses(fingerprint, now) {
+        return refuse(&desk, Some(plan), StopReason::CrashedTargets);
     }
-    let view = SnapshotView::new(&served.snapshot, context.own.reads_schema);
-    let host = host_name(&parts.headers);
-    let route = view.route_for(host, parts.uri.path());
-    let route = route.ok_or((StatusCode::NOT_FOUND, "no route matches the call"))?;
-    let policy = view.policy_of(&route.form.service);
-    let policy = policy.ok_or((StatusCode::SERVICE_UNAVAILABLE, "the service has no policy"))?;
-    let timeout = stated_timeout(&parts.headers);
-    let timeout = timeout.unwrap_or(Duration::from_millis(u64::from(policy.form.timeout_ms)));
-    let deadline = Instant::now() + timeout;
-    Ok(CallPlan {
-        service: route.form.service.clone(),
-        deadline,
-    })
+    let request = CallRequest {
+        parts,
+        body,
+        digest,
+    };
+    CallCourse::new(desk, plan, &request, fingerprint, open)
+        .run(request)
+        .await
 }
 
-fn host_name(headers: &HeaderMap) -> &str {
-    let host = headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or_default();
-    host.rsplit_once(':').map_or(host, |(name, _)| name)
+/// Answers a call of which nothing was sent.
+fn refuse(desk: &CallDesk, plan: Option<CallPlan>, reason: StopReason) -> Response {
+    let (tenant, class) = plan.map_or_else(Default::default, |plan| (plan.tenant, plan.class));
+    let record = RecordCall {
+        tenant,
+        class,
+        outcome: CallOutcome::NotRun,
+        attempts: 0,
+        reason: Some(reason),
+        latency: std::time::Duration::ZERO,
+    };
+    // The keeper is gone only when the node is stopping.
+    let _ = desk.latency.tell(record).try_send();
+    refusal(CallOutcome::NotRun, reason)
 }
 
-fn stated_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let millis = headers.get(DEADLINE)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_millis(millis))
+/// Digest of what makes a request the same request: method, path, and the body as far as it is kept.
+/// The stated length tells apart large bodies that start alike.
+fn request_digest(parts: &Parts, body: &RequestBody) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let length = text(&parts.headers, &axum::http::header::CONTENT_LENGTH).unwrap_or_default();
+    for part in [parts.method.as_str(), path, length] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(body.head());
+    *hasher.finalize().as_bytes()
 }
 
-/// A live target of the service, from the nearest place that has one.
-fn pick_target(context: &NodeContext, service: &str) -> Option<SocketAddr> {
-    let table = context.table();
-    let own = &context.own;
-    let targets = || {
-        table
-            .live()
-            .filter(|member| member.service == service && member.status() == MemberStatus::Alive)
-    };
-    let mut rng = rand::rng();
-    let near = targets()
-        .filter(|member| member.domain == own.domain)
-        .choose(&mut rng);
-    let near = near.or_else(|| {
-        targets()
-            .filter(|member| member.region == own.region)
-            .choose(&mut rng)
-    });
-    let picked = near.or_else(|| targets().choose(&mut rng))?;
-    picked.peer_address.parse().ok()
+fn fingerprint(service: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
+    let key = text(&parts.headers, &IDEMPOTENCY_KEY);
+    Fingerprint::of(&RequestView {
+        service,
+        method: parts.method.as_str(),
+        path: parts.uri.path(),
+        query: parts.uri.query().unwrap_or_default(),
+        identity: key.map_or(RequestIdentity::Body(digest), RequestIdentity::Key),
+    })
 }
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -1,56 +1,100 @@
 //! Headers of calls.
 
+use std::time::Duration;
+
+use agatedeck_calls::CallOutcome;
 use axum::body::Body;
-use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use axum::response::{IntoResponse, Response};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, header};
+use axum::response::Response;
+
+use super::reason::StopReason;
 
 /// What became of a call: `answered`, `not-run` or `unknown`.
-pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("agatedeck-outcome");
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("agatedeck-outcome");
+
+/// Why a call was not answered by a target; see [`StopReason`].
+pub(super) const REASON: HeaderName = HeaderName::from_static("agatedeck-reason");
 
 /// Milliseconds that remain for the call. A remaining time, since clocks differ between hosts.
-pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("agatedeck-deadline-ms");
-
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+pub(super) const DEADLINE: HeaderName = HeaderName::from_static("agatedeck-deadline-ms");
+
+/// Hops that the call has behind it.
+pub(super) const DEPTH: HeaderName = HeaderName::from_static("agatedeck-depth");
+
+/// Number of the attempt. A call that carries it is an inner call, whose retries belong to the
+/// outermost caller's node.
+pub(super) const ATTEMPT: HeaderName = HeaderName::from_static("agatedeck-attempt");
+
+/// Tenant that the call is counted for.
+pub(super) const TENANT: HeaderName = HeaderName::from_static("agatedeck-tenant");
+
+/// Class of the route.
+pub(super) const CLASS: HeaderName = HeaderName::from_static("agatedeck-class");
+
+/// Fingerprint of the request in hexadecimal. Sent between nodes only.
+pub(super) const FINGERPRINT: HeaderName = HeaderName::from_static("agatedeck-fingerprint");
+
+/// Load of the target in thousandths of its slots. Sent between nodes only.
+pub(super) const LOAD: HeaderName = HeaderName::from_static("agatedeck-load");
+
+/// Key under which a call runs at most once.
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that belong to one connection and are not passed on. `expect` is among them because each
+/// hop answers it itself.
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
 ];
 
-/// What a caller is told of its call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ToldOutcome {
-    Answered,
-    NotRun,
-    Unknown,
+/// Text of a header; `None` if it is absent or not visible ASCII.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
 }
 
-impl ToldOutcome {
-    pub(crate) fn header(self) -> HeaderValue {
-        HeaderValue::from_static(match self {
-            Self::Answered => "answered",
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-        })
-    }
+/// Whole number in a header; `None` if it is absent or none.
+pub(super) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+/// The stated remaining time of a call.
+pub(super) fn stated_timeout(headers: &HeaderMap) -> Option<Duration> {
+    number(headers, &DEADLINE).map(Duration::from_millis)
 }
 
-/// Removes the headers that belong to one connection.
-pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
-    for name in HOP_HEADERS {
+/// Removes the headers that belong to one connection, also those that `connection` names.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
         headers.remove(name);
     }
-    headers.remove(axum::http::header::HOST);
 }
 
 /// An answer that the node gives itself.
-pub(crate) fn refusal(status: StatusCode, outcome: ToldOutcome, reason: &str) -> Response {
-    let mut response = (status, Body::from(format!("{reason}\n"))).into_response();
-    response.headers_mut().insert(OUTCOME, outcome.header());
+pub(super) fn refusal(outcome: CallOutcome, reason: StopReason) -> Response {
+    let mut response = Response::new(Body::from(format!("{}\n", reason.text())));
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, outcome_value(outcome));
+    if let Ok(reason) = HeaderValue::from_str(&reason.to_string()) {
+        headers.insert(REASON, reason);
+    }
     response
 }
+
+/// Value of the header [`OUTCOME`].
+pub(super) fn outcome_value(outcome: CallOutcome) -> HeaderValue {
+    HeaderValue::from_static(outcome.header_text())
+}
--- /dev/null
+++ b/crates/node/src/calls/http_client.rs
@@ -0,0 +1,44 @@
+//! The HTTP client for calls.
+//!
+//! hyper's client is used without the layers of `reqwest`, which parse a URL for each request,
+//! follow redirects and decode bodies; a call is passed on as it is.
+
+use std::error::Error;
+use std::time::Duration;
+
+use axum::body::Body;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Client for calls to nodes and to the local target.
+pub(super) type CallClient = Client<HttpConnector, Body>;
+
+/// Time for which an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// A client that keeps up to `idle_connections` open for each address.
+pub(super) fn call_client(connect_timeout: Duration, idle_connections: usize) -> CallClient {
+    let mut connector = HttpConnector::new();
+    // Without it, the last packet of a small request waits for an acknowledgement of up to 40 ms.
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle_connections)
+        .build(connector)
+}
+
+/// Whether an error of the client comes from the body of the request or from an answer that is not
+/// HTTP, and so does not say that the other side lost the connection.
+pub(super) fn connection_held(error: &(dyn Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(error) = next {
+        if let Some(error) = error.downcast_ref::<hyper::Error>() {
+            return error.is_user() || error.is_parse();
+        }
+        next = error.source();
+    }
+    false
+}
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -1,9 +1,34 @@
 //! Calls: from local callers to nodes of targets, and from other nodes to the local target.
+//!
+//! One actor owns each part of the state: `CallRouter` the target board and the retry budget,
+//! `SlotKeeper` the slots and the queue of the local target, `ClaimKeeper` the claims,
+//! `CrashKeeper` the crash reports, `TargetWatch` the probes of the local target and
+//! `LatencyKeeper` the histograms and the metrics. A call is one task, which drives its `CallLife`
+//! and asks the actors. What an actor grants to a call is a lease that is given back when dropped,
+//! so that a call whose caller has gone leaves nothing behind.
+//!
+//! Their mailboxes are unbounded, because a lease is given back without waiting. The messages in
+//! them are bounded by the calls that are open.
 
-mod forward;
+mod answer_body;
+mod attempt;
+mod claim_keeper;
+mod course;
+mod crash_keeper;
 mod gateway;
 mod headers;
+mod http_client;
+mod latency_keeper;
+mod plan;
+mod reason;
+mod request_body;
+mod router;
+mod slot_keeper;
+mod system;
 mod target_side;
+mod target_watch;
 
-pub(crate) use gateway::{GatewayState, gateway_router};
-pub(crate) use target_side::{TargetState, target_router};
+pub(crate) use crash_keeper::{CrashKeeper, MergeCrashes, ReadRefused, RefusedList};
+pub(crate) use latency_keeper::{LatencyKeeper, LatencyList, ReadLatencies};
+pub use system::CallSystemError;
+pub(crate) use system::{CallDrain, CallSystem};
--- /dev/null
+++ b/crates/node/src/calls/reason.rs
@@ -0,0 +1,115 @@
+//! Why a call was not answered by a target.
+
+use agatedeck_calls::{ClaimRefusal, RefusalReason};
+use axum::http::StatusCode;
+use derive_more::{Display, FromStr};
+
+/// Why a call has no answer from a target. The text form is the value of the header
+/// `agatedeck-reason` and the last part of the names of metrics.
+#[derive(Clone, Copy, Debug, Display, Eq, FromStr, PartialEq)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+pub(super) enum StopReason {
+    NotServing,
+    Draining,
+    NoRoute,
+    NoPolicy,
+    NoTarget,
+    TooDeep,
+    CrashedTargets,
+    MissingKey,
+    BodyTooLarge,
+    BodyIncomplete,
+    QueueFull,
+    TenantShare,
+    Deadline,
+    Unreachable,
+    StoreAway,
+    KeyReused,
+    ClaimContended,
+    TooManyClaims,
+    InvalidKey,
+    InProgress,
+    UnknownEarlier,
+    AnswerNotKept,
+    NoAnswer,
+    AnswerTruncated,
+    AnswerUnbounded,
+    Cancelled,
+}
+
+impl StopReason {
+    /// The status that the caller receives.
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::MissingKey | Self::InvalidKey | Self::BodyIncomplete | Self::Cancelled => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooDeep => StatusCode::LOOP_DETECTED,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::InProgress | Self::AnswerNotKept => StatusCode::CONFLICT,
+            Self::TenantShare => StatusCode::TOO_MANY_REQUESTS,
+            Self::Deadline | Self::NoAnswer | Self::UnknownEarlier => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerTruncated | Self::AnswerUnbounded => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// The sentence that the caller reads.
+    pub(super) fn text(self) -> &'static str {
+        match self {
+            Self::NotServing => "the node does not know yet which version it may serve",
+            Self::Draining => "the node is draining",
+            Self::NoRoute => "no route matches the call",
+            Self::NoPolicy => "the service has no policy",
+            Self::NoTarget => "no target of the service takes calls",
+            Self::TooDeep => "the call chain is too deep",
+            Self::CrashedTargets => "requests like this one crashed targets of the service",
+            Self::MissingKey => "the call runs at most once and needs the header idempotency-key",
+            Self::BodyTooLarge => "the body is too large for a call that runs at most once",
+            Self::BodyIncomplete => "the body of the request broke off",
+            Self::QueueFull => "the queue of the target is full",
+            Self::TenantShare => "the tenant holds its share of the target",
+            Self::Deadline => "the call cannot be answered by its deadline",
+            Self::Unreachable => "the target cannot be reached",
+            Self::StoreAway => "the store did not confirm the claim in time",
+            Self::KeyReused => "the idempotency key was used with another request",
+            Self::ClaimContended => "other claims on the same key are being made",
+            Self::TooManyClaims => "too many claims are in progress on this node",
+            Self::InvalidKey => "the idempotency key is not valid",
+            Self::InProgress => "a call with this idempotency key is in progress",
+            Self::UnknownEarlier => "an earlier call with this idempotency key may have run",
+            Self::AnswerNotKept => "the call ran, and its answer was too large to be kept",
+            Self::NoAnswer => "the call was sent and no answer came",
+            Self::AnswerTruncated => "the answer broke off",
+            Self::AnswerUnbounded => "the answer states no length, so that its end is not certain",
+            Self::Cancelled => "the caller cancelled the call",
+        }
+    }
+}
+
+impl From<RefusalReason> for StopReason {
+    fn from(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::QueueFull => Self::QueueFull,
+            RefusalReason::TenantShare => Self::TenantShare,
+            RefusalReason::Deadline => Self::Deadline,
+            RefusalReason::Draining => Self::Draining,
+        }
+    }
+}
+
+impl From<ClaimRefusal> for StopReason {
+    fn from(refusal: ClaimRefusal) -> Self {
+        match refusal {
+            ClaimRefusal::StoreAway => Self::StoreAway,
+            ClaimRefusal::KeyReused => Self::KeyReused,
+            ClaimRefusal::DeadlinePassed => Self::Deadline,
+            ClaimRefusal::Contended => Self::ClaimContended,
+            ClaimRefusal::TooManyClaims => Self::TooManyClaims,
+            ClaimRefusal::InvalidKey => Self::InvalidKey,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/request_body.rs
@@ -0,0 +1,59 @@
+//! Bodies of requests, kept as far as they are small.
+
+use axum::body::Body;
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, stream};
+use http_body_util::BodyExt;
+
+/// The body of a request.
+#[derive(Debug)]
+pub(super) enum RequestBody {
+    /// The whole body; it can be sent again.
+    Kept(Bytes),
+    /// The start of a body that is too large to be kept, and the rest as it arrives. Taken when it
+    /// is sent.
+    Streamed(Bytes, Option<Body>),
+}
+
+impl RequestBody {
+    /// Reads a body until it ends or `limit` bytes are exceeded.
+    pub(super) async fn read(mut body: Body, limit: usize) -> Result<Self, axum::Error> {
+        let mut head = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            // Trailers are not passed on.
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            head.extend_from_slice(&data);
+            if head.len() > limit {
+                return Ok(Self::Streamed(head.freeze(), Some(body)));
+            }
+        }
+        Ok(Self::Kept(head.freeze()))
+    }
+
+    /// Whether the whole body is kept.
+    pub(super) fn is_kept(&self) -> bool {
+        matches!(self, Self::Kept(_))
+    }
+
+    /// The part that is kept.
+    pub(super) fn head(&self) -> &[u8] {
+        match self {
+            Self::Kept(whole) => whole,
+            Self::Streamed(head, _) => head,
+        }
+    }
+
+    /// The body for one attempt; `None` if it was streamed before.
+    pub(super) fn for_attempt(&mut self) -> Option<Body> {
+        match self {
+            Self::Kept(whole) => Some(Body::from(whole.clone())),
+            Self::Streamed(head, rest) => {
+                let head = stream::iter([Ok(std::mem::take(head))]);
+                let rest = rest.take()?.into_data_stream();
+                Some(Body::from_stream(head.chain(rest)))
+            }
+        }
+    }
+}
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -1,61 +1,209 @@
 //! The target's side: takes calls of other nodes and sends them to the local target.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use agatedeck_calls::{CallOutcome, Fingerprint};
+use agatedeck_clock::Instant;
 use axum::Router;
+use axum::body::Body;
 use axum::extract::{Request, State};
-use axum::http::StatusCode;
+use axum::http::uri::{Authority, PathAndQuery, Scheme};
+use axum::http::{HeaderMap, Uri, header, uri};
 use axum::response::Response;
-use reqwest::Client;
-use tokio::time::Instant;
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use kameo::actor::ActorRef;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
-use super::forward::{ForwardError, forward};
-use super::headers::{DEADLINE, OUTCOME, ToldOutcome, refusal};
+use super::answer_body::{AnswerBody, AnswerWatch};
+use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
+use super::headers::{
+    DEADLINE, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, outcome_value, refusal, stated_timeout,
+    strip_hop_headers, text,
+};
+use super::http_client::{CallClient, connection_held};
+use super::latency_keeper::{CountEvent, LatencyKeeper};
+use super::reason::StopReason;
+use super::slot_keeper::{RunEnd, SlotGate, SlotLease};
+use crate::context::NodeContext;
 
 /// Time for a call from a node that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the handler works with.
-#[derive(Clone)]
-pub(crate) struct TargetState {
-    pub(crate) client: Client,
-    pub(crate) target: Option<SocketAddr>,
+pub(super) struct TargetDesk {
+    pub(super) context: NodeContext,
+    pub(super) client: CallClient,
+    /// The local target and the way to its slots, if there is one.
+    pub(super) target: Option<(Authority, SlotGate)>,
+    pub(super) crash_keeper: ActorRef<CrashKeeper>,
+    pub(super) latency: ActorRef<LatencyKeeper>,
+    pub(super) crashes: watch::Receiver<Arc<CrashView>>,
+    /// Calls that have not ended.
+    pub(super) open: TaskTracker,
 }
 
 /// Takes every call.
-pub(crate) fn target_router(state: TargetState) -> Router {
-    Router::new().fallback(take_call).with_state(state)
+pub(super) fn target_router(desk: Arc<TargetDesk>) -> Router {
+    Router::new().fallback(take_call).with_state(desk)
 }
 
-async fn take_call(State(state): State<TargetState>, request: Request) -> Response {
-    let (parts, body) = request.into_parts();
-    let Some(target) = state.target else {
-        let reason = "this node has no target";
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, ToldOutcome::NotRun, reason);
+async fn take_call(State(desk): State<Arc<TargetDesk>>, request: Request) -> Response {
+    let open = desk.open.token();
+    let Some((authority, gate)) = &desk.target else {
+        return refuse(&desk, StopReason::NoTarget);
     };
-    let stated = parts
-        .headers
-        .get(DEADLINE)
-        .and_then(|value| value.to_str().ok());
-    let stated = stated
-        .and_then(|text| text.parse().ok())
-        .map(Duration::from_millis);
-    let deadline = Instant::now() + stated.unwrap_or(DEFAULT_TIMEOUT);
-    match forward(&state.client, target, &parts, body, deadline).await {
-        Ok(mut response) => {
-            response
-                .headers_mut()
-                .insert(OUTCOME, ToldOutcome::Answered.header());
-            response
+    let clock = desk.context.clock;
+    let headers = request.headers();
+    let timeout = stated_timeout(headers).unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = timeout.min(desk.context.settings.calls.max_timeout);
+    let deadline = clock.now().after(timeout);
+    let fingerprint = stated_fingerprint(headers);
+    if desk.crashes.borrow().refuses(fingerprint, clock.now()) {
+        return refuse(&desk, StopReason::CrashedTargets);
+    }
+    let tenant = text(headers, &TENANT).unwrap_or_default();
+    let lease = match gate.admit(tenant, deadline, fingerprint).await {
+        Ok(lease) => lease,
+        Err(reason) => return refuse(&desk, reason),
+    };
+    let Some(request) = to_target(request, authority, deadline.since(clock.now())) else {
+        return refuse(&desk, StopReason::Unreachable);
+    };
+    let watch = RunWatch {
+        desk: Arc::clone(&desk),
+        lease: Some(lease),
+        fingerprint,
+        _open: open,
+    };
+    run(request, watch, deadline).await
+}
+
+/// Sends a call that has a slot to the target.
+async fn run(request: Request, mut watch: RunWatch, deadline: Instant) -> Response {
+    let desk = Arc::clone(&watch.desk);
+    let until = desk.context.clock.runtime_instant(deadline);
+    let load = watch.lease.as_ref().map_or(0.0, |lease| lease.load);
+    let answer = match timeout_at(until, desk.client.request(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) if error.is_connect() => {
+            watch.end(RunEnd::NotSent);
+            return refuse(&desk, StopReason::Unreachable);
+        }
+        Ok(Err(error)) => {
+            watch.end(if connection_held(&error) {
+                RunEnd::Stopped
+            } else {
+                RunEnd::ConnectionLost
+            });
+            return refusal(CallOutcome::Unknown, StopReason::NoAnswer);
+        }
+        // Dropping the request closes its connection, which cancels the call at the target.
+        Err(_) => {
+            watch.end(RunEnd::Stopped);
+            return refusal(CallOutcome::Unknown, StopReason::Deadline);
         }
-        Err(ForwardError::NotSent) => {
-            let reason = "the target cannot be reached";
-            refusal(StatusCode::SERVICE_UNAVAILABLE, ToldOutcome::NotRun, reason)
+    };
+    let (mut parts, body) = answer.into_parts();
+    if !ends_for_certain(&parts.headers, &body) {
+        watch.end(RunEnd::Stopped);
+        return refusal(CallOutcome::Unknown, StopReason::AnswerUnbounded);
+    }
+    let headers = &mut parts.headers;
+    strip_hop_headers(headers);
+    headers.remove(REASON);
+    headers.insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    headers.insert(LOAD, thousandths(load).into());
+    if body.is_end_stream() {
+        watch.ended();
+        return Response::from_parts(parts, Body::empty());
+    }
+    let body = AnswerBody::new(Bytes::new(), body, until, watch);
+    Response::from_parts(parts, Body::new(body))
+}
+
+/// Whether the end of the answer can be told from a lost connection: it states its length, or it is
+/// sent in chunks.
+fn ends_for_certain(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to 0 to 1000"
+)]
+fn thousandths(load: f64) -> u16 {
+    (load.clamp(0.0, 1.0) * 1000.0) as u16
+}
+
+/// The request as the target receives it.
+fn to_target(request: Request, authority: &Authority, remaining: Duration) -> Option<Request> {
+    let (mut parts, body) = request.into_parts();
+    let mut target = uri::Parts::default();
+    target.scheme = Some(Scheme::HTTP);
+    target.authority = Some(authority.clone());
+    let path = parts.uri.path_and_query().cloned();
+    target.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+    parts.uri = Uri::from_parts(target).ok()?;
+    strip_hop_headers(&mut parts.headers);
+    parts.headers.remove(FINGERPRINT);
+    let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    parts.headers.insert(DEADLINE, remaining.max(1).into());
+    Some(Request::from_parts(parts, body))
+}
+
+/// The fingerprint that the caller's node states. Requests without one share a fingerprint of zeros.
+fn stated_fingerprint(headers: &HeaderMap) -> Fingerprint {
+    let stated = text(headers, &FINGERPRINT).and_then(|text| blake3::Hash::from_hex(text).ok());
+    let bytes = stated.map_or([0; 32], |hash| *hash.as_bytes());
+    Fingerprint::from_slice(&bytes).unwrap_or_else(|| unreachable!("a hash has 32 bytes"))
+}
+
+/// Answers a call of which nothing was sent to the target.
+fn refuse(desk: &TargetDesk, reason: StopReason) -> Response {
+    let count = CountEvent::TargetRefused(reason);
+    // The keeper is gone only when the node is stopping.
+    let _ = desk.latency.tell(count).try_send();
+    refusal(CallOutcome::NotRun, reason)
+}
+
+/// Holds the slot of a call until its answer has ended. Dropped before, the caller's node has gone,
+/// and the connection to the target is closed with the answer.
+struct RunWatch {
+    desk: Arc<TargetDesk>,
+    lease: Option<SlotLease>,
+    fingerprint: Fingerprint,
+    /// Counts the call as open until the watch is dropped.
+    _open: TaskTrackerToken,
+}
+
+impl RunWatch {
+    fn end(&mut self, end: RunEnd) {
+        if let Some(lease) = self.lease.take() {
+            lease.end(end);
         }
-        Err(ForwardError::Unanswered) => {
-            let reason = "the target was sent the call and gave no answer";
-            refusal(StatusCode::GATEWAY_TIMEOUT, ToldOutcome::Unknown, reason)
+    }
+}
+
+impl AnswerWatch for RunWatch {
+    fn ended(&mut self) {
+        self.end(RunEnd::Answered);
+        if self.desk.crashes.borrow().watching {
+            let complete = CompleteRequest(self.fingerprint);
+            let _ = self.desk.crash_keeper.tell(complete).try_send();
         }
     }
+
+    fn broken(&mut self, _: &hyper::Error) {
+        self.end(RunEnd::ConnectionLost);
+    }
+
+    fn expired(&mut self) {
+        self.end(RunEnd::Stopped);
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,10 +18,11 @@
 mod spread;
 mod store;
 
+pub use calls::CallSystemError;
 pub use logging::{LogError, start_logging};
 pub use peer::link_chart;
 pub use runtime::{Node, NodeAddresses, NodeError};
 pub use settings::{
-    EmulationSettings, ListenSettings, LogLevel, NodeSettings, SpreadChoice, StoreSettings,
-    TargetSettings,
+    CallSettings, EmulationSettings, ListenSettings, LogLevel, NodeSettings, SpreadChoice,
+    StoreSettings, TargetSettings,
 };
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::admin::survey;
+use crate::calls::{CrashKeeper, MergeCrashes};
 use crate::config::{ConfigKeeper, OfferVersion, PullVersions, RecordFloor};
 use crate::context::NodeContext;
 use crate::member::{
@@ -29,6 +30,7 @@
     pub(crate) config: ActorRef<ConfigKeeper>,
     pub(crate) members: ActorRef<MemberKeeper>,
     pub(crate) relay: ActorRef<SpreadRelay>,
+    pub(crate) crashes: ActorRef<CrashKeeper>,
 }
 
 /// Accepts connections until the task is aborted. Each connection is owned by a task of its own.
@@ -140,6 +142,9 @@
         };
         let start = StartSpread::from_message(rumor.salt, rumor.scope(), rumor.position, payload);
         let _ = self.members.tell(MergeMembers(rumor.members)).await;
+        if !rumor.crashes.is_empty() {
+            let _ = self.crashes.tell(MergeCrashes(rumor.crashes)).await;
+        }
         let _ = self.relay.tell(start).await;
         RumorAnswer {
             version: self.context.served().snapshot.version(),
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -11,15 +11,16 @@
 use agatedeck_records::NEWEST_SCHEMA;
 use agatedeck_wire::{Member, MemberStatus};
 use axum::Router;
+use axum::serve::ListenerExt;
 use derive_more::{Display, Error, From};
 use kameo::actor::{ActorRef, Spawn};
-use reqwest::Client;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::admin::{AdminState, admin_router};
-use crate::calls::{GatewayState, TargetState, gateway_router, target_router};
+use crate::calls::{CallDrain, CallSystem, CallSystemError};
 use crate::clock::{ProcessClock, unix_ms};
 use crate::config::ConfigKeeper;
 use crate::context::{NodeContext, ServedConfig};
@@ -52,9 +53,9 @@
     /// The client of the store cannot be set up.
     #[display("the client of the store cannot be set up: {_0}")]
     Store(StoreError),
-    /// The HTTP client for calls cannot be set up.
-    #[display("the HTTP client cannot be set up: {_0}")]
-    Client(reqwest::Error),
+    /// The actors of calls cannot be set up.
+    #[display("calls cannot be set up: {_0}")]
+    Calls(CallSystemError),
 }
 
 /// Addresses at which a node listens.
@@ -75,6 +76,8 @@
 pub struct Node {
     addresses: NodeAddresses,
     members: ActorRef<MemberKeeper>,
+    drain: CallDrain,
+    drain_limit: Duration,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -158,6 +161,12 @@
 }
 
 fn serve(listener: TcpListener, router: Router) -> JoinHandle<()> {
+    let listener = listener.tap_io(|stream| {
+        // Without it, the last packet of a small answer waits for an acknowledgement of up to 40 ms.
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("a connection was lost at once: {error}");
+        }
+    });
     tokio::spawn(async move {
         if let Err(error) = axum::serve(listener, router).await {
             log::error!("a listener failed: {error}");
@@ -209,37 +218,30 @@
             config: config.clone(),
             relay: relay.clone(),
         });
-        let client = Client::builder().no_proxy().build()?;
-        let target = context
-            .settings
-            .target
-            .as_ref()
-            .map(|target| target.address);
+        let calls = CallSystem::start(&context, relay.clone())?;
         let server = ControlServer {
             context: context.clone(),
             config: config.clone(),
             members: members.clone(),
             relay: relay.clone(),
+            crashes: calls.crash_keeper.clone(),
         };
         let admin = AdminState {
             context: context.clone(),
             config: config.clone(),
             acceptor,
             meters,
-        };
-        let gateway = GatewayState {
-            context: context.clone(),
-            client: client.clone(),
+            latency: calls.latency.clone(),
+            crashes: calls.crash_keeper.clone(),
         };
         let mut tasks = vec![
             tokio::spawn(serve_control(listeners.control, server)),
             serve(listeners.admin, admin_router(admin)),
-            serve(listeners.calls, gateway_router(gateway)),
-            serve(
-                listeners.peer,
-                target_router(TargetState { client, target }),
-            ),
+            serve(listeners.calls, calls.gateway),
+            serve(listeners.peer, calls.target_side),
         ];
+        tasks.extend(calls.tasks);
+        let drain_limit = context.settings.calls.drain_limit;
         let reader = StoreReader {
             context: context.clone(),
             config,
@@ -257,6 +259,8 @@
         Ok(Self {
             addresses,
             members,
+            drain: calls.drain,
+            drain_limit,
             tasks,
         })
     }
@@ -266,9 +270,15 @@
         self.addresses
     }
 
-    /// Leaves the mesh and stops.
+    /// Announces that the node drains, refuses new calls, waits for the calls that are queued or
+    /// running, then leaves the mesh and stops.
     pub async fn shutdown(self) {
+        let deadline = Instant::now() + self.drain_limit;
         // The keeper runs until it is dropped below.
+        let _ = self.members.ask(Leave(MemberStatus::Draining)).await;
+        if !self.drain.finish(deadline).await {
+            log::warn!("calls are cut off, because they did not end within the drain limit");
+        }
         let _ = self.members.ask(Leave(MemberStatus::Left)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
         for task in &self.tasks {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,8 @@
 
 const MILLISECONDS: RangeInclusive<u64> = 1..=600_000;
 const MICROSECONDS: RangeInclusive<u64> = 0..=1_000_000;
+const KEPT_BYTES: RangeInclusive<u64> = 0..=16 * 1024 * 1024;
+const CONNECTIONS: RangeInclusive<u64> = 4..=10_000;
 
 /// Settings of a node.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +26,8 @@
     pub store: StoreSettings,
     /// The target beside the node, if any.
     pub target: Option<TargetSettings>,
+    /// Limits of calls.
+    pub calls: CallSettings,
     /// Control addresses of other nodes to join by while the store is away.
     pub seeds: Vec<SocketAddr>,
     /// How versions spread.
@@ -94,6 +98,54 @@
     pub address: SocketAddr,
 }
 
+/// Limits of calls, from the table `calls`.
+#[derive(Clone, Debug)]
+pub struct CallSettings {
+    /// Key `kept_request_bytes`: largest body of a request that is kept so that it can be sent
+    /// again, in bytes; 65536 by default. A larger body is streamed and sent once.
+    pub kept_request_bytes: usize,
+    /// Key `claimed_request_bytes`: largest body of a call that runs at most once, in bytes;
+    /// 1048576 by default. It is kept in memory, because the claim names its digest.
+    pub claimed_request_bytes: usize,
+    /// Key `kept_answer_bytes`: largest answer that is read to its end before the caller receives
+    /// any of it, in bytes; 65536 by default. Only such an answer can be replaced by that of
+    /// another attempt when it breaks off.
+    pub kept_answer_bytes: usize,
+    /// Key `connect_timeout_ms`: time allowed for opening a connection, in milliseconds; 250 by
+    /// default, several round trips between regions.
+    pub connect_timeout: Duration,
+    /// Key `max_timeout_ms`: longest remaining time that a caller may state, in milliseconds;
+    /// 600000 by default.
+    pub max_timeout: Duration,
+    /// Key `probe_interval_ms`: time between two probes of the local target, in milliseconds; 2000
+    /// by default. A probe may cost the target 6 ms.
+    pub probe_interval: Duration,
+    /// Key `drain_limit_ms`: time allowed for calls that are queued or running when the node is
+    /// stopped, in milliseconds; 30000 by default.
+    pub drain_limit: Duration,
+    /// Key `target_connections`: connections that the local target accepts; 130 by default. At most
+    /// half of them carry calls.
+    pub target_connections: u32,
+    /// Key `idle_connections`: idle connections kept to each other node; 32 by default.
+    pub idle_connections: usize,
+}
+
+impl Default for CallSettings {
+    fn default() -> Self {
+        Self {
+            kept_request_bytes: 64 * 1024,
+            claimed_request_bytes: 1024 * 1024,
+            kept_answer_bytes: 64 * 1024,
+            connect_timeout: Duration::from_millis(250),
+            max_timeout: Duration::from_mins(10),
+            probe_interval: Duration::from_secs(2),
+            drain_limit: Duration::from_secs(30),
+            target_connections: 130,
+            idle_connections: 32,
+        }
+    }
+}
+
 /// How versions spread.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum SpreadChoice {
@@ -138,6 +190,9 @@
             root.missing("store");
         }
         settings.target = root.table("target").and_then(read_target);
+        if let Some(table) = root.table("calls") {
+            settings.calls.read(table);
+        }
         if let Some(table) = root.table("spread") {
             settings.read_spread(table);
         }
@@ -226,6 +281,35 @@
     }
 }
 
+impl CallSettings {
+    fn read(&mut self, mut table: TableReader<'_>) {
+        let mut bytes = |key: &str, place: &mut usize| {
+            if let Some(bytes) = table.integer(key, KEPT_BYTES) {
+                *place = usize::try_from(bytes).unwrap_or(usize::MAX);
+            }
+        };
+        bytes("kept_request_bytes", &mut self.kept_request_bytes);
+        bytes("claimed_request_bytes", &mut self.claimed_request_bytes);
+        bytes("kept_answer_bytes", &mut self.kept_answer_bytes);
+        let mut time = |key: &str, place: &mut Duration| {
+            if let Some(millis) = table.integer(key, MILLISECONDS) {
+                *place = Duration::from_millis(millis);
+            }
+        };
+        time("connect_timeout_ms", &mut self.connect_timeout);
+        time("max_timeout_ms", &mut self.max_timeout);
+        time("probe_interval_ms", &mut self.probe_interval);
+        time("drain_limit_ms", &mut self.drain_limit);
+        if let Some(count) = table.integer("target_connections", CONNECTIONS) {
+            self.target_connections = u32::try_from(count).unwrap_or(u32::MAX);
+        }
+        if let Some(count) = table.integer("idle_connections", CONNECTIONS) {
+            self.idle_connections = usize::try_from(count).unwrap_or(usize::MAX);
+        }
+        table.finish();
+    }
+}
+
 impl EmulationSettings {
     fn read(&mut self, mut table: TableReader<'_>) {
         let mut delay =
