--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -9,9 +9,9 @@
 use std::collections::{BTreeMap, HashMap};
 
 use agatedeck_calls::{
-    AdmissionEffect, AdmissionQueue, AdmissionSettings, AttemptEvent, BoardSettings, CallContext,
-    CallEffect, CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, RetryBudget,
-    RetrySettings, TargetBoard, TargetStatus, TwoChoices,
+    AdmissionEffect, AdmissionQueue, AdmissionSettings, AttemptEvent, BoardSettings, CallEffect,
+    CallEvent, CallLife, CallOutcome, CallState, CallTerms, CallTicket, RetryBudget, RetrySettings,
+    TargetBoard, TargetStatus, TwoChoices, decide_retry,
 };
 use agatedeck_clock::Instant;
 use proptest::prelude::*;
@@ -219,6 +219,7 @@
         let deadline = Instant::from_micros(self.now.as_micros() + deadline_ms * 1_000);
         let terms = CallTerms {
             idempotent,
+            claimed: !idempotent,
             replayable: true,
             depth: 0,
             deadline,
@@ -239,13 +240,10 @@
     }
 
     fn raise(&mut self, index: usize, event: CallEvent) {
-        let mut context = CallContext {
-            now: self.now,
-            settings: &self.settings,
-            budget: &mut self.budget,
-            rng: &mut self.rng,
-        };
-        for effect in self.calls[index].life.handle(event, &mut context) {
+        if event == CallEvent::Started {
+            self.budget.note_call();
+        }
+        for effect in self.calls[index].life.handle(event, self.now) {
             self.carry_out(index, effect);
         }
     }
@@ -300,6 +298,11 @@
                 assert_eq!(call.passed.replace(attempt), None, "two answers passed on");
             }
             CallEffect::CutAnswer => assert!(call.passed.is_some()),
+            CallEffect::AskRetry(question) => {
+                let (settings, budget) = (&self.settings, &mut self.budget);
+                let decision = decide_retry(&question, settings, budget, now, &mut self.rng);
+                self.raise(index, CallEvent::RetryDecided(decision));
+            }
             CallEffect::WakeAt(at) => call.wake_at = Some(at),
             CallEffect::SettleClaim(outcome) => {
                 // A claim whose write is still on its way is released when it arrives.
--- a/crates/calls/tests/failing_targets.rs
+++ b/crates/calls/tests/failing_targets.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use agatedeck_calls::{
-    AttemptEvent, BoardSettings, CallContext, CallEffect, CallEvent, CallLife, CallOutcome,
-    CallTerms, RetryBudget, RetrySettings, TargetBoard, TwoChoices,
+    AttemptEvent, BoardSettings, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms,
+    RetryBudget, RetrySettings, TargetBoard, TwoChoices, decide_retry,
 };
 use agatedeck_clock::Instant;
 use rand::SeedableRng;
@@ -49,6 +49,7 @@
         let at = call as u64 * 1_000;
         lives.push(CallLife::new(CallTerms {
             idempotent: true,
+            claimed: false,
             replayable: true,
             depth: 0,
             deadline: Instant::from_micros(at + 100_000),
@@ -64,13 +65,10 @@
         let now = Instant::from_micros(at);
         let mut pending = vec![event];
         while let Some(event) = pending.pop() {
-            let mut context = CallContext {
-                now,
-                settings: &settings,
-                budget: &mut budget,
-                rng: &mut rng,
-            };
-            for effect in lives[call].handle(event, &mut context) {
+            if event == CallEvent::Started {
+                budget.note_call();
+            }
+            for effect in lives[call].handle(event, now) {
                 let mut later = |delay: u64, event| {
                     serial += 1;
                     events.insert((at + delay, serial), (call, event));
@@ -99,6 +97,11 @@
                         picked_at,
                         result,
                     } => board.finish(key, picked_at, result, now),
+                    CallEffect::AskRetry(question) => {
+                        let decision =
+                            decide_retry(&question, &settings, &mut budget, now, &mut rng);
+                        pending.push(CallEvent::RetryDecided(decision));
+                    }
                     CallEffect::WakeAt(wake_at) => {
                         later(wake_at.as_micros() - at, CallEvent::BackoffEnded);
                     }
