Tell a version without witnesses apart from a witnessed one

Cause: the keeper reported every version as witnessed once its requests had ended, also when none was answered, so the witness-deadline event of the chart was never raised. One record is enough to go on; without any the version comes in force by the deadline event, as before.

--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -296,6 +296,11 @@
         self.advance_to(version, StageEvent::Witnessed)
     }
 
+    /// Notes that the witnesses of `version` cannot record it, before their deadline has passed.
+    pub fn witnesses_failed(&mut self, version: u64) -> Vec<VersionEffect> {
+        self.advance_to(version, StageEvent::WitnessDeadline)
+    }
+
     /// Puts candidates in force whose witnesses did not answer in time.
     pub fn tick(&mut self, now: Instant) -> Vec<VersionEffect> {
         let late = self
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -111,13 +111,17 @@
                     context.transport.send(witness, request, runtime_deadline)
                 })
                 .collect();
+            let mut recorded = 0;
             while let Some(answer) = answers.next().await {
-                if let Err(error) = answer {
-                    log::debug!("a witness did not record version {version}: {error}");
+                match answer {
+                    Ok(_) => recorded += 1,
+                    Err(error) => {
+                        log::debug!("a witness did not record version {version}: {error}");
+                    }
                 }
             }
-            // Sent also when a witness failed: its share of the deadline is used up by then.
-            let _ = keeper.tell(WitnessesAsked { version }).await;
+            // The keeper is gone only when the node is stopping.
+            let _ = keeper.tell(WitnessesAsked { version, recorded }).await;
         });
     }
 
@@ -239,13 +243,18 @@
 
 struct WitnessesAsked {
     version: u64,
+    recorded: usize,
 }
 
 impl Message<WitnessesAsked> for ConfigKeeper {
     type Reply = ();
 
     async fn handle(&mut self, asked: WitnessesAsked, context: &mut Context<Self, ()>) {
-        let effects = self.holder.witnessed(asked.version);
+        let effects = if asked.recorded > 0 {
+            self.holder.witnessed(asked.version)
+        } else {
+            self.holder.witnesses_failed(asked.version)
+        };
         self.carry_out(effects, context.actor_ref());
     }
 }
