Send the replacements of a lost message at the same time

Cause: a parent sent the messages for the children of a dead node one after the other, each with up to 200 ms to wait; with several dead nodes in one subtree, as after the loss of a rack, the waits added up to seconds. Not measured yet; the property tests of the tree cover who is reached, not when.

--- a/crates/node/src/spread/relay.rs
+++ b/crates/node/src/spread/relay.rs
@@ -5,6 +5,8 @@
 
 use agatedeck_control::{SpreadDelivery, SpreadOrder, SpreadReach};
 use agatedeck_wire::{ControlPlaneRequest, CrashReport, Member, Offer, Rumor, SpreadScope};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::time::Instant;
@@ -137,23 +139,39 @@
     }
 }
 
-/// Sends one message, and its replacements if it is not acknowledged.
+/// Sends one message, and its replacements if it is not acknowledged. Replacements are sent at the
+/// same time: after the loss of a rack, most of them have a deadline to wait for.
 async fn deliver(context: &NodeContext, salt: u64, payload: &SpreadPayload, first: SpreadDelivery) {
-    let mut open = vec![first];
-    while let Some(delivery) = open.pop() {
-        let Some(peer) = PeerAddress::of_delivery(&delivery) else {
-            continue;
-        };
-        let request = payload.request(salt, delivery.reach);
-        let deadline = Instant::now() + DELIVERY_TIMEOUT;
-        if let Err(error) = context.transport.send(&peer, request, deadline).await {
-            log::debug!("node `{}` did not take a message: {error}", delivery.node);
+    let mut open = FuturesUnordered::from_iter([send_once(context, salt, payload, first)]);
+    while let Some(unacknowledged) = open.next().await {
+        if let Some(failed) = unacknowledged {
             let table = context.table();
+            let own = &context.own;
+            let replacements = context.policy.replacements(&table, own, salt, &failed);
             open.extend(
-                context
-                    .policy
-                    .replacements(&table, &context.own, salt, &delivery),
+                replacements
+                    .into_iter()
+                    .map(|delivery| send_once(context, salt, payload, delivery)),
             );
         }
     }
 }
+
+/// Sends one message; returns the delivery if it was not acknowledged.
+async fn send_once(
+    context: &NodeContext,
+    salt: u64,
+    payload: &SpreadPayload,
+    delivery: SpreadDelivery,
+) -> Option<SpreadDelivery> {
+    let peer = PeerAddress::of_delivery(&delivery)?;
+    let request = payload.request(salt, delivery.reach);
+    let deadline = Instant::now() + DELIVERY_TIMEOUT;
+    let error = context
+        .transport
+        .send(&peer, request, deadline)
+        .await
+        .err()?;
+    log::debug!("node `{}` did not take a message: {error}", delivery.node);
+    Some(delivery)
+}
