Test joins during store outages while one host is ahead

Cause: with all hosts at one version, the fault test could not tell a floor that was taken from the first answer from the right one, and a message about an older incarnation was only met by chance.

Change: versions may reach a single host, which is then restarted while the store is unavailable; 48 cases instead of 16; a table of older updates.

--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -87,6 +87,8 @@
 struct Host {
     process: Option<Process>,
     frozen: bool,
+    /// Newest version that reached this host.
+    offered: u64,
     record: HostRecord,
     /// Highest incarnation and status seen in this process's table for each node.
     seen: BTreeMap<String, (u64, i32)>,
@@ -140,6 +142,7 @@
         let host = || Host {
             process: None,
             frozen: false,
+            offered: 0,
             record: HostRecord::default(),
             seen: BTreeMap::new(),
         };
@@ -219,9 +222,14 @@
         }
     }
 
-    pub(crate) fn publish(&mut self) {
+    /// Publishes a version that only `host` is offered, or all hosts if that is `None`.
+    pub(crate) fn publish(&mut self, host: Option<usize>) {
         if self.store_up {
             self.head += 1;
+            let all = 0..self.hosts.len();
+            for host in all.filter(|other| host.is_none_or(|host| host == *other)) {
+                self.hosts[host].offered = self.head;
+            }
         }
     }
 
@@ -279,7 +287,7 @@
 
     /// One step of a process's own work.
     fn run(&mut self, host: usize) {
-        let (now, head) = (self.now, self.head);
+        let (now, offered) = (self.now, self.hosts[host].offered);
         if self.hosts[host].frozen {
             return;
         }
@@ -292,8 +300,8 @@
         }
         let join_effects = process.join.tick(now, &mut self.rng);
         let serving = process.join.state() == JoinState::Serving;
-        if serving && self.store_up && process.fetched < head {
-            process.fetched = head;
+        if serving && self.store_up {
+            process.fetched = process.fetched.max(offered);
         }
         for member in process.detector.table().members() {
             process.ledger.observe(member);
--- a/crates/control/tests/limits.rs
+++ b/crates/control/tests/limits.rs
@@ -3,11 +3,12 @@
 use agatedeck_clock::Instant;
 use agatedeck_control::{
     FailureDetector, FloorLedger, GateSettings, JoinEffect, JoinGate, JoinProcess, JoinSettings,
-    MemberEffect, MemberSettings, MemberTable,
+    MemberEffect, MemberSettings, MemberTable, MergeOutcome,
 };
 use agatedeck_wire::{Join, Member, MemberStatus};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use yare::parameterized;
 
 fn member(node: &str) -> Member {
     Member {
@@ -84,3 +85,26 @@
     let announced = |effect: &MemberEffect| matches!(effect, MemberEffect::Announce(_));
     assert!(!effects.iter().any(announced), "{effects:?}");
 }
+
+/// Guards against a late message about an earlier process of a host that ends the present one.
+#[parameterized(
+    suspect = { MemberStatus::Suspect },
+    left = { MemberStatus::Left },
+    dead = { MemberStatus::Dead },
+)]
+fn update_of_an_older_incarnation_changes_nothing(status: MemberStatus) {
+    let mut table = MemberTable::default();
+    let present = Member {
+        incarnation: 5,
+        ..member("a")
+    };
+    let stale = Member {
+        incarnation: 4,
+        status: status.into(),
+        ..member("a")
+    };
+    table.merge(&present, Instant::default());
+    let digest = table.digest();
+    assert_eq!(table.merge(&stale, Instant::default()), MergeOutcome::Stale);
+    assert_eq!((table.get("a"), table.digest()), (Some(&present), digest));
+}
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -36,7 +36,9 @@
     Store {
         up: bool,
     },
-    Publish,
+    Publish(Option<usize>),
+    /// Restarts a host while the store is unavailable.
+    RestartInOutage(usize),
 }
 
 /// Which hosts run; the faults allowed next depend on it.
@@ -78,7 +80,9 @@
             1 => host().prop_map(Transition::Drain),
             1 => host().prop_map(Transition::Leave),
             2 => any::<bool>().prop_map(|up| Transition::Store { up }),
-            3 => Just(Transition::Publish),
+            1 => Just(Transition::Publish(None)),
+            6 => host().prop_map(|host| Transition::Publish(Some(host))),
+            4 => host().prop_map(Transition::RestartInOutage),
         ]
         .boxed()
     }
@@ -103,7 +107,7 @@
                 state.up[*host] = false;
                 state.frozen[*host] = false;
             }
-            Transition::Restart { host, .. } => {
+            Transition::Restart { host, .. } | Transition::RestartInOutage(host) => {
                 state.up[*host] = true;
                 state.frozen[*host] = false;
             }
@@ -148,7 +152,13 @@
             Transition::Drain(host) => fleet.drain(host),
             Transition::Leave(host) => fleet.leave(host),
             Transition::Store { up } => fleet.store_up = up,
-            Transition::Publish => fleet.publish(),
+            Transition::Publish(host) => fleet.publish(host),
+            Transition::RestartInOutage(host) => {
+                fleet.store_up = false;
+                fleet.start(host, false);
+                fleet.advance(3_000);
+                fleet.store_up = true;
+            }
         }
         fleet.check();
         fleet
@@ -177,7 +187,7 @@
 }
 
 fn config() -> ProptestConfig {
-    let cases = from_env("AGATEDECK_PROPTEST_CASES", 16);
+    let cases = from_env("AGATEDECK_PROPTEST_CASES", 48);
     ProptestConfig {
         cases: u32::try_from(cases).expect("AGATEDECK_PROPTEST_CASES fits 32 bits"),
         rng_seed: RngSeed::Fixed(from_env("AGATEDECK_PROPTEST_SEED", 20_251)),
