Fetch again when the floor rises above what was fetched

Cause: a late answer of the store or a peer may raise the floor during a fetch. The version fetched was then below the floor and nothing asked for another, so the node stayed in `fetching`. A trial fault in the floor rule showed it.

Ruled out: ignoring late answers, since the floor would then be too low.

Change: a version below the floor counts as a failed fetch. The fault test restarts a host right after it alone put a version in force; floors that are taken from the first answer, forgotten or overwritten now fail it. Direct tests cover an earlier entry of a host whose wall clock went back.

--- a/crates/control/src/join/process.rs
+++ b/crates/control/src/join/process.rs
@@ -264,18 +264,19 @@
         self.conclude(now, rng)
     }
 
-    /// Notes the version that this node holds and would put in force.
+    /// Notes the version that this node holds and would put in force. One below the floor counts as
+    /// a failed fetch, since a late answer may have raised the floor after the fetch began.
     pub fn on_version(
         &mut self,
         version: u64,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Vec<JoinEffect> {
-        if self.floor.is_some_and(|floor| version >= floor) {
-            self.advance(JoinEvent::CaughtUp, now, rng)
-        } else {
-            Vec::new()
-        }
+        let event = match self.floor {
+            Some(floor) if version >= floor => JoinEvent::CaughtUp,
+            _ => JoinEvent::FetchFailed,
+        };
+        self.advance(event, now, rng)
     }
 
     /// Notes that a fetch brought nothing at or above the floor.
--- a/crates/control/tests/limits.rs
+++ b/crates/control/tests/limits.rs
@@ -108,3 +108,46 @@
     assert_eq!(table.merge(&stale, Instant::default()), MergeOutcome::Stale);
     assert_eq!((table.get("a"), table.digest()), (Some(&present), digest));
 }
+
+/// Guards against a host whose wall clock went back and whose new process stays hidden behind the
+/// entry of the earlier one, while it runs and after it left.
+#[parameterized(
+    running = { false },
+    after_leaving = { true },
+)]
+fn process_whose_clock_went_back_passes_its_earlier_entry(leave_first: bool) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Instant::default();
+    let settings = MemberSettings::default();
+    let mut detector = FailureDetector::new(&member("a"), &settings, now, &mut rng);
+    let earlier = Member {
+        incarnation: 5,
+        ..member("a")
+    };
+    if leave_first {
+        detector.leave(now);
+        detector.merge(&[earlier], now);
+    } else {
+        detector.adopt(&[earlier], now);
+    }
+    let status = detector.own().status();
+    assert_eq!(status == MemberStatus::Left, leave_first);
+    assert_eq!(detector.own().incarnation, 6);
+    assert_eq!(detector.table().get("a"), Some(detector.own()));
+}
+
+/// Guards against a node that waits for ever when the store returns during a fetch from a peer and
+/// shows a higher floor than that fetch brings.
+#[test]
+fn version_below_a_raised_floor_is_fetched_again() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Instant::default();
+    let mut process = JoinProcess::new(&member("a"), &[], &JoinSettings::default());
+    process.start(now, &mut rng);
+    process.on_head(Some(4), now, &mut rng);
+    process.on_head(Some(5), now, &mut rng);
+    assert_eq!(process.on_version(4, now, &mut rng), []);
+    let fetches = process.tick(Instant::from_millis(1_000), &mut rng);
+    assert_eq!(fetches, [JoinEffect::Fetch { floor: 5 }]);
+    assert_eq!(process.on_version(5, now, &mut rng), [JoinEffect::Serve]);
+}
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -37,7 +37,7 @@
         up: bool,
     },
     Publish(Option<usize>),
-    /// Restarts a host while the store is unavailable.
+    /// Restarts a host while the store is unavailable and few nodes know what it holds.
     RestartInOutage(usize),
 }
 
@@ -154,6 +154,9 @@
             Transition::Store { up } => fleet.store_up = up,
             Transition::Publish(host) => fleet.publish(host),
             Transition::RestartInOutage(host) => {
+                fleet.store_up = true;
+                fleet.publish(Some(host));
+                fleet.advance(200);
                 fleet.store_up = false;
                 fleet.start(host, false);
                 fleet.advance(3_000);
