--- a/crates/calls/tests/claim_machine.rs
+++ b/crates/calls/tests/claim_machine.rs
@@ -396,8 +396,7 @@
             return;
         }
         attempt.stage = Stage::Started;
-        let late = attempt.deadline.is_past(self.now);
-        assert!(!late, "started after the deadline");
+        assert!(!attempt.deadline.is_past(self.now), "started late");
         if runs {
             let answer = ClaimAnswer {
                 status: 200 + u16::try_from(index).unwrap(),
@@ -436,11 +435,6 @@
         self.carry_out(node, effects);
     }
 
-    fn crash(&mut self, node: usize) {
-        self.nodes[node] = new_node(node, self.nodes[node].starts + 1);
-        self.unsettled.extend([0, 1]);
-    }
-
     fn thaw(&mut self, node: usize) {
         self.nodes[node].frozen = false;
         self.receive(node);
@@ -534,7 +528,10 @@
             Step::AdvanceMs(ms) => world.advance(ms),
             Step::Start(pick, runs) => world.start(pick, runs),
             Step::Finish(pick, known) => world.finish(pick, known),
-            Step::Crash(node) => world.crash(node),
+            Step::Crash(node) => {
+                world.nodes[node] = new_node(node, world.nodes[node].starts + 1);
+                world.unsettled.extend([0, 1]);
+            }
             Step::Freeze(node) => world.nodes[node].frozen = true,
             Step::Thaw(node) => world.thaw(node),
         }
--- a/crates/standin/tests/http_store.rs
+++ b/crates/standin/tests/http_store.rs
@@ -52,8 +52,11 @@
 }
 
 async fn value(store: &HttpStore, key: &str) -> Option<Vec<u8>> {
-    let row = store.read_row(key, soon()).await.unwrap();
-    row.map(|row| row.value)
+    store
+        .read_row(key, soon())
+        .await
+        .unwrap()
+        .map(|row| row.value)
 }
 
 /// Guards against a transaction that writes a part of its rows, a condition that is not checked,
