Measure convergence and control bytes on node processes

The bench binary starts itself again as nodes on loopback, in 3 regions with 2 failure domains each and the emulated delays. A node ends when its standard input closes, so that none outlives the run.

Log lines carry the Unix time in microseconds, and "in force" is logged after the version was published instead of before: the measurement relies on both. Asking every node over HTTP was ruled out, since the pause between two requests would exceed the times to be measured.

--- /dev/null
+++ b/crates/bench/src/arguments.rs
@@ -0,0 +1,151 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::str::FromStr;
+
+use lexopt::prelude::*;
+
+use crate::control_bytes::ControlBytesSettings;
+use crate::convergence::ConvergenceSettings;
+use crate::fleet::MAX_NODES;
+use crate::node_process::NodeRun;
+
+/// Worker threads of a node unless stated otherwise. Hosts are small.
+pub(crate) const DEFAULT_WORKERS: usize = 2;
+
+/// What is to be run.
+#[derive(Debug)]
+pub(crate) enum Invocation {
+    Print(String),
+    Node(NodeRun),
+    Convergence(ConvergenceSettings),
+    ControlBytes(ControlBytesSettings),
+}
+
+/// Reads the command line.
+///
+/// # Errors
+///
+/// Fails on an unknown subcommand or option and on a value that is not valid.
+pub(crate) fn parse_arguments(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let Some(argument) = parser.next()? else {
+        return Err("no subcommand is given".into());
+    };
+    match argument {
+        Value(name) => match name.to_str() {
+            Some("convergence") => parse_convergence(parser),
+            Some("control-bytes") => parse_control_bytes(parser),
+            Some("node") => parse_node(parser),
+            _ => Err(format!("unknown subcommand `{}`", name.to_string_lossy()).into()),
+        },
+        Long("help") | Short('h') => Ok(help(include_str!("../help/agatedeck-bench.txt"))),
+        other => Err(other.unexpected()),
+    }
+}
+
+fn help(text: &str) -> Invocation {
+    Invocation::Print(text.to_owned())
+}
+
+/// The parts of a list with commas between them.
+fn list<T: FromStr>(value: &OsString) -> Result<Vec<T>, lexopt::Error>
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let parts = value.to_str().ok_or("the list is not UTF-8")?.split(',');
+    let parts: Result<Vec<T>, T::Err> = parts.map(|part| part.trim().parse()).collect();
+    parts.map_err(|error| lexopt::Error::Custom(Box::new(error)))
+}
+
+fn sizes(value: &OsString) -> Result<Vec<usize>, lexopt::Error> {
+    let sizes: Vec<usize> = list(value)?;
+    match sizes.iter().find(|size| !(2..=MAX_NODES).contains(*size)) {
+        Some(size) => Err(format!("a fleet has from 2 to {MAX_NODES} nodes, not {size}").into()),
+        None => Ok(sizes),
+    }
+}
+
+fn policies(value: &OsString) -> Result<Vec<String>, lexopt::Error> {
+    let policies: Vec<String> = list(value)?;
+    let known = ["tree", "poll"];
+    match policies
+        .iter()
+        .find(|policy| !known.contains(&policy.as_str()))
+    {
+        Some(policy) => Err(format!("the policy is `tree` or `poll`, not `{policy}`").into()),
+        None => Ok(policies),
+    }
+}
+
+/// A number within `range`; the range keeps each run bounded in count and time.
+fn bounded<T>(value: &OsString, range: std::ops::RangeInclusive<T>) -> Result<T, lexopt::Error>
+where
+    T: FromStr + PartialOrd + std::fmt::Display,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let number: T = value.parse()?;
+    if range.contains(&number) {
+        Ok(number)
+    } else {
+        let (start, end) = (range.start(), range.end());
+        Err(format!("{number} is not from {start} to {end}").into())
+    }
+}
+
+fn parse_node(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let (mut config, mut workers) = (None, DEFAULT_WORKERS);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("config") => config = Some(parser.value()?.into()),
+            Long("workers") => workers = bounded(&parser.value()?, 1..=64)?,
+            other => return Err(other.unexpected()),
+        }
+    }
+    let config = config.ok_or("`--config FILE` is missing")?;
+    Ok(Invocation::Node(NodeRun { config, workers }))
+}
+
+fn parse_convergence(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut settings = ConvergenceSettings::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("sizes") => settings.sizes = sizes(&parser.value()?)?,
+            Long("policies") => settings.policies = policies(&parser.value()?)?,
+            Long("changes") => settings.changes = bounded(&parser.value()?, 1..=10_000)?,
+            Long("poll-changes") => {
+                settings.poll_changes = bounded(&parser.value()?, 1..=10_000)?;
+            }
+            Long("services") => settings.services = bounded(&parser.value()?, 1..=1_000)?,
+            Long("pause-ms") => settings.pause_ms = bounded(&parser.value()?, 0..=60_000)?,
+            Long("workers") => settings.workers = bounded(&parser.value()?, 1..=64)?,
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("help") | Short('h') => {
+                return Ok(help(include_str!("../help/convergence.txt")));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Invocation::Convergence(settings))
+}
+
+fn parse_control_bytes(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut settings = ControlBytesSettings::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("sizes") => settings.sizes = sizes(&parser.value()?)?,
+            Long("policies") => settings.policies = policies(&parser.value()?)?,
+            Long("changes") => settings.changes = bounded(&parser.value()?, 1..=10_000)?,
+            Long("services") => settings.services = bounded(&parser.value()?, 1..=1_000)?,
+            Long("pause-ms") => settings.pause_ms = bounded(&parser.value()?, 0..=60_000)?,
+            Long("idle-ms") => settings.idle_ms = bounded(&parser.value()?, 100..=600_000)?,
+            Long("settle-ms") => settings.settle_ms = bounded(&parser.value()?, 0..=600_000)?,
+            Long("workers") => settings.workers = bounded(&parser.value()?, 1..=64)?,
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("help") | Short('h') => {
+                return Ok(help(include_str!("../help/control-bytes.txt")));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Invocation::ControlBytes(settings))
+}
--- /dev/null
+++ b/crates/bench/src/convergence.rs
@@ -0,0 +1,173 @@
+//! Time from the acceptance of a change until it is in force on every node.
+
+use std::time::Duration;
+
+use miette::Result;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use crate::arguments::DEFAULT_WORKERS;
+use crate::fleet::{Fleet, FleetSettings};
+use crate::records::ConfigMirror;
+use crate::report::Report;
+use crate::statistics::{TimeSummary, new_histogram};
+
+/// Settings of the measurement.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ConvergenceSettings {
+    pub(crate) sizes: Vec<usize>,
+    pub(crate) policies: Vec<String>,
+    /// Changes for each size under the policy `tree`.
+    pub(crate) changes: usize,
+    /// Changes for each size under the policy `poll`; fewer, since each takes longer.
+    pub(crate) poll_changes: usize,
+    pub(crate) services: usize,
+    /// Mean pause between two changes. Each pause is drawn from half to one and a half times as
+    /// long, so that changes do not keep step with polls.
+    pub(crate) pause_ms: u64,
+    pub(crate) workers: usize,
+    pub(crate) seed: u64,
+}
+
+impl Default for ConvergenceSettings {
+    fn default() -> Self {
+        Self {
+            sizes: vec![6, 12, 24, 48, 96],
+            policies: vec!["tree".to_owned(), "poll".to_owned()],
+            changes: 100,
+            poll_changes: 20,
+            services: 4,
+            pause_ms: 200,
+            workers: DEFAULT_WORKERS,
+            seed: 1,
+        }
+    }
+}
+
+/// The result for one size and policy.
+#[derive(Debug, Serialize)]
+struct ConvergenceResult<'a> {
+    policy: &'a str,
+    nodes: usize,
+    changes: usize,
+    seed: u64,
+    /// Time from the start of the first process until all nodes served and knew each other.
+    start_ms: u64,
+    /// From the reply of the accepting node until the last node had the change in force.
+    from_acceptance: TimeSummary,
+    /// From the request until the last node had the change in force.
+    from_request: TimeSummary,
+    /// From the reply of the accepting node until each node had the change in force; zero where
+    /// that was before the reply arrived.
+    each_node: TimeSummary,
+    /// From the request to the reply.
+    acceptance: TimeSummary,
+    /// Nodes that had the last version in force at the end.
+    nodes_in_force: usize,
+}
+
+const TITLE: &str =
+    "convergence in ms: `all` is from the reply until the last node, `sent` from the request";
+
+const HEAD: [&str; 12] = [
+    "policy",
+    "nodes",
+    "changes",
+    "start",
+    "all p50",
+    "all p99",
+    "all max",
+    "sent p50",
+    "sent p99",
+    "node p50",
+    "node p99",
+    "accept p50",
+];
+
+/// Measures every size under every policy.
+pub(crate) async fn run(settings: &ConvergenceSettings, report: &mut Report) -> Result<()> {
+    for policy in &settings.policies {
+        for size in &settings.sizes {
+            let result = measure(settings, policy, *size).await?;
+            report.record("result", &result)?;
+            add_row(report, &result);
+        }
+    }
+    Ok(())
+}
+
+fn add_row(report: &mut Report, result: &ConvergenceResult<'_>) {
+    let ms = |value: f64| format!("{value:.1}");
+    let cells = vec![
+        result.policy.to_owned(),
+        result.nodes.to_string(),
+        result.changes.to_string(),
+        result.start_ms.to_string(),
+        ms(result.from_acceptance.p50_ms),
+        ms(result.from_acceptance.p99_ms),
+        ms(result.from_acceptance.max_ms),
+        ms(result.from_request.p50_ms),
+        ms(result.from_request.p99_ms),
+        ms(result.each_node.p50_ms),
+        ms(result.each_node.p99_ms),
+        ms(result.acceptance.p50_ms),
+    ];
+    report.add_row(TITLE, &HEAD, cells);
+}
+
+async fn measure<'a>(
+    settings: &ConvergenceSettings,
+    policy: &'a str,
+    size: usize,
+) -> Result<ConvergenceResult<'a>> {
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let start = Instant::now();
+    let fleet = FleetSettings::spread_over_regions(size, policy, settings.workers);
+    let mut fleet = Fleet::start(fleet).await?;
+    let start_ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let mut mirror = ConfigMirror::default();
+    let first = mirror.first_change(settings.services)?;
+    let accepted = fleet.accept(0, &first.change).await?;
+    fleet.in_force(accepted.version).await?;
+
+    let changes = if policy == "poll" {
+        settings.poll_changes
+    } else {
+        settings.changes
+    };
+    let mut from_acceptance = new_histogram();
+    let mut from_request = new_histogram();
+    let mut each_node = new_histogram();
+    let mut acceptance = new_histogram();
+    for _ in 0..changes {
+        let pause = rng.random_range(settings.pause_ms / 2..=settings.pause_ms * 3 / 2);
+        sleep(Duration::from_millis(pause)).await;
+        let prepared = mirror.next_change()?;
+        let node = rng.random_range(0..size);
+        let accepted = fleet.accept(node, &prepared.change).await?;
+        let times = fleet.in_force(accepted.version).await?;
+        let last = times.iter().copied().max().unwrap_or_default();
+        from_acceptance.saturating_record(last.saturating_sub(accepted.accepted_us));
+        from_request.saturating_record(last.saturating_sub(accepted.sent_us));
+        acceptance.saturating_record(accepted.accepted_us - accepted.sent_us);
+        for time in times {
+            each_node.saturating_record(time.saturating_sub(accepted.accepted_us));
+        }
+    }
+    let states = fleet.states().await?;
+    let current = |version: u64| version == mirror.version();
+    Ok(ConvergenceResult {
+        policy,
+        nodes: size,
+        changes,
+        seed: settings.seed,
+        start_ms,
+        from_acceptance: TimeSummary::of(&from_acceptance),
+        from_request: TimeSummary::of(&from_request),
+        each_node: TimeSummary::of(&each_node),
+        acceptance: TimeSummary::of(&acceptance),
+        nodes_in_force: states.iter().filter(|state| current(state.version)).count(),
+    })
+}
--- /dev/null
+++ b/crates/bench/src/fleet/member.rs
@@ -0,0 +1,128 @@
+//! One node process and the task that reads its log.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use serde_json::Value;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Name, place and target of a node.
+#[derive(Clone, Debug)]
+pub(crate) struct NodePlan {
+    pub(crate) name: String,
+    pub(crate) region: String,
+    pub(crate) domain: String,
+    /// Service and address of the target beside the node.
+    pub(crate) target: Option<(String, SocketAddr)>,
+}
+
+/// Addresses that a node wrote to its log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NodeAddresses {
+    pub(crate) admin: SocketAddr,
+}
+
+/// What the log of a node tells.
+#[derive(Debug)]
+pub(crate) enum NodeNews {
+    Listening {
+        node: usize,
+        process: u32,
+        addresses: NodeAddresses,
+    },
+    InForce {
+        node: usize,
+        version: u64,
+        at_us: u64,
+    },
+}
+
+/// A node process. It is killed when dropped.
+pub(crate) struct FleetNode {
+    pub(crate) addresses: Option<NodeAddresses>,
+    child: Child,
+}
+
+impl FleetNode {
+    /// Starts this program again as a node.
+    pub(crate) fn launch(
+        index: usize,
+        settings: &Path,
+        workers: usize,
+        news: UnboundedSender<NodeNews>,
+    ) -> Result<Self> {
+        let program = std::env::current_exe().into_diagnostic()?;
+        let mut child = Command::new(program)
+            .args(["node", "--workers", &workers.to_string(), "--config"])
+            .arg(settings)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .into_diagnostic()
+            .wrap_err("a node process cannot be started")?;
+        let stdout = child.stdout.take();
+        let stdout = stdout.ok_or_else(|| miette!("the node has no standard output"))?;
+        let process = child.id().unwrap_or_default();
+        tokio::spawn(read_log(index, process, stdout, news));
+        Ok(Self {
+            addresses: None,
+            child,
+        })
+    }
+
+    /// The process id; `None` once the process was waited for.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+}
+
+/// Reads the log to its end, so that the node never blocks on a full pipe.
+async fn read_log(node: usize, process: u32, stdout: ChildStdout, news: UnboundedSender<NodeNews>) {
+    let mut lines = BufReader::new(stdout).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        let line: Value = serde_json::from_str(&line).unwrap_or_default();
+        let message = line["message"].as_str().unwrap_or_default();
+        let told = if let Some(addresses) = read_addresses(message) {
+            Some(NodeNews::Listening {
+                node,
+                process,
+                addresses,
+            })
+        } else {
+            let at_us = line["unix_us"].as_u64();
+            let version = read_version(message);
+            version
+                .zip(at_us)
+                .map(|(version, at_us)| NodeNews::InForce {
+                    node,
+                    version,
+                    at_us,
+                })
+        };
+        if let Some(told) = told {
+            // The receiver is gone once the fleet was dropped.
+            let _ = news.send(told);
+        }
+    }
+}
+
+fn read_version(message: &str) -> Option<u64> {
+    let rest = message.strip_prefix("version ")?;
+    rest.strip_suffix(" is in force")?.parse().ok()
+}
+
+fn read_addresses(message: &str) -> Option<NodeAddresses> {
+    let parts = message.strip_prefix("listening: ")?;
+    let address = |name: &str| {
+        let mut parts = parts.split(", ");
+        parts.find_map(|part| part.strip_prefix(name)?.trim().parse().ok())
+    };
+    Some(NodeAddresses {
+        admin: address("admin")?,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/fleet/mod.rs
@@ -0,0 +1,348 @@
+//! Real node processes around the stand-ins of the platform and of targets.
+
+mod member;
+mod process;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use agatedeck_standin::{PlatformCounters, PlatformServer};
+use agatedeck_wire::Change;
+use futures::future::{join_all, try_join_all};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use reqwest::Client;
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout_at};
+
+pub(crate) use member::{NodeAddresses, NodeNews, NodePlan};
+pub(crate) use process::ProcessUsage;
+
+use member::FleetNode;
+
+/// Regions of a fleet; each has two failure domains. The store stands in the first.
+const REGIONS: [&str; 3] = ["kolkata", "mumbai", "chennai"];
+
+/// Delay each way between regions in the emulation, in microseconds.
+const REGION_DELAY_US: u64 = 12_000;
+
+/// Delay each way between the failure domains of a region in the emulation, in microseconds.
+const DOMAIN_DELAY_US: u64 = 1_500;
+
+/// Time in which all nodes of a fleet must serve and know each other.
+const START_LIMIT: Duration = Duration::from_secs(90);
+
+/// Time in which a change must be in force on every node.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time in which a node must answer on its admin address.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause between two looks at a condition that is not reported by itself.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Most node processes that a fleet may have. 200 take about 4 GB.
+pub(crate) const MAX_NODES: usize = 200;
+
+/// How the nodes of a fleet are set up.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetSettings {
+    pub(crate) nodes: Vec<NodePlan>,
+    /// `tree` or `poll`.
+    pub(crate) policy: String,
+    /// Adds the delays between regions and failure domains.
+    pub(crate) emulated: bool,
+    /// Worker threads of each node.
+    pub(crate) workers: usize,
+    /// Further sections of the nodes' settings files.
+    pub(crate) extra_settings: String,
+}
+
+impl FleetSettings {
+    /// `size` nodes without targets, dealt out evenly over the regions and failure domains.
+    pub(crate) fn spread_over_regions(size: usize, policy: &str, workers: usize) -> Self {
+        Self {
+            nodes: (0..size).map(|index| place(index, None)).collect(),
+            policy: policy.to_owned(),
+            emulated: true,
+            workers,
+            extra_settings: String::new(),
+        }
+    }
+}
+
+/// The plan of the node number `index`.
+pub(crate) fn place(index: usize, target: Option<(String, std::net::SocketAddr)>) -> NodePlan {
+    let region = REGIONS[index % REGIONS.len()];
+    let domain = ["a", "b"][index / REGIONS.len() % 2];
+    NodePlan {
+        name: format!("node-{index}"),
+        region: region.to_owned(),
+        domain: format!("{region}-{domain}"),
+        target,
+    }
+}
+
+/// A change that was accepted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AcceptedChange {
+    pub(crate) version: u64,
+    /// When the request was sent, as Unix time in microseconds.
+    pub(crate) sent_us: u64,
+    /// When the reply arrived.
+    pub(crate) accepted_us: u64,
+}
+
+/// What a node says of itself through its admin API.
+#[derive(Clone, Debug)]
+pub(crate) struct NodeState {
+    pub(crate) version: u64,
+    pub(crate) phase: String,
+    pub(crate) alive_members: u64,
+    pub(crate) control_bytes: u64,
+    pub(crate) cross_region_control_bytes: u64,
+}
+
+/// Running nodes. Dropping a fleet kills them.
+pub(crate) struct Fleet {
+    platform: PlatformServer,
+    client: Client,
+    folder: TempDir,
+    settings: FleetSettings,
+    nodes: Vec<FleetNode>,
+    news: mpsc::UnboundedReceiver<NodeNews>,
+    news_sender: mpsc::UnboundedSender<NodeNews>,
+    /// Versions in force at each node, each with the Unix time in microseconds.
+    in_force: Vec<BTreeMap<u64, u64>>,
+}
+
+/// Unix time in microseconds. All processes of a measurement run on one machine and share it.
+pub(crate) fn unix_us() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl Fleet {
+    /// Starts all nodes at once and waits until they serve and know each other.
+    pub(crate) async fn start(settings: FleetSettings) -> Result<Self> {
+        let count = settings.nodes.len();
+        if count > MAX_NODES {
+            return Err(miette!(
+                "{count} nodes are more than the limit of {MAX_NODES}"
+            ));
+        }
+        let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any).await.into_diagnostic()?;
+        let client = Client::builder()
+            .no_proxy()
+            .timeout(ADMIN_TIMEOUT)
+            .build()
+            .into_diagnostic()?;
+        let (news_sender, news) = mpsc::unbounded_channel();
+        let mut fleet = Self {
+            platform,
+            client,
+            folder: tempfile::tempdir().into_diagnostic()?,
+            in_force: vec![BTreeMap::new(); count],
+            settings,
+            nodes: Vec::new(),
+            news,
+            news_sender,
+        };
+        for index in 0..count {
+            let node = fleet.launch(index)?;
+            fleet.nodes.push(node);
+        }
+        let deadline = Instant::now() + START_LIMIT;
+        while fleet.nodes.iter().any(|node| node.addresses.is_none()) {
+            fleet.next_news(deadline, "open their listeners").await?;
+        }
+        fleet.wait_joined(deadline).await?;
+        Ok(fleet)
+    }
+
+    fn launch(&self, index: usize) -> Result<FleetNode> {
+        let file = self.write_settings(&self.settings.nodes[index])?;
+        FleetNode::launch(
+            index,
+            &file,
+            self.settings.workers,
+            self.news_sender.clone(),
+        )
+    }
+
+    fn write_settings(&self, plan: &NodePlan) -> Result<PathBuf> {
+        let mut text = format!(
+            "[node]\nname = \"{}\"\nregion = \"{}\"\ndomain = \"{}\"\n\
+             [listen]\ncalls = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
+             control = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
+             [store]\nurl = \"{}\"\nregion = \"{}\"\n[spread]\npolicy = \"{}\"\n",
+            plan.name,
+            plan.region,
+            plan.domain,
+            self.platform.base_url(),
+            REGIONS[0],
+            self.settings.policy,
+        );
+        if self.settings.emulated {
+            let delays = format!(
+                "[emulation]\nregion_delay_us = {REGION_DELAY_US}\n\
+                 domain_delay_us = {DOMAIN_DELAY_US}\n"
+            );
+            text.push_str(&delays);
+        }
+        if let Some((service, address)) = &plan.target {
+            let target = format!("[target]\nservice = \"{service}\"\naddress = \"{address}\"\n");
+            text.push_str(&target);
+        }
+        text.push_str(&self.settings.extra_settings);
+        let file = self.folder.path().join(format!("{}.toml", plan.name));
+        std::fs::write(&file, text).into_diagnostic()?;
+        Ok(file)
+    }
+
+    async fn next_news(&mut self, deadline: Instant, aim: &str) -> Result<()> {
+        let news = timeout_at(deadline, self.news.recv()).await;
+        match news {
+            Ok(Some(news)) => {
+                self.note(&news);
+                Ok(())
+            }
+            Ok(None) | Err(_) => Err(miette!("the nodes did not {aim} in time")),
+        }
+    }
+
+    fn note(&mut self, news: &NodeNews) {
+        match *news {
+            NodeNews::Listening {
+                node,
+                process,
+                addresses,
+            } => {
+                let node = &mut self.nodes[node];
+                if node.id() == Some(process) {
+                    node.addresses = Some(addresses);
+                }
+            }
+            NodeNews::InForce {
+                node,
+                version,
+                at_us,
+            } => {
+                self.in_force[node].entry(version).or_insert(at_us);
+            }
+        }
+    }
+
+    /// Waits until every node serves and sees all others alive.
+    pub(crate) async fn wait_joined(&self, deadline: Instant) -> Result<()> {
+        let expected = u64::try_from(self.nodes.len()).unwrap_or(u64::MAX);
+        loop {
+            let states = join_all((0..self.nodes.len()).map(|node| self.state(node))).await;
+            let joined =
+                |state: &NodeState| state.phase == "serving" && state.alive_members == expected;
+            let count = states
+                .iter()
+                .flatten()
+                .filter(|state| joined(state))
+                .count();
+            if count == self.nodes.len() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                return Err(miette!(
+                    "only {count} of {expected} nodes serve and see all others alive"
+                ));
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Addresses of a node that is up.
+    pub(crate) fn addresses(&self, node: usize) -> Result<NodeAddresses> {
+        let addresses = self.nodes[node].addresses;
+        addresses.ok_or_else(|| miette!("node {node} has not opened its listeners"))
+    }
+
+    /// What a node says of itself.
+    pub(crate) async fn state(&self, node: usize) -> Result<NodeState> {
+        let url = format!("http://{}/v1/node", self.addresses(node)?.admin);
+        let answer = self.client.get(url).send().await.into_diagnostic()?;
+        let body: Value = answer.json().await.into_diagnostic()?;
+        let number = |value: &Value| value.as_u64().unwrap_or(0);
+        Ok(NodeState {
+            version: number(&body["report"]["version"]),
+            phase: body["report"]["phase"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned(),
+            alive_members: number(&body["members"]["MEMBER_STATUS_ALIVE"]),
+            control_bytes: number(&body["control_bytes"]),
+            cross_region_control_bytes: number(&body["cross_region_control_bytes"]),
+        })
+    }
+
+    /// What all nodes say of themselves.
+    pub(crate) async fn states(&self) -> Result<Vec<NodeState>> {
+        try_join_all((0..self.nodes.len()).map(|node| self.state(node))).await
+    }
+
+    /// CPU time and memory of all nodes.
+    pub(crate) fn usages(&self) -> Result<Vec<ProcessUsage>> {
+        let ids = self.nodes.iter().filter_map(FleetNode::id);
+        ids.map(ProcessUsage::read).collect()
+    }
+
+    /// Requests that the store has served.
+    pub(crate) async fn store_counters(&self) -> PlatformCounters {
+        self.platform.counters().await
+    }
+
+    /// Has a node accept a change.
+    pub(crate) async fn accept(&self, node: usize, change: &Change) -> Result<AcceptedChange> {
+        let url = format!("http://{}/v1/changes", self.addresses(node)?.admin);
+        let sent_us = unix_us();
+        let answer = self.client.post(url).json(change).send().await;
+        let answer: Value = answer
+            .into_diagnostic()
+            .wrap_err("the admin API does not answer")?
+            .json()
+            .await
+            .into_diagnostic()?;
+        let accepted_us = unix_us();
+        let version = answer["version"].as_u64();
+        let version = version.ok_or_else(|| miette!("the change was not accepted: {answer}"))?;
+        Ok(AcceptedChange {
+            version,
+            sent_us,
+            accepted_us,
+        })
+    }
+
+    /// Waits until every node has `version` or a newer one in force; returns when each had it, as
+    /// Unix time in microseconds.
+    pub(crate) async fn in_force(&mut self, version: u64) -> Result<Vec<u64>> {
+        let deadline = Instant::now() + CONVERGENCE_LIMIT;
+        loop {
+            let first =
+                |known: &BTreeMap<u64, u64>| known.range(version..).map(|(_, at_us)| *at_us).next();
+            let times: Option<Vec<u64>> = self.in_force.iter().map(first).collect();
+            if let Some(times) = times {
+                // Older versions are not asked for again.
+                for known in &mut self.in_force {
+                    *known = known.split_off(&version);
+                }
+                return Ok(times);
+            }
+            let lacking: Vec<usize> = (0..self.in_force.len())
+                .filter(|node| first(&self.in_force[*node]).is_none())
+                .collect();
+            let aim = format!("have version {version} in force; lacking: {lacking:?}");
+            self.next_news(deadline, &aim).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet/process.rs
@@ -0,0 +1,56 @@
+//! CPU time and memory of a process, as the kernel reports them.
+
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use serde::Serialize;
+
+/// Length of a clock tick in `/proc/PID/stat`, in milliseconds; the same on every Linux platform.
+const TICK_MS: u64 = 10;
+
+/// Position of the user time among the fields that follow the program's name.
+const USER_TIME_FIELD: usize = 11;
+
+/// CPU time and memory used by one process.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct ProcessUsage {
+    /// User and system time since the start, in milliseconds.
+    pub(crate) cpu_ms: u64,
+    /// Resident memory in KiB.
+    pub(crate) resident_kib: u64,
+    /// Resident memory that is not backed by files, in KiB. Programs share the rest.
+    pub(crate) anonymous_kib: u64,
+}
+
+impl ProcessUsage {
+    /// Reads the usage of the process `id`.
+    pub(crate) fn read(id: u32) -> Result<Self> {
+        let folder = format!("/proc/{id}");
+        let read = |name: &str| {
+            let file = format!("{folder}/{name}");
+            let text = std::fs::read_to_string(&file).into_diagnostic();
+            text.wrap_err_with(|| format!("cannot read {file}"))
+        };
+        let (stat, status) = (read("stat")?, read("status")?);
+        let ticks = cpu_ticks(&stat).ok_or_else(|| miette!("{folder}/stat has another form"))?;
+        let kib =
+            |key| kib_of(&status, key).ok_or_else(|| miette!("{folder}/status has no `{key}`"));
+        Ok(Self {
+            cpu_ms: ticks * TICK_MS,
+            resident_kib: kib("VmRSS:")?,
+            anonymous_kib: kib("RssAnon:")?,
+        })
+    }
+}
+
+fn cpu_ticks(stat: &str) -> Option<u64> {
+    // The program's name is in brackets and may contain blanks.
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut times = fields.split(' ').skip(USER_TIME_FIELD);
+    let user: u64 = times.next()?.parse().ok()?;
+    let system: u64 = times.next()?.parse().ok()?;
+    Some(user + system)
+}
+
+fn kib_of(status: &str, key: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(key))?;
+    line.trim().strip_suffix("kB")?.trim().parse().ok()
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,77 @@
-//! Measurements of the system.
+//! Measurements of the system, on real node processes over loopback.
+//!
+//! Each subcommand starts what it measures, prints JSON lines and a table, and ends every process
+//! that it started. Nothing here is part of the product; the nodes run the library's `Node`.
 
-fn main() {}
+mod arguments;
+mod control_bytes;
+mod convergence;
+mod fleet;
+mod node_process;
+mod records;
+mod report;
+mod statistics;
+
+use std::process::ExitCode;
+
+use miette::{IntoDiagnostic, Result, miette};
+use tokio::signal::unix::{SignalKind, signal};
+
+use arguments::{Invocation, parse_arguments};
+use report::Report;
+
+const BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let invocation = match parse_arguments(lexopt::Parser::from_env()) {
+        Ok(invocation) => invocation,
+        Err(error) => {
+            eprintln!("agatedeck-bench: {error}; `--help` lists the options");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    let result = match invocation {
+        Invocation::Print(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        Invocation::Node(settings) => node_process::run(&settings),
+        measured => measure(measured),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a measurement until it ends or the user interrupts it. Dropping the measurement kills the
+/// processes that it started.
+#[tokio::main]
+async fn measure(invocation: Invocation) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    tokio::select! {
+        result = run(invocation) => result,
+        _ = terminate.recv() => Err(miette!("terminated")),
+        _ = interrupt.recv() => Err(miette!("interrupted")),
+    }
+}
+
+async fn run(invocation: Invocation) -> Result<()> {
+    match invocation {
+        Invocation::Convergence(settings) => {
+            let mut report = Report::start("convergence", None, &settings)?;
+            convergence::run(&settings, &mut report).await?;
+            report.finish()
+        }
+        Invocation::ControlBytes(settings) => {
+            let mut report = Report::start("control-bytes", None, &settings)?;
+            control_bytes::run(&settings, &mut report).await?;
+            report.finish()
+        }
+        Invocation::Print(_) | Invocation::Node(_) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/smoke.rs
@@ -0,0 +1,96 @@
+//! Guards that each subcommand runs to its end with tiny sizes, that its lines are JSON, and that
+//! the product's invariants held while it ran. Speed is not checked.
+
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+fn bench(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_agatedeck-bench"))
+        .args(arguments)
+        .output()
+        .expect("the program runs")
+}
+
+/// Runs a subcommand that must succeed and returns its lines of one kind.
+fn lines(arguments: &[&str], kind: &str) -> Vec<Value> {
+    let output = bench(arguments);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{arguments:?}: {errors}");
+    let text = String::from_utf8(output.stdout).expect("the output is UTF-8");
+    let lines = text.lines().filter(|line| line.starts_with('{'));
+    let lines: Vec<Value> = lines
+        .map(|line| serde_json::from_str(line).expect("the line is JSON"))
+        .collect();
+    assert_eq!(lines[0]["kind"], "parameters");
+    assert!(lines[0]["parameters"]["seed"].is_u64(), "{}", lines[0]);
+    let wanted = lines.into_iter().filter(|line| line["kind"] == kind);
+    let wanted: Vec<Value> = wanted.collect();
+    assert!(!wanted.is_empty(), "{arguments:?} printed no `{kind}` line");
+    wanted
+}
+
+/// Fails when a change does not reach every node, or a node reports an older version at the end.
+#[test]
+fn convergence_reaches_every_node_under_both_policies() {
+    let arguments = [
+        "convergence",
+        "--sizes",
+        "3",
+        "--changes",
+        "2",
+        "--poll-changes",
+        "1",
+        "--pause-ms",
+        "10",
+    ];
+    let results = lines(&arguments, "result");
+    assert_eq!(results.len(), 2);
+    for result in results {
+        assert_eq!(result["nodes_in_force"], result["nodes"], "{result}");
+        assert_eq!(
+            result["from_acceptance"]["count"], result["changes"],
+            "{result}"
+        );
+    }
+}
+
+/// Fails when control bytes are not counted, or a change is carried by fewer bytes than it has.
+#[test]
+fn control_bytes_are_not_below_the_floor() {
+    let arguments = [
+        "control-bytes",
+        "--sizes",
+        "6",
+        "--changes",
+        "5",
+        "--settle-ms",
+        "500",
+        "--idle-ms",
+        "500",
+    ];
+    for result in lines(&arguments, "result") {
+        assert_eq!(result["nodes_in_force"], result["nodes"], "{result}");
+        let seconds = result["changing"]["seconds"].as_f64().expect("a number");
+        let rate = result["changing"]["bytes_per_second"].as_f64();
+        let change = result["per_change"]["compressed_bytes"].as_f64();
+        let floor = change.expect("a number") * 5.0 * 5.0;
+        assert!(rate.expect("a number") * seconds >= floor, "{result}");
+    }
+}
+
+/// Fails when a bad command line starts a measurement, or is not explained.
+#[test]
+fn a_bad_command_line_is_refused() {
+    for arguments in [
+        &["convergence", "--sizes", "100000"][..],
+        &["convergence", "--policies", "gossip"],
+        &["unknown"],
+        &[],
+    ] {
+        let output = bench(arguments);
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+        assert!(output.stdout.is_empty(), "{arguments:?}");
+        assert!(!output.stderr.is_empty(), "{arguments:?}");
+    }
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -30,8 +30,14 @@
 
 /// Unix time in milliseconds. Used only for incarnations, leases and what operators read.
 pub(crate) fn unix_ms() -> u64 {
+    unix_us() / 1_000
+}
+
+/// Unix time in microseconds, for log lines: measurements compare them between processes of one
+/// machine, where a change is in force within milliseconds.
+pub(crate) fn unix_us() -> u64 {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -80,8 +80,8 @@
                     self.ask_witnesses(version, deadline, keeper);
                 }
                 VersionEffect::PutInForce(snapshot) => {
-                    log::info!("version {} is in force", snapshot.version());
                     self.publish();
+                    log::info!("version {} is in force", snapshot.version());
                 }
                 VersionEffect::PullFrom(version) => self.pull_missing(version, keeper),
             }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -4,7 +4,7 @@
 use log::LevelFilter;
 use serde_json::json;
 
-use crate::clock::unix_ms;
+use crate::clock::unix_us;
 
 /// Logging was already started in this process.
 #[derive(Debug, Display, Error)]
@@ -20,8 +20,10 @@
     let node = node.to_owned();
     fern::Dispatch::new()
         .format(move |out, message, record| {
+            let unix_us = unix_us();
             let line = json!({
-                "unix_ms": unix_ms(),
+                "unix_ms": unix_us / 1_000,
+                "unix_us": unix_us,
                 "level": record.level().as_str(),
                 "node": node,
                 "module": record.target(),
