Hand the nodes named in the store to the failure detector

Cause: nodes that started together and knew only each other stayed apart from the rest of the mesh, since nothing outside of their tables was ever contacted. Reads: one for each failure domain and period.

--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::join::{AddContacts, ContactState, JoinKeeper};
+use super::keeper::{MemberKeeper, SetContacts};
 use crate::context::NodeContext;
 
 /// Prefix of the rows that name a few nodes of each failure domain.
@@ -39,24 +40,44 @@
 const ROW_SALT: u64 = 0x626f_6f74;
 
 /// Finds other nodes, then keeps the row of the own failure domain up to date.
-pub(crate) async fn run_bootstrap(context: NodeContext, join: ActorRef<JoinKeeper>) {
+pub(crate) async fn run_bootstrap(
+    context: NodeContext,
+    join: ActorRef<JoinKeeper>,
+    members: ActorRef<MemberKeeper>,
+) {
     find_others(&context, &join).await;
     let mut written = BTreeSet::new();
     loop {
         sleep(jittered(REFRESH_PAUSE)).await;
-        if let Some(wanted) = row_to_write(&context)
-            && wanted != written
-        {
-            match write_row(&context, &wanted).await {
-                Ok(()) => written = wanted,
-                Err(error) => {
-                    log::warn!("the row of the failure domain is not up to date: {error}");
-                }
-            }
+        let Some(wanted) = row_to_write(&context) else {
+            continue;
+        };
+        if let Err(error) = refresh(&context, &members, &wanted, &mut written).await {
+            log::warn!("the nodes named in the store are not up to date: {error}");
         }
     }
 }
 
+/// Writes the row of the own failure domain if it changed, and hands the addresses in all rows to
+/// the failure detector. Only the first-ranked node of a failure domain does this, so the reads do
+/// not grow with the fleet.
+async fn refresh(
+    context: &NodeContext,
+    members: &ActorRef<MemberKeeper>,
+    wanted: &BTreeSet<SocketAddr>,
+    written: &mut BTreeSet<SocketAddr>,
+) -> Result<(), StoreError> {
+    if wanted != written {
+        write_row(context, wanted).await?;
+        written.clone_from(wanted);
+    }
+    let named = read_rows(context).await?;
+    let contacts = named.iter().map(ToString::to_string).collect();
+    // The keeper is gone only when the node is stopping.
+    let _ = members.tell(SetContacts(contacts)).await;
+    Ok(())
+}
+
 /// Between half of `pause` and all of it, so that nodes that start together spread out.
 fn jittered(pause: Duration) -> Duration {
     rand::rng().random_range(pause / 2..=pause)
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -1,6 +1,5 @@
 //! The actor that takes this node from its start to serving, and from serving to its end.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use agatedeck_control::{JoinEffect, JoinProcess, JoinSettings, JoinState};
@@ -142,22 +141,8 @@
         });
     }
 
-    /// The region of a node that is not known yet is taken as the own one.
     fn peer_at(&self, address: &str) -> Option<PeerAddress> {
-        let table = self.context.table();
-        let mut members = table.members();
-        let known = members.find(|member| member.control_address == address);
-        if let Some(known) = known.and_then(PeerAddress::of) {
-            return Some(known);
-        }
-        let address: SocketAddr = address.parse().ok()?;
-        let own = &self.context.own;
-        let (region, domain) = (own.region.clone(), own.domain.clone());
-        Some(PeerAddress {
-            address,
-            region,
-            domain,
-        })
+        PeerAddress::at(&self.context.table(), &self.context.own, address)
     }
 
     /// Gets a version at or above the floor: from peers first, to spare the store when many nodes
--- a/crates/node/src/member/keeper.rs
+++ b/crates/node/src/member/keeper.rs
@@ -149,9 +149,7 @@
     }
 
     fn peer_at(&self, address: &str) -> Option<PeerAddress> {
-        let mut members = self.detector.table().members();
-        let member = members.find(|member| member.control_address == address);
-        member.and_then(PeerAddress::of)
+        PeerAddress::at(self.detector.table(), &self.context.own, address)
     }
 
     async fn announce(&self, member: Member) {
@@ -216,6 +214,19 @@
     }
 }
 
+/// Control addresses that the store names. The failure detector compares tables with those of which
+/// it knows no live node, so that nodes that know only each other meet the rest.
+pub(super) struct SetContacts(pub(super) Vec<String>);
+
+impl Message<SetContacts> for MemberKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, SetContacts(addresses): SetContacts, _: &mut Context<Self, ()>) {
+        let addresses: Vec<&str> = addresses.iter().map(String::as_str).collect();
+        self.detector.set_contacts(&addresses);
+    }
+}
+
 /// A probe from another node.
 pub(crate) struct AnswerProbe(pub(crate) Probe);
 
--- a/crates/node/src/peer/transport.rs
+++ b/crates/node/src/peer/transport.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 use std::net::SocketAddr;
 
-use agatedeck_control::SpreadDelivery;
+use agatedeck_control::{MemberTable, SpreadDelivery};
 use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member};
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
@@ -28,6 +28,21 @@
         })
     }
 
+    /// Address of the node whose control listener is at `address`. The region of a node that is not
+    /// in the table yet is taken as that of `own`.
+    pub(crate) fn at(table: &MemberTable, own: &Member, address: &str) -> Option<Self> {
+        let mut members = table.members();
+        let known = members.find(|member| member.control_address == address);
+        let (region, domain) = known.map_or((&own.region, &own.domain), |member| {
+            (&member.region, &member.domain)
+        });
+        Some(Self {
+            address: address.parse().ok()?,
+            region: region.clone(),
+            domain: domain.clone(),
+        })
+    }
+
     /// Address of the receiver of a delivery.
     pub(crate) fn of_delivery(delivery: &SpreadDelivery) -> Option<Self> {
         let address = delivery.address.parse().ok()?;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -329,7 +329,11 @@
             tokio::spawn(run_reader(reader)),
             tokio::spawn(run_detector(context.clone(), members.clone())),
             tokio::spawn(run_join(join.clone())),
-            tokio::spawn(run_bootstrap(context.clone(), join.clone())),
+            tokio::spawn(run_bootstrap(
+                context.clone(),
+                join.clone(),
+                members.clone(),
+            )),
             tokio::spawn(follow_config(
                 context.config.clone(),
                 members.clone(),
