--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -68,7 +68,8 @@
     written: &mut BTreeSet<SocketAddr>,
 ) -> Result<(), StoreError> {
     if wanted != written {
-        write_row(context, wanted).await?;
+        let addresses: Vec<SocketAddr> = wanted.iter().copied().collect();
+        write_row(context, None, &addresses).await?;
         written.clone_from(wanted);
     }
     let named = read_rows(context).await?;
@@ -131,11 +132,6 @@
     format!("{BOOTSTRAP_PREFIX}{}", context.own.domain)
 }
 
-fn row_value(addresses: impl Iterator<Item = SocketAddr>) -> Vec<u8> {
-    let lines: Vec<String> = addresses.map(|address| address.to_string()).collect();
-    lines.join("\n").into_bytes()
-}
-
 /// Adds this node to the row of its failure domain. Used only until another node has taken this one
 /// in, so that a herd that joins through existing nodes writes nothing.
 async fn add_own(context: &NodeContext) -> Result<(), StoreError> {
@@ -157,21 +153,8 @@
         addresses.remove(0);
     }
     addresses.push(own);
-    let condition = RowCondition {
-        key: key.clone(),
-        revision,
-    };
-    let value = Some(row_value(addresses.into_iter()));
-    let transaction = StoreTransaction {
-        conditions: vec![condition],
-        writes: vec![RowWrite { key, value }],
-    };
     // A refused transaction is repeated at the next attempt.
-    context
-        .store
-        .transact(&transaction, context.store_deadline())
-        .await
-        .map(drop)
+    write_row(context, Some(revision), &addresses).await
 }
 
 /// The addresses that the row should name, if it is up to this node to write it.
@@ -189,19 +172,27 @@
     (first.node == own.node).then(|| addresses.collect())
 }
 
+/// Writes the row of the own failure domain, if it still has `revision` where one is given.
 async fn write_row(
     context: &NodeContext,
-    addresses: &BTreeSet<SocketAddr>,
+    revision: Option<u64>,
+    addresses: &[SocketAddr],
 ) -> Result<(), StoreError> {
     let key = row_key(context);
-    let value = Some(row_value(addresses.iter().copied()));
+    let lines: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    let conditions = revision.map(|revision| RowCondition {
+        key: key.clone(),
+        revision,
+    });
     let transaction = StoreTransaction {
-        conditions: Vec::new(),
-        writes: vec![RowWrite { key, value }],
+        conditions: conditions.into_iter().collect(),
+        writes: vec![RowWrite {
+            key,
+            value: Some(lines.join("\n").into_bytes()),
+        }],
     };
-    context
+    let written = context
         .store
-        .transact(&transaction, context.store_deadline())
-        .await
-        .map(drop)
+        .transact(&transaction, context.store_deadline());
+    written.await.map(drop)
 }
