Ask to be taken in after a floor that comes late

Cause: the round of questions ends after 1 s, but the store is given 2 s to answer. A head that arrives after the round ended and before the next one makes the node fetch and serve, with no deadline left at which a peer is asked to take the node in. The node then serves without being known to the others: no version is offered to it and no call is sent to its target.

Ruled out: the bootstrap loop, which only adds contacts and asks nobody; the retry, which only repeats the fetch once the floor is known.

Change: a floor found without an open round opens one that ends at once, so that the next tick asks a peer.

The test fails without the change.

--- a/crates/control/src/join/process.rs
+++ b/crates/control/src/join/process.rs
@@ -309,7 +309,13 @@
             self.failed_rounds = 0;
         }
         self.floor = self.floor.max(Some(floor));
-        self.advance(JoinEvent::FloorKnown, now, rng)
+        let effects = self.advance(JoinEvent::FloorKnown, now, rng);
+        // A store that answers after the round ended leaves no round in which a peer is asked to
+        // take this node in.
+        if self.state == JoinState::Fetching && !self.adopted && self.round_ends_at.is_none() {
+            self.round_ends_at = Some(now);
+        }
+        effects
     }
 
     fn advance(&mut self, event: JoinEvent, now: Instant, rng: &mut impl Rng) -> Vec<JoinEffect> {
--- /dev/null
+++ b/crates/control/tests/join_process.rs
@@ -0,0 +1,28 @@
+//! Guards the join against answers that come late.
+
+use agatedeck_clock::Instant;
+use agatedeck_control::{JoinEffect, JoinProcess, JoinSettings, JoinState};
+use agatedeck_wire::Member;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Guards against a node that serves but is never known to the others: the store answers after the
+/// round of questions ended without a peer.
+#[test]
+fn a_node_that_learns_its_floor_late_still_asks_to_be_taken_in() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut now = Instant::from_millis(1);
+    let settings = JoinSettings::default();
+    let mut process = JoinProcess::new(&Member::default(), &["10.0.0.1:1"], &settings);
+    process.start(now, &mut rng);
+    process.on_join_failed(&mut rng);
+    now = Instant::from_millis(settings.round_ms + 2);
+    process.tick(now, &mut rng);
+    assert_eq!(process.state(), JoinState::Waiting);
+    process.on_head(Some(0), now, &mut rng);
+    process.on_version(0, now, &mut rng);
+    assert_eq!(process.state(), JoinState::Serving);
+    let effects = process.tick(Instant::from_millis(settings.round_ms + 3), &mut rng);
+    let asks = |effect: &JoinEffect| matches!(effect, JoinEffect::Join { .. });
+    assert!(effects.iter().any(asks), "{effects:?}");
+}
