Measure direct calls against calls through two nodes

An open-loop generator sends each call when it is due and counts its latency from then. Direct calls and calls through the nodes alternate in slices, so that other work on the machine meets both. The target stand-in can limit the calls that run at once; without that, no load is above its capacity.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -5,6 +5,7 @@
 
 use lexopt::prelude::*;
 
+use crate::calls::CallSettings;
 use crate::control_bytes::ControlBytesSettings;
 use crate::convergence::ConvergenceSettings;
 use crate::fleet::MAX_NODES;
@@ -13,6 +14,9 @@
 /// Worker threads of a node unless stated otherwise. Hosts are small.
 pub(crate) const DEFAULT_WORKERS: usize = 2;
 
+/// Most calls per second of a load.
+const MAX_RATE: u32 = 50_000;
+
 /// What is to be run.
 #[derive(Debug)]
 pub(crate) enum Invocation {
@@ -20,6 +24,7 @@
     Node(NodeRun),
     Convergence(ConvergenceSettings),
     ControlBytes(ControlBytesSettings),
+    Calls(CallSettings),
 }
 
 /// Reads the command line.
@@ -35,6 +40,7 @@
         Value(name) => match name.to_str() {
             Some("convergence") => parse_convergence(parser),
             Some("control-bytes") => parse_control_bytes(parser),
+            Some("calls") => parse_calls(parser),
             Some("node") => parse_node(parser),
             _ => Err(format!("unknown subcommand `{}`", name.to_string_lossy()).into()),
         },
@@ -149,3 +155,30 @@
     }
     Ok(Invocation::ControlBytes(settings))
 }
+
+fn parse_calls(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut settings = CallSettings::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("targets") => settings.targets = bounded(&parser.value()?, 2..=50)?,
+            Long("rates") => {
+                settings.rates = list(&parser.value()?)?;
+                let rates = &settings.rates;
+                if rates.iter().any(|rate| !(1..=MAX_RATE).contains(rate)) {
+                    return Err(format!("a rate is from 1 to {MAX_RATE} calls per second").into());
+                }
+            }
+            Long("load-ms") => settings.load_ms = bounded(&parser.value()?, 40..=120_000)?,
+            Long("deadline-ms") => settings.deadline_ms = bounded(&parser.value()?, 1..=10_000)?,
+            Long("work-ms") => settings.work_ms = bounded(&parser.value()?, 1..=1_000)?,
+            Long("failing-rate") => {
+                settings.failing_rate = bounded(&parser.value()?, 1..=MAX_RATE)?;
+            }
+            Long("workers") => settings.workers = bounded(&parser.value()?, 1..=64)?,
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("help") | Short('h') => return Ok(help(include_str!("../help/calls.txt"))),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Invocation::Calls(settings))
+}
--- /dev/null
+++ b/crates/bench/src/calls/broken_target.rs
@@ -0,0 +1,68 @@
+//! A target that takes calls and closes the connection without an answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use miette::{IntoDiagnostic, Result};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// Longest part of a request that is looked at, in bytes.
+const HEAD_BYTES: usize = 2_048;
+
+/// Counts the calls that reach it and answers none. It stops when dropped.
+#[derive(Debug)]
+pub(super) struct BrokenTarget {
+    address: SocketAddr,
+    calls: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+impl BrokenTarget {
+    /// Starts a target whose calls have paths that begin with `prefix`. Other requests, such as
+    /// health checks, are closed without being counted.
+    pub(super) async fn start(prefix: &str) -> Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(any).await.into_diagnostic()?;
+        let address = listener.local_addr().into_diagnostic()?;
+        let calls = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&calls);
+        let start = format!("GET {prefix}");
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if read_head(stream).await.starts_with(start.as_bytes()) {
+                    counter.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        });
+        Ok(Self {
+            address,
+            calls,
+            task,
+        })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that reached the target.
+    pub(super) fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for BrokenTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn read_head(mut stream: TcpStream) -> Vec<u8> {
+    let mut head = vec![0; HEAD_BYTES];
+    let length = stream.read(&mut head).await.unwrap_or(0);
+    head.truncate(length);
+    head
+}
--- /dev/null
+++ b/crates/bench/src/calls/mesh.rs
@@ -0,0 +1,239 @@
+//! A caller's node, and targets with a node beside each, in one failure domain.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agatedeck_node::NodeSettings;
+use agatedeck_standin::{TargetBehaviour, TargetServer, TargetSettings};
+use miette::{IntoDiagnostic, Result, miette};
+use reqwest::Client;
+use tokio::time::{Instant, sleep};
+
+use super::broken_target::BrokenTarget;
+use super::{CALL_PATH, CallSettings};
+use crate::fleet::{Fleet, FleetSettings, NodePlan};
+use crate::records::ConfigMirror;
+
+/// Service that the targets answer for.
+const SERVICE: &str = "service-0";
+
+/// Time in which calls must be answered through the nodes after the start.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time after which a call counts as lost if no HTTP answer came. Nodes answer by the deadline.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A balance policy and the settings of a node that select it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BalanceVariant {
+    pub(super) name: &'static str,
+    settings: &'static str,
+}
+
+const DEFAULT_VARIANT: BalanceVariant = BalanceVariant {
+    name: "default",
+    settings: "",
+};
+
+const NAMED_VARIANTS: [BalanceVariant; 2] = [
+    BalanceVariant {
+        name: "two-choices",
+        settings: "[calls]\nbalance = \"two-choices\"\n",
+    },
+    BalanceVariant {
+        name: "round-robin",
+        settings: "[calls]\nbalance = \"round-robin\"\n",
+    },
+];
+
+impl BalanceVariant {
+    /// The policies that the node's settings offer; the default alone if they offer no choice.
+    pub(super) fn offered() -> Vec<Self> {
+        let accepted = |variant: &Self| {
+            let text = format!(
+                "[node]\nname = \"n\"\nregion = \"r\"\ndomain = \"d\"\n\
+                 [listen]\ncalls = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
+                 control = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
+                 [store]\nurl = \"http://127.0.0.1:1\"\nregion = \"r\"\n{}",
+                variant.settings
+            );
+            NodeSettings::parse("variant", &text).is_ok()
+        };
+        if NAMED_VARIANTS.iter().all(accepted) {
+            NAMED_VARIANTS.to_vec()
+        } else {
+            vec![DEFAULT_VARIANT]
+        }
+    }
+}
+
+/// CPU time of the nodes and calls that reached the targets, since their start or over a load.
+#[derive(Clone, Debug)]
+pub(super) struct MeshUse {
+    pub(super) caller_cpu_ms: u64,
+    pub(super) target_cpu_ms: u64,
+    pub(super) calls_by_target: Vec<u64>,
+}
+
+impl MeshUse {
+    pub(super) fn none(targets: usize) -> Self {
+        Self {
+            caller_cpu_ms: 0,
+            target_cpu_ms: 0,
+            calls_by_target: vec![0; targets],
+        }
+    }
+
+    /// Adds what was used between two moments.
+    pub(super) fn add(&mut self, before: &Self, after: &Self) {
+        self.caller_cpu_ms += after.caller_cpu_ms - before.caller_cpu_ms;
+        self.target_cpu_ms += after.target_cpu_ms - before.target_cpu_ms;
+        let pairs = before.calls_by_target.iter().zip(&after.calls_by_target);
+        for (sum, (before, after)) in self.calls_by_target.iter_mut().zip(pairs) {
+            *sum += after - before;
+        }
+    }
+}
+
+/// The nodes and targets of one measurement. Dropping it ends them.
+pub(super) struct CallMesh {
+    pub(super) policy: &'static str,
+    pub(super) client: Client,
+    fleet: Fleet,
+    targets: Vec<TargetServer>,
+    broken: Vec<BrokenTarget>,
+}
+
+impl CallMesh {
+    pub(super) async fn start(settings: &CallSettings, variant: &BalanceVariant) -> Result<Self> {
+        Self::start_with(settings, variant, settings.targets).await
+    }
+
+    /// Starts `healthy` targets.
+    pub(super) async fn start_with(
+        settings: &CallSettings,
+        variant: &BalanceVariant,
+        healthy: usize,
+    ) -> Result<Self> {
+        Self::start_with_broken(settings, variant, healthy, 0).await
+    }
+
+    /// Starts `healthy` targets and `broken` ones that close each call without an answer.
+    pub(super) async fn start_with_broken(
+        settings: &CallSettings,
+        variant: &BalanceVariant,
+        healthy: usize,
+        broken: usize,
+    ) -> Result<Self> {
+        let (mut targets, mut failing) = (Vec::new(), Vec::new());
+        for index in 0..healthy {
+            let target = TargetSettings {
+                service: SERVICE.to_owned(),
+                name: format!("target-{index}"),
+                ..Default::default()
+            };
+            targets.push(TargetServer::start(target).await.into_diagnostic()?);
+        }
+        for _ in 0..broken {
+            failing.push(BrokenTarget::start(CALL_PATH).await?);
+        }
+        let addresses = targets.iter().map(TargetServer::address);
+        let addresses = addresses.chain(failing.iter().map(BrokenTarget::address));
+        let mut nodes = vec![plan(0, None)];
+        nodes.extend(
+            addresses
+                .zip(1..)
+                .map(|(address, index)| plan(index, Some(address))),
+        );
+        let mut fleet = Fleet::start(FleetSettings {
+            nodes,
+            policy: "tree".to_owned(),
+            emulated: false,
+            workers: settings.workers,
+            extra_settings: variant.settings.to_owned(),
+        })
+        .await?;
+        let change = ConfigMirror::default().first_change(1)?.change;
+        let accepted = fleet.accept(0, &change).await?;
+        fleet.in_force(accepted.version).await?;
+        let client = Client::builder()
+            .no_proxy()
+            .timeout(CLIENT_TIMEOUT)
+            .build()
+            .into_diagnostic()?;
+        let mesh = Self {
+            policy: variant.name,
+            client,
+            fleet,
+            targets,
+            broken: failing,
+        };
+        mesh.wait_ready().await?;
+        Ok(mesh)
+    }
+
+    /// Waits until a call is answered through the nodes.
+    async fn wait_ready(&self) -> Result<()> {
+        let deadline = Instant::now() + READY_LIMIT;
+        let url = format!("{}{CALL_PATH}/ready", self.caller_base()?);
+        loop {
+            let answer = self.client.get(&url).send().await.into_diagnostic()?;
+            if answer.status().is_success() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                let told = answer.text().await.unwrap_or_default();
+                return Err(miette!("calls are not answered through the nodes: {told}"));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Base address of the caller's node.
+    pub(super) fn caller_base(&self) -> Result<String> {
+        Ok(format!("http://{}", self.fleet.addresses(0)?.calls))
+    }
+
+    /// Base addresses of the healthy targets themselves.
+    pub(super) fn target_bases(&self) -> Vec<String> {
+        let addresses = self.targets.iter().map(TargetServer::address);
+        addresses
+            .map(|address| format!("http://{address}"))
+            .collect()
+    }
+
+    pub(super) async fn set_behaviour(&self, behaviour: &TargetBehaviour) {
+        self.set_behaviour_from(0, behaviour).await;
+    }
+
+    /// Changes the targets from number `first` on.
+    pub(super) async fn set_behaviour_from(&self, first: usize, behaviour: &TargetBehaviour) {
+        for target in &self.targets[first..] {
+            target.set_behaviour(behaviour.clone()).await;
+        }
+    }
+
+    /// What was used since the start.
+    pub(super) async fn used(&self) -> Result<MeshUse> {
+        let usages = self.fleet.usages()?;
+        let mut calls_by_target = Vec::new();
+        for target in &self.targets {
+            calls_by_target.push(target.counters().await.started);
+        }
+        calls_by_target.extend(self.broken.iter().map(BrokenTarget::calls));
+        Ok(MeshUse {
+            caller_cpu_ms: usages[0].cpu_ms,
+            target_cpu_ms: usages[1..].iter().map(|usage| usage.cpu_ms).sum(),
+            calls_by_target,
+        })
+    }
+}
+
+fn plan(index: usize, target: Option<SocketAddr>) -> NodePlan {
+    NodePlan {
+        name: format!("node-{index}"),
+        region: "kolkata".to_owned(),
+        domain: "kolkata-a".to_owned(),
+        target: target.map(|address| (SERVICE.to_owned(), address)),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/calls/mod.rs
@@ -0,0 +1,461 @@
+//! Calls to targets directly, against calls through the caller's node and the target's node.
+
+mod broken_target;
+mod generator;
+mod mesh;
+
+use std::time::Duration;
+
+use agatedeck_standin::TargetBehaviour;
+use miette::Result;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::arguments::DEFAULT_WORKERS;
+use crate::report::Report;
+use crate::statistics::{TimeSummary, count_f64, to_f64};
+
+use generator::{LoadPlan, LoadResult, run_load};
+use mesh::{BalanceVariant, CallMesh, MeshUse};
+
+/// Path of the calls; `crate::records` puts a route for it in force.
+const CALL_PATH: &str = "/service-0";
+
+/// Slices into which a load is cut, so that direct calls and calls through the nodes alternate and
+/// both meet the same other work on the machine.
+const SLICES: u32 = 4;
+
+/// Longest pause between two loads that targets answer at once, in milliseconds.
+const MAX_LOAD_PAUSE_MS: u64 = 300;
+
+/// Longest pause between two loads near capacity, in which queues drain, in milliseconds.
+const MAX_DRAIN_PAUSE_MS: u64 = 1_000;
+
+/// Shares of the capacity that are offered, in percent. The last is the overload.
+const CAPACITY_PERCENTS: [u32; 4] = [50, 80, 100, 200];
+
+/// Slots of each target in the overload, as the policy of the service states them.
+const TARGET_SLOTS: u32 = 20;
+
+/// Settings of the measurement.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CallSettings {
+    /// Targets, each with a node beside it, all in the failure domain of the caller's node.
+    pub(crate) targets: usize,
+    /// Calls per second of each load whose latency is compared.
+    pub(crate) rates: Vec<u32>,
+    /// Length of each load.
+    pub(crate) load_ms: u64,
+    pub(crate) deadline_ms: u64,
+    /// Time that a call takes at a target in the overload.
+    pub(crate) work_ms: u64,
+    /// Calls per second while a third of the targets fail.
+    pub(crate) failing_rate: u32,
+    pub(crate) workers: usize,
+    /// The seed has no use yet: arrivals are evenly spaced. It stands in each report.
+    pub(crate) seed: u64,
+}
+
+impl Default for CallSettings {
+    fn default() -> Self {
+        Self {
+            targets: 3,
+            rates: vec![100, 300, 1_000, 2_000, 4_000, 8_000, 16_000],
+            load_ms: 8_000,
+            deadline_ms: 500,
+            work_ms: 20,
+            failing_rate: 300,
+            workers: DEFAULT_WORKERS,
+            seed: 1,
+        }
+    }
+}
+
+/// What became of the calls of one load, for the report.
+#[derive(Debug, Serialize)]
+struct CallCounts {
+    offered: u64,
+    answered: u64,
+    in_time: u64,
+    not_run: u64,
+    unknown: u64,
+    failed: u64,
+    wrong: u64,
+    lost: u64,
+    not_sent: u64,
+    answered_per_second: f64,
+    in_time_per_second: f64,
+    latency: TimeSummary,
+    /// Time by which the generator sent calls late; it is part of the latency.
+    generator_lag: TimeSummary,
+}
+
+impl From<&LoadResult> for CallCounts {
+    fn from(result: &LoadResult) -> Self {
+        Self {
+            offered: result.offered,
+            answered: result.answered,
+            in_time: result.in_time,
+            not_run: result.not_run,
+            unknown: result.unknown,
+            failed: result.failed,
+            wrong: result.wrong,
+            lost: result.lost,
+            not_sent: result.not_sent,
+            answered_per_second: to_f64(result.answered) / result.seconds,
+            in_time_per_second: to_f64(result.in_time) / result.seconds,
+            latency: TimeSummary::of(&result.latency),
+            generator_lag: TimeSummary::of(&result.lag),
+        }
+    }
+}
+
+/// Direct calls and calls through the nodes at one load.
+#[derive(Debug, Serialize)]
+struct LatencyResult<'a> {
+    policy: &'a str,
+    rate: u32,
+    seed: u64,
+    direct: CallCounts,
+    through: CallCounts,
+    /// Quantile of the calls through the nodes less the same quantile of the direct calls.
+    added_p50_ms: f64,
+    added_p99_ms: f64,
+    added_p999_ms: f64,
+    /// CPU time per call in microseconds.
+    caller_node_cpu_us: f64,
+    target_node_cpu_us: f64,
+    /// Calls per second that a core of the caller's node carries.
+    calls_per_caller_core: f64,
+    /// Calls per second that a core carries which runs both the caller's and the target's node.
+    calls_per_core: f64,
+    #[serde(flatten)]
+    spread: LoadSpread,
+}
+
+/// How evenly calls were spread over the targets.
+#[derive(Debug, Serialize)]
+struct LoadSpread {
+    calls_by_target: Vec<u64>,
+    /// Calls of the busiest target by those in the mean.
+    max_by_mean: f64,
+    /// Standard deviation by the mean.
+    variation: f64,
+}
+
+impl LoadSpread {
+    fn of(calls: &[u64]) -> Self {
+        let mean = to_f64(calls.iter().sum()) / count_f64(calls.len());
+        let squares = calls.iter().map(|calls| (to_f64(*calls) - mean).powi(2));
+        let deviation = (squares.sum::<f64>() / count_f64(calls.len())).sqrt();
+        Self {
+            calls_by_target: calls.to_vec(),
+            max_by_mean: to_f64(calls.iter().copied().max().unwrap_or(0)) / mean,
+            variation: deviation / mean,
+        }
+    }
+}
+
+/// Calls at a share of the capacity.
+#[derive(Debug, Serialize)]
+struct OverloadResult<'a> {
+    policy: &'a str,
+    path: &'a str,
+    capacity_percent: u32,
+    capacity_per_second: f64,
+    seed: u64,
+    counts: CallCounts,
+    /// Calls that targets started for each call offered.
+    runs_per_call: f64,
+}
+
+/// Calls while a third of the targets fail.
+#[derive(Debug, Serialize)]
+struct FailingResult<'a> {
+    policy: &'a str,
+    failure: &'a str,
+    rate: u32,
+    targets: usize,
+    failing_targets: usize,
+    seed: u64,
+    counts: CallCounts,
+    /// Calls that reached a target, the failing ones included, for each call offered.
+    attempts_per_call: f64,
+    answered_share: f64,
+    calls_by_healthy_target: Vec<u64>,
+    calls_by_failing_target: Vec<u64>,
+}
+
+/// Runs all loads under each balance policy that the node's settings offer.
+pub(crate) async fn run(settings: &CallSettings, report: &mut Report) -> Result<()> {
+    let variants = BalanceVariant::offered();
+    let names: Vec<&str> = variants.iter().map(|variant| variant.name).collect();
+    let chosen = names.len() > 1;
+    let note = serde_json::json!({ "policies": names, "settings_offer_choice": chosen });
+    report.record("balance-policies", &note)?;
+    for variant in &variants {
+        let mesh = CallMesh::start(settings, variant).await?;
+        for rate in &settings.rates {
+            compare_latency(settings, &mesh, *rate, report).await?;
+        }
+        measure_overload(settings, &mesh, report).await?;
+        drop(mesh);
+        for failure in ["closes", "answers-500"] {
+            measure_failing(settings, variant, failure, report).await?;
+        }
+    }
+    Ok(())
+}
+
+fn load(settings: &CallSettings, bases: Vec<String>, rate: f64, duration: Duration) -> LoadPlan {
+    LoadPlan {
+        bases,
+        path: CALL_PATH.to_owned(),
+        rate,
+        duration,
+        deadline_ms: settings.deadline_ms,
+    }
+}
+
+async fn compare_latency(
+    settings: &CallSettings,
+    mesh: &CallMesh,
+    rate: u32,
+    report: &mut Report,
+) -> Result<()> {
+    let slice = Duration::from_millis(settings.load_ms) / SLICES;
+    let load_pause = Duration::from_millis((settings.load_ms / 8).min(MAX_LOAD_PAUSE_MS));
+    let (mut direct, mut through) = (LoadResult::default(), LoadResult::default());
+    let mut used = MeshUse::none(settings.targets);
+    for _ in 0..SLICES {
+        let plan = load(settings, mesh.target_bases(), f64::from(rate), slice);
+        direct.add(&run_load(&mesh.client, plan).await?);
+        sleep(load_pause).await;
+        let before = mesh.used().await?;
+        let plan = load(settings, vec![mesh.caller_base()?], f64::from(rate), slice);
+        through.add(&run_load(&mesh.client, plan).await?);
+        used.add(&before, &mesh.used().await?);
+        sleep(load_pause).await;
+    }
+    let (direct, through) = (CallCounts::from(&direct), CallCounts::from(&through));
+    let calls = to_f64(through.offered.max(1));
+    let per_call = |cpu_ms: u64| to_f64(cpu_ms) * 1_000.0 / calls;
+    let caller_node_cpu_us = per_call(used.caller_cpu_ms);
+    let target_node_cpu_us = per_call(used.target_cpu_ms);
+    let result = LatencyResult {
+        policy: mesh.policy,
+        rate,
+        seed: settings.seed,
+        added_p50_ms: through.latency.p50_ms - direct.latency.p50_ms,
+        added_p99_ms: through.latency.p99_ms - direct.latency.p99_ms,
+        added_p999_ms: through.latency.p999_ms - direct.latency.p999_ms,
+        caller_node_cpu_us,
+        target_node_cpu_us,
+        calls_per_caller_core: 1e6 / caller_node_cpu_us,
+        calls_per_core: 1e6 / (caller_node_cpu_us + target_node_cpu_us),
+        spread: LoadSpread::of(&used.calls_by_target),
+        direct,
+        through,
+    };
+    report.record("latency", &result)?;
+    add_latency_row(report, &result);
+    Ok(())
+}
+
+const LATENCY_TITLE: &str =
+    "latency in ms, direct and through two nodes; `+` is the difference of the quantiles";
+const LATENCY_HEAD: [&str; 13] = [
+    "policy",
+    "calls/s",
+    "direct p50",
+    "p99",
+    "p99.9",
+    "through p50",
+    "p99",
+    "p99.9",
+    "+p50",
+    "+p99",
+    "+p99.9",
+    "answered/s",
+    "cpu us/call",
+];
+
+fn add_latency_row(report: &mut Report, result: &LatencyResult<'_>) {
+    let ms = |value: f64| format!("{value:.3}");
+    let (direct, through) = (&result.direct.latency, &result.through.latency);
+    let cells = vec![
+        result.policy.to_owned(),
+        result.rate.to_string(),
+        ms(direct.p50_ms),
+        ms(direct.p99_ms),
+        ms(direct.p999_ms),
+        ms(through.p50_ms),
+        ms(through.p99_ms),
+        ms(through.p999_ms),
+        ms(result.added_p50_ms),
+        ms(result.added_p99_ms),
+        ms(result.added_p999_ms),
+        format!("{:.0}", result.through.answered_per_second),
+        format!(
+            "{:.0}",
+            result.caller_node_cpu_us + result.target_node_cpu_us
+        ),
+    ];
+    report.add_row(LATENCY_TITLE, &LATENCY_HEAD, cells);
+}
+
+async fn measure_overload(
+    settings: &CallSettings,
+    mesh: &CallMesh,
+    report: &mut Report,
+) -> Result<()> {
+    let behaviour = TargetBehaviour {
+        work_ms: settings.work_ms,
+        slots: Some(TARGET_SLOTS),
+        ..Default::default()
+    };
+    mesh.set_behaviour(&behaviour).await;
+    let per_target = f64::from(TARGET_SLOTS) * 1_000.0 / to_f64(settings.work_ms);
+    let capacity = per_target * count_f64(settings.targets);
+    let duration = Duration::from_millis(settings.load_ms);
+    let drain_pause = Duration::from_millis((settings.load_ms / 4).min(MAX_DRAIN_PAUSE_MS));
+    for (path, bases) in [
+        ("direct", mesh.target_bases()),
+        ("through", vec![mesh.caller_base()?]),
+    ] {
+        let mut peak = 0.0_f64;
+        for capacity_percent in CAPACITY_PERCENTS {
+            let rate = capacity * f64::from(capacity_percent) / 100.0;
+            let before = mesh.used().await?;
+            let plan = load(settings, bases.clone(), rate, duration);
+            let result = run_load(&mesh.client, plan).await?;
+            let mut used = MeshUse::none(settings.targets);
+            used.add(&before, &mesh.used().await?);
+            let counts = CallCounts::from(&result);
+            peak = peak.max(counts.in_time_per_second);
+            let result = OverloadResult {
+                policy: mesh.policy,
+                path,
+                capacity_percent,
+                capacity_per_second: capacity,
+                seed: settings.seed,
+                runs_per_call: to_f64(used.calls_by_target.iter().sum()) / to_f64(counts.offered),
+                counts,
+            };
+            report.record("overload", &result)?;
+            add_overload_row(report, &result, peak);
+            sleep(drain_pause).await;
+        }
+    }
+    mesh.set_behaviour(&TargetBehaviour::default()).await;
+    Ok(())
+}
+
+const OVERLOAD_TITLE: &str = "goodput: answers within the deadline per second, and by the peak";
+const OVERLOAD_HEAD: [&str; 11] = [
+    "policy",
+    "path",
+    "% capacity",
+    "offered/s",
+    "goodput/s",
+    "% peak",
+    "not-run",
+    "unknown",
+    "lost",
+    "not sent",
+    "runs/call",
+];
+
+fn add_overload_row(report: &mut Report, result: &OverloadResult<'_>, peak: f64) {
+    let counts = &result.counts;
+    let offered = result.capacity_per_second * f64::from(result.capacity_percent) / 100.0;
+    let cells = vec![
+        result.policy.to_owned(),
+        result.path.to_owned(),
+        result.capacity_percent.to_string(),
+        format!("{offered:.0}"),
+        format!("{:.0}", counts.in_time_per_second),
+        format!("{:.1}", 100.0 * counts.in_time_per_second / peak),
+        counts.not_run.to_string(),
+        counts.unknown.to_string(),
+        counts.lost.to_string(),
+        counts.not_sent.to_string(),
+        format!("{:.3}", result.runs_per_call),
+    ];
+    report.add_row(OVERLOAD_TITLE, &OVERLOAD_HEAD, cells);
+}
+
+async fn measure_failing(
+    settings: &CallSettings,
+    variant: &BalanceVariant,
+    failure: &str,
+    report: &mut Report,
+) -> Result<()> {
+    let targets = settings.targets * 2;
+    let failing = targets.div_ceil(3);
+    let healthy = targets - failing;
+    let mesh = if failure == "closes" {
+        CallMesh::start_with_broken(settings, variant, healthy, failing).await?
+    } else {
+        let mesh = CallMesh::start_with(settings, variant, targets).await?;
+        let behaviour = TargetBehaviour {
+            failing: true,
+            ..Default::default()
+        };
+        mesh.set_behaviour_from(healthy, &behaviour).await;
+        mesh
+    };
+    let before = mesh.used().await?;
+    let duration = Duration::from_millis(settings.load_ms);
+    let rate = f64::from(settings.failing_rate);
+    let plan = load(settings, vec![mesh.caller_base()?], rate, duration);
+    let result = run_load(&mesh.client, plan).await?;
+    let mut used = MeshUse::none(before.calls_by_target.len());
+    used.add(&before, &mesh.used().await?);
+    let (by_healthy, by_failing) = used.calls_by_target.split_at(healthy);
+    let counts = CallCounts::from(&result);
+    let offered = to_f64(counts.offered.max(1));
+    let result = FailingResult {
+        policy: mesh.policy,
+        failure,
+        rate: settings.failing_rate,
+        targets,
+        failing_targets: failing,
+        seed: settings.seed,
+        attempts_per_call: to_f64(used.calls_by_target.iter().sum()) / offered,
+        answered_share: to_f64(counts.answered) / offered,
+        calls_by_healthy_target: by_healthy.to_vec(),
+        calls_by_failing_target: by_failing.to_vec(),
+        counts,
+    };
+    report.record("failing", &result)?;
+    let counts = &result.counts;
+    let cells = vec![
+        result.policy.to_owned(),
+        failure.to_owned(),
+        format!("{failing} of {}", result.targets),
+        counts.offered.to_string(),
+        format!("{:.2}", 100.0 * result.answered_share),
+        counts.not_run.to_string(),
+        counts.unknown.to_string(),
+        counts.failed.to_string(),
+        counts.lost.to_string(),
+        format!("{:.3}", result.attempts_per_call),
+    ];
+    report.add_row(FAILING_TITLE, &FAILING_HEAD, cells);
+    Ok(())
+}
+
+const FAILING_TITLE: &str = "a third of the targets fail";
+const FAILING_HEAD: [&str; 10] = [
+    "policy",
+    "failure",
+    "failing",
+    "calls",
+    "% answered",
+    "not-run",
+    "unknown",
+    "500",
+    "lost",
+    "attempts/call",
+];
--- a/crates/bench/src/fleet/member.rs
+++ b/crates/bench/src/fleet/member.rs
@@ -23,6 +23,7 @@
 /// Addresses that a node wrote to its log.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NodeAddresses {
+    pub(crate) calls: SocketAddr,
     pub(crate) admin: SocketAddr,
 }
 
@@ -123,6 +124,7 @@
         parts.find_map(|part| part.strip_prefix(name)?.trim().parse().ok())
     };
     Some(NodeAddresses {
+        calls: address("calls")?,
         admin: address("admin")?,
     })
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! that it started. Nothing here is part of the product; the nodes run the library's `Node`.
 
 mod arguments;
+mod calls;
 mod control_bytes;
 mod convergence;
 mod fleet;
@@ -72,6 +73,11 @@
             control_bytes::run(&settings, &mut report).await?;
             report.finish()
         }
+        Invocation::Calls(settings) => {
+            let mut report = Report::start("calls", None, &settings)?;
+            calls::run(&settings, &mut report).await?;
+            report.finish()
+        }
         Invocation::Print(_) | Invocation::Node(_) => Ok(()),
     }
 }
--- a/crates/bench/tests/smoke.rs
+++ b/crates/bench/tests/smoke.rs
@@ -79,6 +79,32 @@
     }
 }
 
+/// Fails when a call gets no answer, or the answer to another call.
+#[test]
+fn calls_are_neither_lost_nor_answered_wrongly() {
+    let arguments = [
+        "calls",
+        "--targets",
+        "2",
+        "--rates",
+        "50",
+        "--load-ms",
+        "400",
+        "--failing-rate",
+        "50",
+        "--work-ms",
+        "100",
+    ];
+    let latencies = lines(&arguments, "latency");
+    for result in &latencies {
+        for path in ["direct", "through"] {
+            let counts = &result[path];
+            assert_eq!(counts["answered"], counts["offered"], "{result}");
+            assert_eq!((&counts["wrong"], &counts["lost"]), (&0.into(), &0.into()));
+        }
+    }
+}
+
 /// Fails when a bad command line starts a measurement, or is not explained.
 #[test]
 fn a_bad_command_line_is_refused() {
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
@@ -17,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
 use crate::faults::pause;
@@ -39,6 +41,9 @@
     pub false_load: Option<u32>,
     /// Calls are answered with 500.
     pub failing: bool,
+    /// Calls that run at the same time; further ones wait without limit, as in a target that does
+    /// not shed load. `None` for any number.
+    pub slots: Option<u32>,
 }
 
 /// Settings of a target stand-in.
@@ -98,6 +103,7 @@
         let keeper = RunKeeper::spawn(RunKeeper {
             service: settings.service,
             name: settings.name,
+            slots: slots_of(&settings.behaviour),
             behaviour: settings.behaviour,
             counters: TargetCounters::default(),
         });
@@ -142,15 +148,23 @@
     service: String,
     name: String,
     behaviour: TargetBehaviour,
+    /// What calls hold while they run, where the behaviour limits their number.
+    slots: Option<Arc<Semaphore>>,
     counters: TargetCounters,
 }
 
+fn slots_of(behaviour: &TargetBehaviour) -> Option<Arc<Semaphore>> {
+    let slots = usize::try_from(behaviour.slots?).unwrap_or(Semaphore::MAX_PERMITS);
+    Some(Arc::new(Semaphore::new(slots)))
+}
+
 /// What a call needs to know to run.
 #[derive(Debug, kameo::Reply)]
 struct RunOrder {
     service: String,
     name: String,
     behaviour: TargetBehaviour,
+    slots: Option<Arc<Semaphore>>,
     run: u64,
 }
 
@@ -173,6 +187,7 @@
             service: self.service.clone(),
             name: self.name.clone(),
             behaviour: self.behaviour.clone(),
+            slots: self.slots.as_ref().map(Arc::clone),
             run: *run,
         }
     }
@@ -194,6 +209,7 @@
     type Reply = ();
 
     async fn handle(&mut self, SetBehaviour(behaviour): SetBehaviour, _: &mut Context<Self, ()>) {
+        self.slots = slots_of(&behaviour);
         self.behaviour = behaviour;
     }
 }
@@ -289,7 +305,13 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
     let body = axum::body::to_bytes(request.into_body(), MAX_BODY_BYTES).await;
+    let slot = match &order.slots {
+        // The semaphore is never closed.
+        Some(slots) => slots.acquire().await.ok(),
+        None => None,
+    };
     pause(Duration::from_millis(order.behaviour.work_ms)).await;
+    drop(slot);
     // A keeper that is gone counts nothing any more.
     let _ = keeper.tell(FinishRun).await;
     if order.behaviour.failing {
