Test the call path against crashes, outages, draining and floods

Cause: nothing exercised what callers are told when targets, callers, the store or nodes fail.

Change: the target stand-in can hang, crash on a path, break off its answers, pad them and call on. Its connections are lost when it is dropped, as its documentation said; before, the tasks of its connections went on. `crates/node/tests/calls.rs` runs nodes in one process over loopback.

--- /dev/null
+++ b/crates/node/tests/calls.rs
@@ -0,0 +1,436 @@
+//! Faults on the path of a call: what the caller is told, and how often the call ran.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use agatedeck_standin::{PlatformFaults, TargetBehaviour};
+use futures::future::join_all;
+use serde_json::Value;
+use support::{Mesh, Told, eventually, told};
+
+fn assert_told(told: &Told, status: u16, outcome: &str, reason: &str) {
+    let seen = (told.status, told.outcome.as_str(), told.reason.as_str());
+    assert_eq!(seen, (status, outcome, reason), "{told:?}");
+}
+
+/// Guards against an answer that is lost or changed on the way, and against histograms that miss it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answered_call_is_counted() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let request = mesh.get(0, "/slots/today").header("x-request-id", "one");
+    let answer = told(request.header("agatedeck-tenant", "bengal")).await;
+    assert_told(&answer, 200, "answered", "");
+    let body = answer.body.expect("a whole answer");
+    assert_eq!(
+        (&body["request"], &body["depth"]),
+        (&"one".into(), &"1".into())
+    );
+    eventually("the call is in the histogram", async || {
+        let status = mesh.admin(0, "/v1/status").await;
+        let histogram = &status["histograms"][0];
+        histogram["tenant"] == "bengal" && histogram["count"] == 1
+    })
+    .await;
+}
+
+/// Guards against `not-run` for a call that ran, and against an answer where none came.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_killed_with_a_call_in_flight() {
+    let mut mesh = Mesh::start(&["waiverbox"]).await;
+    let behaviour = TargetBehaviour {
+        hang: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let call = tokio::spawn(told(mesh.client.post(mesh.url(0, "/waivers")).body("form")));
+    eventually("the call runs", async || {
+        mesh.target(0).counters().await.started == 1
+    })
+    .await;
+    mesh.targets[0] = None;
+    assert_told(&call.await.expect("told"), 504, "unknown", "no-answer");
+    // The target is gone now, so that nothing of the next call can be sent.
+    let next = told(mesh.client.post(mesh.url(0, "/waivers")).body("form")).await;
+    assert_told(&next, 503, "not-run", "unreachable");
+}
+
+/// Guards against a call that is told later than its deadline, and against a target that goes on
+/// working for a caller that has been answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_target_is_unknown_at_the_deadline_and_cancelled() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        hang: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let started = Instant::now();
+    let answer = told(mesh.get(0, "/slots").header("agatedeck-deadline-ms", "200")).await;
+    assert_told(&answer, 504, "unknown", "deadline");
+    assert!(started.elapsed() < Duration::from_millis(600));
+    eventually("the call is cancelled at the target", async || {
+        mesh.target(0).counters().await.cancelled == 1
+    })
+    .await;
+}
+
+/// Guards against a truncated answer that is taken for a whole one (I4).
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_answers_are_never_whole() {
+    let mesh = Mesh::start(&["slotfinder", "waiverbox", "slotfinder"]).await;
+    let short = TargetBehaviour {
+        break_after_bytes: Some(10),
+        ..Default::default()
+    };
+    let long = TargetBehaviour {
+        padding_bytes: 300_000,
+        break_after_bytes: Some(200_000),
+        ..Default::default()
+    };
+    // Another target has the answer, and the caller has nothing of the broken one yet.
+    mesh.behave(0, short.clone()).await;
+    for _ in 0..4 {
+        assert_told(&told(mesh.get(0, "/slots")).await, 200, "answered", "");
+    }
+    // A POST to this service may not be repeated, so it is unknown.
+    mesh.behave(1, short).await;
+    let post = || mesh.client.post(mesh.url(1, "/waivers")).body("form");
+    assert_told(&told(post()).await, 502, "unknown", "answer-truncated");
+    // The caller has the head of a long answer; its connection is closed before the end.
+    mesh.behave(1, long).await;
+    let broken = told(post()).await;
+    assert_eq!((broken.status, broken.body), (200, None));
+}
+
+/// Guards against a call that is refused while another target could take it.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connection_is_tried_elsewhere() {
+    let mut mesh = Mesh::start(&["slotfinder", "slotfinder"]).await;
+    mesh.targets[0] = None;
+    for call in 0..10 {
+        let answer = told(mesh.get(call % 2, "/slots")).await;
+        assert_told(&answer, 200, "answered", "");
+    }
+    mesh.targets[1] = None;
+    let answer = told(mesh.get(0, "/slots")).await;
+    assert_told(&answer, 503, "not-run", "unreachable");
+}
+
+/// Guards against requests in flight that a graceful shutdown cuts off (I8), and against calls that
+/// are not answered because one of two targets leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_under_load_loses_nothing() {
+    let mut mesh = Mesh::start(&["slotfinder", "slotfinder", "waiverbox"]).await;
+    for target in 0..2 {
+        let behaviour = TargetBehaviour {
+            work_ms: 20,
+            ..Default::default()
+        };
+        mesh.behave(target, behaviour).await;
+    }
+    let (client, url) = (mesh.client.clone(), mesh.url(2, "/slots"));
+    let callers = (0..4).map(|_| {
+        let (client, url) = (client.clone(), url.clone());
+        tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            let until = Instant::now() + Duration::from_millis(1_500);
+            while Instant::now() < until {
+                outcomes.push(told(client.get(&url)).await);
+            }
+            outcomes
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let leaving = mesh.nodes[0].take().expect("the node runs");
+    leaving.shutdown().await;
+    let before = mesh.target(0).counters().await;
+    assert_eq!((before.started, before.cancelled), (before.finished, 0));
+    let outcomes: Vec<Told> = join_all(callers)
+        .await
+        .into_iter()
+        .flat_map(|outcomes| outcomes.expect("the caller ends"))
+        .collect();
+    assert!(outcomes.len() > 100, "{}", outcomes.len());
+    for outcome in &outcomes {
+        assert_told(outcome, 200, "answered", "");
+    }
+    assert_eq!(mesh.target(0).counters().await.started, before.started);
+}
+
+/// Guards against a charge that runs twice (I6): resent to the same node, sent to two nodes at once,
+/// and resent with another body.
+#[tokio::test(flavor = "multi_thread")]
+async fn charge_runs_once() {
+    let mesh = Mesh::start(&["depositdesk", "depositdesk"]).await;
+    let missing = told(mesh.client.post(mesh.url(0, "/deposits"))).await;
+    assert_told(&missing, 400, "not-run", "missing-key");
+
+    assert_eq!(told(mesh.charge(0, "resent")).await.run(), Some(1));
+    eventually("the answer is stored", async || {
+        let answer = told(mesh.charge(1, "resent")).await;
+        answer.outcome == "answered" && answer.run() == Some(1)
+    })
+    .await;
+    assert_eq!(mesh.runs("resent").await, 1);
+    let other = told(mesh.charge(0, "resent").body("charge 40")).await;
+    assert_told(&other, 422, "not-run", "key-reused");
+
+    for target in 0..2 {
+        let behaviour = TargetBehaviour {
+            work_ms: 50,
+            ..Default::default()
+        };
+        mesh.behave(target, behaviour).await;
+    }
+    for round in 0..5 {
+        let key = format!("twice-{round}");
+        let calls = (0..6).map(|call| told(mesh.charge(call % 2, &key)));
+        let answers = join_all(calls).await;
+        let answered = answers.iter().filter(|told| told.outcome == "answered");
+        assert_eq!(answered.count(), 1, "{answers:?}");
+        assert!(answers.iter().all(|told| told.outcome != "not-run"));
+        assert_eq!(mesh.runs(&key).await, 1);
+    }
+}
+
+/// Guards against a charge that runs although it was not claimed, or that runs again after the
+/// store lost the answer to a write or was away when the call had ended (F3, F4).
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_at_each_step_of_a_claim() {
+    let mesh = Mesh::start(&["depositdesk"]).await;
+    let faults = |faults| mesh.platform.set_faults(faults);
+    let outage = || PlatformFaults {
+        outage: true,
+        ..Default::default()
+    };
+    // Before the claim is written.
+    faults(outage()).await;
+    let refused = told(mesh.charge(0, "claim")).await;
+    assert_told(&refused, 503, "not-run", "store-away");
+    assert_eq!(mesh.runs("claim").await, 0);
+    faults(PlatformFaults::default()).await;
+    assert_eq!(told(mesh.charge(0, "claim")).await.run(), Some(1));
+
+    // The claim is written and the answer to the write is lost.
+    faults(PlatformFaults {
+        lose_answers: 1,
+        ..Default::default()
+    })
+    .await;
+    let answer = told(mesh.charge(0, "lost")).await;
+    assert_told(&answer, 200, "answered", "");
+    faults(PlatformFaults::default()).await;
+    assert_eq!(mesh.runs("lost").await, 1);
+
+    // The store is away when the answer is to be stored.
+    let behaviour = TargetBehaviour {
+        work_ms: 150,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let call = tokio::spawn(told(mesh.charge(0, "answer")));
+    eventually("the charge runs", async || mesh.runs("answer").await == 1).await;
+    faults(outage()).await;
+    let answer = call.await.expect("told");
+    assert_told(&answer, 200, "answered", "");
+    let resent = told(mesh.charge(0, "answer")).await;
+    assert_told(&resent, 503, "not-run", "store-away");
+    faults(PlatformFaults::default()).await;
+    eventually("the answer is stored after the outage", async || {
+        told(mesh.charge(0, "answer")).await.run() == Some(1)
+    })
+    .await;
+    assert_eq!(mesh.runs("answer").await, 1);
+}
+
+/// Guards against one request that takes down target after target (F7), and against other requests
+/// that are refused with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_request_is_refused_after_three_crashes() {
+    let mesh = Mesh::start(&["waiverbox", "waiverbox"]).await;
+    for target in 0..2 {
+        let behaviour = TargetBehaviour {
+            crash_path: Some("/waivers/poison".to_owned()),
+            ..Default::default()
+        };
+        mesh.behave(target, behaviour).await;
+    }
+    let poison = |node| {
+        let url = mesh.url(node, "/waivers/poison");
+        told(
+            mesh.client
+                .post(url)
+                .header("x-request-id", "poison")
+                .body("same"),
+        )
+    };
+    for crash in 0..3 {
+        assert_told(&poison(crash % 2).await, 504, "unknown", "no-answer");
+    }
+    for node in 0..2 {
+        eventually("the region knows of the crashes", async || {
+            let status = mesh.admin(node, "/v1/status").await;
+            status["refused_requests"][0]["crashes"] == 3
+        })
+        .await;
+        assert_told(&poison(node).await, 503, "not-run", "crashed-targets");
+        let url = mesh.url(node, "/waivers/other");
+        let other = told(mesh.client.post(url).body("same")).await;
+        assert_told(&other, 200, "answered", "");
+    }
+    assert_eq!(mesh.runs("poison").await, 3);
+}
+
+/// Guards against large uploads that are collected in memory or lose bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_of_32_megabytes_streams() {
+    const CHUNK: usize = 64 * 1024;
+    let mesh = Mesh::start(&["waiverbox"]).await;
+    let chunks =
+        futures::stream::iter((0..512).map(|_| Ok::<_, std::io::Error>(vec![7_u8; CHUNK])));
+    let body = reqwest::Body::wrap_stream(chunks);
+    let answer = told(mesh.client.put(mesh.url(0, "/waivers/form")).body(body)).await;
+    assert_told(&answer, 200, "answered", "");
+    let received = answer.body.expect("a whole answer")["received_bytes"].as_u64();
+    assert_eq!(received, Some(512 * CHUNK as u64));
+}
+
+/// Guards against inner calls that outlive the deadline of the outer call, and against retries that
+/// multiply over hops.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_and_attempts_over_two_hops() {
+    let mesh = Mesh::start(&["waiverbox", "slotfinder"]).await;
+    let outer = TargetBehaviour {
+        calls_on: Some(mesh.url(0, "/slots/inner")),
+        ..Default::default()
+    };
+    mesh.behave(0, outer).await;
+    let hang = TargetBehaviour {
+        hang: true,
+        ..Default::default()
+    };
+    mesh.behave(1, hang).await;
+    let started = Instant::now();
+    let request = mesh.client.post(mesh.url(0, "/waivers")).body("form");
+    let answer = told(request.header("agatedeck-deadline-ms", "300")).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (504, "unknown"));
+    assert!(started.elapsed() < Duration::from_millis(800));
+    eventually("both hops are cancelled", async || {
+        let (outer, inner) = (mesh.target(0).counters(), mesh.target(1).counters());
+        outer.await.cancelled == 1 && inner.await.cancelled == 1
+    })
+    .await;
+
+    // The inner target breaks off; only the outermost caller's node would try the call again.
+    let broken = TargetBehaviour {
+        break_after_bytes: Some(5),
+        ..Default::default()
+    };
+    mesh.behave(1, broken).await;
+    let before = mesh.target(1).counters().await.started;
+    let answer = told(mesh.client.post(mesh.url(0, "/waivers")).body("form")).await;
+    assert_told(&answer, 200, "answered", "");
+    let inner = &answer.body.expect("a whole answer")["inner"];
+    assert_eq!(inner["outcome"], "unknown", "{inner}");
+    assert_eq!(mesh.target(1).counters().await.started - before, 1);
+}
+
+/// Guards against chains of calls without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn chain_of_calls_ends_at_the_depth_limit() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        calls_on: Some(mesh.url(0, "/slots/again")),
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    // The policy has four slots, so the chain is entered near its end.
+    let request = mesh.get(0, "/slots").header("agatedeck-depth", "5");
+    let mut answer = told(request).await.body.expect("a whole answer");
+    for depth in ["6", "7", "8"] {
+        assert_eq!(answer["depth"], depth);
+        answer = answer["inner"].take();
+        if depth != "8" {
+            answer = answer["answer"].take();
+        }
+    }
+    assert_eq!(answer["outcome"], "not-run");
+    assert_eq!(answer["reason"], "too-deep");
+}
+
+/// Guards against a target that goes on working for a caller that has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_its_call() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        hang: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let call = tokio::spawn(told(mesh.get(0, "/slots")));
+    eventually("the call runs", async || {
+        mesh.target(0).counters().await.started == 1
+    })
+    .await;
+    call.abort();
+    eventually("the call is cancelled", async || {
+        mesh.target(0).counters().await.cancelled == 1
+    })
+    .await;
+    mesh.behave(0, TargetBehaviour::default()).await;
+    // All slots are free again.
+    let calls = (0..4).map(|_| told(mesh.get(0, "/slots")));
+    for answer in join_all(calls).await {
+        assert_told(&answer, 200, "answered", "");
+    }
+}
+
+/// Guards against one tenant that takes the target from the others, and against more calls at the
+/// target than it has slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn flood_of_one_tenant_leaves_room_for_others() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        work_ms: 10,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let flood = (0..40).map(|_| {
+        let (client, url) = (mesh.client.clone(), mesh.url(0, "/slots"));
+        tokio::spawn(async move {
+            loop {
+                let _ = told(client.get(&url).header("agatedeck-tenant", "flood")).await;
+            }
+        })
+    });
+    let flood: Vec<_> = flood.collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut answered = 0;
+    for _ in 0..20 {
+        let call = told(mesh.get(0, "/slots").header("agatedeck-tenant", "small")).await;
+        answered += u32::from(call.outcome == "answered");
+    }
+    for caller in &flood {
+        caller.abort();
+    }
+    assert!(answered >= 19, "{answered} of 20 calls were answered");
+    assert!(mesh.target(0).counters().await.peak <= 4);
+}
+
+/// Guards against headers of the mesh that a caller or a target sets to mislead it.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_routes_and_forged_outcomes() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let missing = told(mesh.get(0, "/nothing")).await;
+    assert_told(&missing, 404, "not-run", "no-route");
+    assert_eq!(missing.body, Some(Value::Null));
+    let failing = TargetBehaviour {
+        failing: true,
+        ..Default::default()
+    };
+    mesh.behave(0, failing).await;
+    let request = mesh.get(0, "/slots").header("agatedeck-outcome", "not-run");
+    assert_told(&told(request).await, 500, "answered", "");
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,248 @@
+//! A mesh in one process over loopback: the platform's stand-in, and a target beside each node.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use agatedeck_node::{CallSettings, Node, NodeSettings, StoreSettings, TargetSettings};
+use agatedeck_records::read_record_file;
+use agatedeck_standin::{PlatformServer, TargetBehaviour, TargetServer};
+use reqwest::{Client, RequestBuilder};
+use serde_json::{Value, json};
+
+/// `search` may run twice, `charge` runs at most once, `upload` is not repeated.
+const RECORDS: &str = r#"
+[[policy]]
+name = "search"
+[[policy.form]]
+schema = 2
+repeat = "always"
+timeout_ms = 3000
+slots = 4
+queue = 8
+max_attempts = 3
+tenant_share_percent = 50
+
+[[policy]]
+name = "charge"
+[[policy.form]]
+schema = 1
+repeat = "once"
+timeout_ms = 3000
+slots = 20
+
+[[policy]]
+name = "upload"
+[[policy.form]]
+schema = 1
+repeat = "safe-methods"
+timeout_ms = 20000
+slots = 4
+
+[[service]]
+name = "slotfinder"
+[[service.form]]
+schema = 1
+policy = "search"
+health_path = "/health"
+
+[[service]]
+name = "depositdesk"
+[[service.form]]
+schema = 1
+policy = "charge"
+health_path = "/health"
+
+[[service]]
+name = "waiverbox"
+[[service.form]]
+schema = 1
+policy = "upload"
+health_path = "/health"
+
+[[route]]
+name = "slots"
+[[route.form]]
+schema = 1
+prefix = "/slots"
+service = "slotfinder"
+
+[[route]]
+name = "deposits"
+[[route.form]]
+schema = 1
+prefix = "/deposits"
+service = "depositdesk"
+
+[[route]]
+name = "waivers"
+[[route.form]]
+schema = 1
+prefix = "/waivers"
+service = "waiverbox"
+"#;
+
+pub(crate) struct Mesh {
+    pub(crate) platform: PlatformServer,
+    pub(crate) nodes: Vec<Option<Node>>,
+    pub(crate) targets: Vec<Option<TargetServer>>,
+    pub(crate) client: Client,
+    addresses: Vec<(SocketAddr, SocketAddr)>,
+}
+
+/// What a caller received.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) status: u16,
+    pub(crate) outcome: String,
+    pub(crate) reason: String,
+    /// `None` if the answer broke off.
+    pub(crate) body: Option<Value>,
+}
+
+impl Told {
+    pub(crate) fn run(&self) -> Option<u64> {
+        self.body.as_ref()?["run"].as_u64()
+    }
+}
+
+impl Mesh {
+    /// One node with a target for each service, each in a failure domain of its own.
+    pub(crate) async fn start(services: &[&str]) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any).await.expect("platform stand-in");
+        let client = Client::builder().no_proxy().build().expect("HTTP client");
+        let mut mesh = Self {
+            platform,
+            nodes: Vec::new(),
+            targets: Vec::new(),
+            client,
+            addresses: Vec::new(),
+        };
+        for (index, service) in services.iter().enumerate() {
+            let name = format!("node-{index}");
+            let target = TargetServer::start(agatedeck_standin::TargetSettings {
+                service: (*service).to_owned(),
+                name: name.clone(),
+                ..Default::default()
+            })
+            .await
+            .expect("target stand-in");
+            let settings = NodeSettings {
+                name,
+                region: "kolkata".to_owned(),
+                domain: format!("kolkata-{index}"),
+                store: StoreSettings {
+                    url: mesh.platform.base_url(),
+                    region: "kolkata".to_owned(),
+                    timeout: Duration::from_millis(500),
+                },
+                target: Some(TargetSettings {
+                    service: (*service).to_owned(),
+                    address: target.address(),
+                }),
+                calls: CallSettings {
+                    probe_interval: Duration::from_mins(1),
+                    ..Default::default()
+                },
+                ..Default::default()
+            };
+            let node = Node::start(settings).await.expect("the node starts");
+            let addresses = node.addresses();
+            mesh.addresses.push((addresses.calls, addresses.admin));
+            mesh.nodes.push(Some(node));
+            mesh.targets.push(Some(target));
+        }
+        mesh.configure(services).await;
+        mesh
+    }
+
+    /// Puts the records in force and waits until every node routes to every target.
+    async fn configure(&self, services: &[&str]) {
+        let records = read_record_file("records.toml", RECORDS).expect("records are valid");
+        let writes: Vec<_> = records.iter().map(|record| record.write(0)).collect();
+        let change =
+            json!({ "change_id": "first", "operator": "test", "writes": writes, "insist": false });
+        let url = format!("http://{}/v1/changes", self.addresses[0].1);
+        eventually("the change is accepted", async || {
+            let answer = self.client.post(&url).json(&change).send().await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+        for index in 0..services.len() {
+            eventually("the node serves and knows all members", async || {
+                let node = self.admin(index, "/v1/node").await;
+                node["report"]["version"] == 1
+                    && node["members"]["MEMBER_STATUS_ALIVE"] == services.len()
+            })
+            .await;
+        }
+        // Longer than the interval at which the boards are refreshed.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+
+    pub(crate) async fn admin(&self, node: usize, path: &str) -> Value {
+        let url = format!("http://{}{path}", self.addresses[node].1);
+        let answer = self.client.get(url).send().await.expect("the node answers");
+        answer.json().await.expect("an answer in JSON")
+    }
+
+    pub(crate) fn url(&self, node: usize, path: &str) -> String {
+        format!("http://{}{path}", self.addresses[node].0)
+    }
+
+    pub(crate) fn get(&self, node: usize, path: &str) -> RequestBuilder {
+        self.client.get(self.url(node, path))
+    }
+
+    /// A charge under an idempotency key, which is also its request id.
+    pub(crate) fn charge(&self, node: usize, key: &str) -> RequestBuilder {
+        let request = self.client.post(self.url(node, "/deposits"));
+        let request = request.header("idempotency-key", key);
+        request.header("x-request-id", key).body("charge 30")
+    }
+
+    pub(crate) fn target(&self, index: usize) -> &TargetServer {
+        self.targets[index].as_ref().expect("the target runs")
+    }
+
+    pub(crate) async fn behave(&self, index: usize, behaviour: TargetBehaviour) {
+        self.target(index).set_behaviour(behaviour).await;
+    }
+
+    /// How often a request ran, at all targets together.
+    pub(crate) async fn runs(&self, id: &str) -> u64 {
+        let mut runs = 0;
+        for target in self.targets.iter().flatten() {
+            runs += target.counters().await.runs.get(id).copied().unwrap_or(0);
+        }
+        runs
+    }
+}
+
+/// Sends a call and reads what its caller is told.
+pub(crate) async fn told(request: RequestBuilder) -> Told {
+    let answer = request.send().await.expect("the node answers");
+    let text = |name| {
+        let value = answer.headers().get(name);
+        let value = value.and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (outcome, reason) = (text("agatedeck-outcome"), text("agatedeck-reason"));
+    let status = answer.status().as_u16();
+    let body = answer.bytes().await.ok();
+    Told {
+        status,
+        outcome,
+        reason,
+        body: body.map(|body| serde_json::from_slice(&body).unwrap_or(Value::Null)),
+    }
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn eventually(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !condition().await {
+        assert!(Instant::now() < deadline, "in time: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They speak the protocols of `docs/platform.md` and plain HTTP over loopback, and their faults
 //! can be switched on at any moment.
 
+mod cut_listener;
 mod faults;
 mod platform_server;
 mod table;
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -6,18 +6,25 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Bytes;
+use axum::body::{Body, Bytes};
 use axum::extract::{Json, Request, State};
+use axum::http::header::CONTENT_LENGTH;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
+use futures::{StreamExt, stream};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
 use kameo::message::{Context, Message};
 use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::cut_listener::CutListener;
 
 /// Header that identifies a request in the counters and in the answer.
 const REQUEST_ID: &str = "x-request-id";
@@ -37,6 +44,17 @@
     pub false_load: Option<u32>,
     /// Calls are answered with 500.
     pub failing: bool,
+    /// Calls are received and never answered.
+    pub hang: bool,
+    /// A call of this path, once received, resets all connections of the target, as a crash does.
+    /// The target listens again at once.
+    pub crash_path: Option<String>,
+    /// Bytes of padding in each answer.
+    pub padding_bytes: usize,
+    /// Answers state their whole length and break off after this many bytes.
+    pub break_after_bytes: Option<usize>,
+    /// URL that each call asks before it answers, with its own `agatedeck-` headers.
+    pub calls_on: Option<String>,
 }
 
 /// Settings of a target stand-in.
@@ -68,8 +86,10 @@
 pub struct TargetCounters {
     /// Calls started.
     pub started: u64,
-    /// Calls answered.
+    /// Calls that have ended, the cancelled ones included.
     pub finished: u64,
+    /// Calls whose connection was closed before they were answered.
+    pub cancelled: u64,
     /// Largest number of calls at the same time.
     pub peak: u64,
     /// How often each request ran, by its `x-request-id` header.
@@ -81,6 +101,7 @@
 pub struct TargetServer {
     address: SocketAddr,
     keeper: ActorRef<RunKeeper>,
+    connections: watch::Sender<CancellationToken>,
     task: JoinHandle<()>,
 }
 
@@ -93,20 +114,29 @@
     pub async fn start(settings: TargetSettings) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.address).await?;
         let address = listener.local_addr()?;
-        let keeper = RunKeeper::spawn(RunKeeper {
+        let (connections, current) = watch::channel(CancellationToken::new());
+        let keeper = RunKeeper {
             service: settings.service,
             name: settings.name,
             behaviour: settings.behaviour,
             counters: TargetCounters::default(),
-        });
+            connections: connections.clone(),
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .map_err(io::Error::other)?,
+        };
+        // Without a bound, so that the end of a cancelled call can be told from `Drop`.
+        let keeper = RunKeeper::spawn_with_mailbox(keeper, mailbox::unbounded());
         let app = router(keeper.clone());
         let task = tokio::spawn(async move {
             // See `PlatformServer::start`: a failed listener looks like a target that is gone.
-            let _ = axum::serve(listener, app).await;
+            let _ = axum::serve(CutListener::new(listener, current), app).await;
         });
         Ok(Self {
             address,
             keeper,
+            connections,
             task,
         })
     }
@@ -131,6 +161,7 @@
 impl Drop for TargetServer {
     fn drop(&mut self) {
         self.task.abort();
+        self.connections.borrow().cancel();
     }
 }
 
@@ -141,6 +172,9 @@
     name: String,
     behaviour: TargetBehaviour,
     counters: TargetCounters,
+    /// Cancelled when the target crashes; each connection holds the token of its time.
+    connections: watch::Sender<CancellationToken>,
+    client: reqwest::Client,
 }
 
 /// What a call needs to know to run.
@@ -150,6 +184,7 @@
     name: String,
     behaviour: TargetBehaviour,
     run: u64,
+    client: reqwest::Client,
 }
 
 struct StartRun(String);
@@ -172,17 +207,46 @@
             name: self.name.clone(),
             behaviour: self.behaviour.clone(),
             run: *run,
+            client: self.client.clone(),
         }
     }
 }
 
-struct FinishRun;
+struct FinishRun {
+    cancelled: bool,
+}
 
 impl Message<FinishRun> for RunKeeper {
     type Reply = ();
 
-    async fn handle(&mut self, FinishRun: FinishRun, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, FinishRun { cancelled }: FinishRun, _: &mut Context<Self, ()>) {
         self.counters.finished += 1;
+        self.counters.cancelled += u64::from(cancelled);
+    }
+}
+
+/// Tells the end of a call. Dropped before, the call was cancelled.
+struct RunGuard {
+    keeper: ActorRef<RunKeeper>,
+    cancelled: bool,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let cancelled = self.cancelled;
+        // A keeper that is gone counts nothing any more.
+        let _ = self.keeper.tell(FinishRun { cancelled }).try_send();
+    }
+}
+
+struct Crash;
+
+impl Message<Crash> for RunKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, Crash: Crash, _: &mut Context<Self, ()>) {
+        let crashed = self.connections.send_replace(CancellationToken::new());
+        crashed.cancel();
     }
 }
 
@@ -286,24 +350,81 @@
     let Ok(order) = keeper.ask(StartRun(id.clone())).await else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
+    let mut guard = RunGuard {
+        keeper: keeper.clone(),
+        cancelled: true,
+    };
+    let headers = request.headers().clone();
     let body = axum::body::to_bytes(request.into_body(), MAX_BODY_BYTES).await;
-    tokio::time::sleep(Duration::from_millis(order.behaviour.work_ms)).await;
-    // A keeper that is gone counts nothing any more.
-    let _ = keeper.tell(FinishRun).await;
-    if order.behaviour.failing {
+    let behaviour = &order.behaviour;
+    if behaviour.crash_path.as_ref() == Some(&path) {
+        let _ = keeper.ask(Crash).await;
+        return std::future::pending().await;
+    }
+    if behaviour.hang {
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(Duration::from_millis(behaviour.work_ms)).await;
+    let inner = match &behaviour.calls_on {
+        Some(url) => Some(call_on(&order.client, url, &headers).await),
+        None => None,
+    };
+    guard.cancelled = false;
+    drop(guard);
+    if behaviour.failing {
         return StatusCode::INTERNAL_SERVER_ERROR.into_response();
     }
-    let received = body.as_ref().map_or(0, Bytes::len);
-    let RunOrder {
-        service, name, run, ..
-    } = order;
-    Json(json!({
-        "service": service,
-        "target": name,
+    let answer = json!({
+        "service": order.service,
+        "target": order.name,
         "request": id,
         "path": path,
-        "run": run,
-        "received_bytes": received,
-    }))
-    .into_response()
+        "run": order.run,
+        "received_bytes": body.as_ref().map_or(0, Bytes::len),
+        "inner": inner,
+        "depth": header_text(&headers, "agatedeck-depth"),
+        "padding": "x".repeat(behaviour.padding_bytes),
+    });
+    let Some(kept) = behaviour.break_after_bytes else {
+        return Json(answer).into_response();
+    };
+    broken(&answer.to_string(), kept)
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Calls on with the headers by which nodes know an inner call; returns status, outcome and depth.
+async fn call_on(client: &reqwest::Client, url: &str, headers: &HeaderMap) -> Value {
+    let mut request = client.get(url);
+    for (name, value) in headers {
+        if name.as_str().starts_with("agatedeck-") {
+            request = request.header(name, value);
+        }
+    }
+    match request.send().await {
+        Ok(answer) => json!({
+            "status": answer.status().as_u16(),
+            "outcome": header_text(answer.headers(), "agatedeck-outcome"),
+            "reason": header_text(answer.headers(), "agatedeck-reason"),
+            "answer": answer.json::<Value>().await.unwrap_or_default(),
+        }),
+        Err(error) => json!({ "error": error.to_string() }),
+    }
+}
+
+/// An answer that states its whole length and breaks off after `kept` bytes.
+fn broken(answer: &str, kept: usize) -> Response {
+    let head = Bytes::copy_from_slice(&answer.as_bytes()[..kept.min(answer.len())]);
+    let frames = stream::iter([Ok(head)]).chain(stream::once(async {
+        // Lets the first bytes leave before the connection is closed.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Err(io::Error::from(io::ErrorKind::ConnectionReset))
+    }));
+    let mut response = Response::new(Body::from_stream(frames));
+    response
+        .headers_mut()
+        .insert(CONTENT_LENGTH, answer.len().into());
+    response
 }
