--- a/crates/node/src/calls/course.rs
+++ b/crates/node/src/calls/course.rs
@@ -216,6 +216,7 @@
     async fn pick(&mut self) -> Vec<CallEffect> {
         let pick = PickTarget {
             service: self.plan.service.clone(),
+            first: self.life.attempts() == 1,
             avoid: self.life.used_targets().to_vec(),
             idempotent: self.plan.idempotent,
         };
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -160,6 +160,8 @@
 /// Asks for the target of an attempt.
 pub(super) struct PickTarget {
     pub(super) service: String,
+    /// Whether this is the first attempt of the call.
+    pub(super) first: bool,
     /// Targets of earlier attempts.
     pub(super) avoid: Vec<TargetKey>,
     pub(super) idempotent: bool,
@@ -177,7 +179,7 @@
             self.refresh(&pick.service);
             self.services.insert(pick.service.clone());
         }
-        if pick.avoid.is_empty() {
+        if pick.first {
             self.budget.note_call();
         }
         let request = PickRequest {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::admin::{AdminState, admin_router};
 use crate::calls::{CallDrain, CallSystem, CallSystemError};
@@ -35,6 +35,10 @@
 /// Time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time allowed for connections to close when the node stops. All calls have ended before; what is
+/// left is to write the last bytes.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Why a node did not start.
 #[derive(Debug, Display, Error, From)]
 pub enum NodeError {
@@ -78,6 +82,8 @@
     members: ActorRef<MemberKeeper>,
     drain: CallDrain,
     drain_limit: Duration,
+    stop: watch::Sender<bool>,
+    servers: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -160,7 +166,8 @@
     ))
 }
 
-fn serve(listener: TcpListener, router: Router) -> JoinHandle<()> {
+/// Serves connections until `stop` is true, then lets them end what they are answering.
+fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) -> JoinHandle<()> {
     let listener = listener.tap_io(|stream| {
         // Without it, the last packet of a small answer waits for an acknowledgement of up to 40 ms.
         if let Err(error) = stream.set_nodelay(true) {
@@ -168,7 +175,12 @@
         }
     });
     tokio::spawn(async move {
-        if let Err(error) = axum::serve(listener, router).await {
+        let stopped = async move {
+            // A sender that is gone means that the node was dropped.
+            let _ = stop.wait_for(|stop| *stop).await;
+        };
+        let served = axum::serve(listener, router).with_graceful_shutdown(stopped);
+        if let Err(error) = served.await {
             log::error!("a listener failed: {error}");
         }
     })
@@ -234,12 +246,13 @@
             latency: calls.latency.clone(),
             crashes: calls.crash_keeper.clone(),
         };
-        let mut tasks = vec![
-            tokio::spawn(serve_control(listeners.control, server)),
-            serve(listeners.admin, admin_router(admin)),
-            serve(listeners.calls, calls.gateway),
-            serve(listeners.peer, calls.target_side),
+        let (stop, stop_seen) = watch::channel(false);
+        let servers = vec![
+            serve(listeners.admin, admin_router(admin), stop_seen.clone()),
+            serve(listeners.calls, calls.gateway, stop_seen.clone()),
+            serve(listeners.peer, calls.target_side, stop_seen),
         ];
+        let mut tasks = vec![tokio::spawn(serve_control(listeners.control, server))];
         tasks.extend(calls.tasks);
         let drain_limit = context.settings.calls.drain_limit;
         let reader = StoreReader {
@@ -261,6 +274,8 @@
             members,
             drain: calls.drain,
             drain_limit,
+            stop,
+            servers,
             tasks,
         })
     }
@@ -281,6 +296,13 @@
         }
         let _ = self.members.ask(Leave(MemberStatus::Left)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
+        self.stop.send_replace(true);
+        let deadline = Instant::now() + CLOSE_LIMIT;
+        for mut server in self.servers {
+            if timeout_at(deadline, &mut server).await.is_err() {
+                server.abort();
+            }
+        }
         for task in &self.tasks {
             task.abort();
         }
