Let three tests of the call path see the faults that they guard against

Cause: with the fault put into the code, three tests still passed. An answer that states its length is cut by the server even if its body ends early, so only an answer in chunks shows a broken body that is passed off as whole. A shutdown that does not wait was hidden by its pauses, which are longer than the calls of the test. One slot that is not given back was hidden by the other three.

Change: the stand-in can send answers in chunks, whole and broken; the drain test has calls of 2 s in flight; the test of cancelled callers cancels as many calls as the target has slots.

--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -79,28 +79,39 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_answers_are_never_whole() {
     let mesh = Mesh::start(&["slotfinder", "waiverbox", "slotfinder"]).await;
-    let short = TargetBehaviour {
-        break_after_bytes: Some(10),
+    let broken = |padding_bytes, kept, chunked| TargetBehaviour {
+        padding_bytes,
+        break_after_bytes: Some(kept),
+        chunked,
         ..Default::default()
     };
-    let long = TargetBehaviour {
-        padding_bytes: 300_000,
-        break_after_bytes: Some(200_000),
-        ..Default::default()
-    };
-    // Another target has the answer, and the caller has nothing of the broken one yet.
-    mesh.behave(0, short.clone()).await;
-    for _ in 0..4 {
+    for chunked in [false, true] {
+        // Another target has the answer, and the caller has nothing of the broken one yet.
+        mesh.behave(0, broken(0, 10, chunked)).await;
         assert_told(&told(mesh.get(0, "/slots")).await, 200, "answered", "");
+        // A POST to this service may not be repeated, so it is unknown.
+        mesh.behave(1, broken(0, 10, chunked)).await;
+        let url = mesh.url(1, "/waivers");
+        let post = |body| told(mesh.client.post(&url).body(body));
+        let cut = post("short answer").await;
+        assert_told(&cut, 502, "unknown", "answer-truncated");
+        // The caller has the head of a long answer; its connection is closed before the end.
+        mesh.behave(1, broken(300_000, 200_000, chunked)).await;
+        let cut = post("long answer").await;
+        assert_eq!((cut.status, cut.body), (200, None));
+    }
+    // Whole answers in chunks are passed on, short and long.
+    for padding_bytes in [0, 300_000] {
+        let behaviour = TargetBehaviour {
+            padding_bytes,
+            chunked: true,
+            ..Default::default()
+        };
+        mesh.behave(1, behaviour).await;
+        let whole = told(mesh.client.post(mesh.url(1, "/waivers")).body("whole")).await;
+        let padding = whole.body.expect("a whole answer")["padding"].clone();
+        assert_eq!(padding.as_str().map(str::len), Some(padding_bytes));
     }
-    // A POST to this service may not be repeated, so it is unknown.
-    mesh.behave(1, short).await;
-    let post = || mesh.client.post(mesh.url(1, "/waivers")).body("form");
-    assert_told(&told(post()).await, 502, "unknown", "answer-truncated");
-    // The caller has the head of a long answer; its connection is closed before the end.
-    mesh.behave(1, long).await;
-    let broken = told(post()).await;
-    assert_eq!((broken.status, broken.body), (200, None));
 }
 
 /// Guards against a call that is refused while another target could take it.
@@ -134,7 +145,7 @@
         let (client, url) = (client.clone(), url.clone());
         tokio::spawn(async move {
             let mut outcomes = Vec::new();
-            let until = Instant::now() + Duration::from_millis(1_500);
+            let until = Instant::now() + Duration::from_secs(3);
             while Instant::now() < until {
                 outcomes.push(told(client.get(&url)).await);
             }
@@ -143,6 +154,17 @@
     });
     let callers: Vec<_> = callers.collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
+    // Longer than shutdown takes when nothing is in flight.
+    let slow = TargetBehaviour {
+        work_ms: 2_000,
+        ..Default::default()
+    };
+    mesh.behave(0, slow).await;
+    let started = mesh.target(0).counters().await.started;
+    eventually("slow calls run", async || {
+        mesh.target(0).counters().await.started > started
+    })
+    .await;
     let leaving = mesh.nodes[0].take().expect("the node runs");
     leaving.shutdown().await;
     let before = mesh.target(0).counters().await;
@@ -371,14 +393,19 @@
         ..Default::default()
     };
     mesh.behave(0, behaviour).await;
-    let call = tokio::spawn(told(mesh.get(0, "/slots")));
-    eventually("the call runs", async || {
-        mesh.target(0).counters().await.started == 1
+    // As many calls as the target has slots.
+    let calls: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(told(mesh.get(0, "/slots"))))
+        .collect();
+    eventually("the calls run", async || {
+        mesh.target(0).counters().await.started == 4
     })
     .await;
-    call.abort();
-    eventually("the call is cancelled", async || {
-        mesh.target(0).counters().await.cancelled == 1
+    for call in &calls {
+        call.abort();
+    }
+    eventually("the calls are cancelled", async || {
+        mesh.target(0).counters().await.cancelled == 4
     })
     .await;
     mesh.behave(0, TargetBehaviour::default()).await;
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -35,6 +35,10 @@
 /// How a target stand-in behaves. The default answers at once and is healthy.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize, kameo::Reply)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fault that can be switched on alone"
+)]
 pub struct TargetBehaviour {
     /// Time that a call takes, in milliseconds.
     pub work_ms: u64,
@@ -51,8 +55,10 @@
     pub crash_path: Option<String>,
     /// Bytes of padding in each answer.
     pub padding_bytes: usize,
-    /// Answers state their whole length and break off after this many bytes.
+    /// Answers break off after this many bytes.
     pub break_after_bytes: Option<usize>,
+    /// Answers are sent in chunks, without their length.
+    pub chunked: bool,
     /// URL that each call asks before it answers, with its own `agatedeck-` headers.
     pub calls_on: Option<String>,
 }
@@ -386,9 +392,13 @@
         "padding": "x".repeat(behaviour.padding_bytes),
     });
     let Some(kept) = behaviour.break_after_bytes else {
+        if behaviour.chunked {
+            let chunk = stream::iter([Ok::<_, io::Error>(answer.to_string())]);
+            return Body::from_stream(chunk).into_response();
+        }
         return Json(answer).into_response();
     };
-    broken(&answer.to_string(), kept)
+    broken(&answer.to_string(), kept, behaviour.chunked)
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -414,8 +424,8 @@
     }
 }
 
-/// An answer that states its whole length and breaks off after `kept` bytes.
-fn broken(answer: &str, kept: usize) -> Response {
+/// An answer that breaks off after `kept` bytes.
+fn broken(answer: &str, kept: usize, chunked: bool) -> Response {
     let head = Bytes::copy_from_slice(&answer.as_bytes()[..kept.min(answer.len())]);
     let frames = stream::iter([Ok(head)]).chain(stream::once(async {
         // Lets the first bytes leave before the connection is closed.
@@ -423,8 +433,9 @@
         Err(io::Error::from(io::ErrorKind::ConnectionReset))
     }));
     let mut response = Response::new(Body::from_stream(frames));
-    response
-        .headers_mut()
-        .insert(CONTENT_LENGTH, answer.len().into());
+    if !chunked {
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_LENGTH, answer.len().into());
+    }
     response
 }
