Give each log line an event name, and report the control plane as metrics

Cause: an alert had to match the wording of a message, and the version in force, the members and the control bytes of a node could only be read over its admin API. The tests read addresses from the fields instead of the message.

--- a/crates/node/src/calls/latency_keeper.rs
+++ b/crates/node/src/calls/latency_keeper.rs
@@ -1,19 +1,17 @@
 //! The actor that owns the latency histograms and sends metrics.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use agatedeck_calls::{CallOutcome, LatencySettings, LatencySummary, LatencyTable};
+use cadence::StatsdClient;
 use cadence::prelude::*;
-use cadence::{BufferedUdpMetricSink, NopMetricSink, StatsdClient};
 use hdrhistogram::errors::CreationError;
 use kameo::Actor;
 use kameo::message::{Context, Message};
 
 use super::reason::StopReason;
-
-/// Prefix of the names of metrics.
-const METRIC_PREFIX: &str = "agatedeck";
+use crate::metrics::metrics_client;
 
 /// Longest time for which a metric waits in the buffer.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,33 +37,6 @@
     }
 }
 
-fn metrics_client(address: Option<SocketAddr>) -> StatsdClient {
-    let Some(address) = address else {
-        return StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink);
-    };
-    let local = if address.is_ipv4() {
-        SocketAddr::from(([0, 0, 0, 0], 0))
-    } else {
-        SocketAddr::from(([0_u16; 8], 0))
-    };
-    let socket = UdpSocket::bind(local).and_then(|socket| {
-        socket.set_nonblocking(true)?;
-        Ok(socket)
-    });
-    let sink = socket
-        .map_err(|error| error.to_string())
-        .and_then(|socket| {
-            BufferedUdpMetricSink::from(address, socket).map_err(|error| error.to_string())
-        });
-    match sink {
-        Ok(sink) => StatsdClient::from_sink(METRIC_PREFIX, sink),
-        Err(error) => {
-            log::warn!("metrics are not sent: {error}");
-            StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink)
-        }
-    }
-}
-
 /// A call of a local caller has ended.
 pub(super) struct RecordCall {
     pub(super) tenant: String,
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -81,7 +81,8 @@
                 }
                 VersionEffect::PutInForce(snapshot) => {
                     self.publish();
-                    log::info!("version {} is in force", snapshot.version());
+                    let version = snapshot.version();
+                    log::info!(event = "in-force", version; "version {version} is in force");
                 }
                 VersionEffect::PullFrom(version) => self.pull_missing(version, keeper),
             }
@@ -209,7 +210,12 @@
             OfferVerdict::Stale => (OfferOutcome::Stale, String::new()),
             OfferVerdict::Behind => (OfferOutcome::Behind, String::new()),
             OfferVerdict::Refused(reason) => {
-                log::warn!("version {} is refused: {reason}", offer.version);
+                log::warn!(
+                    event = "version-refused",
+                    version = offer.version;
+                    "version {} is refused: {reason}",
+                    offer.version
+                );
                 (OfferOutcome::Refused, reason)
             }
         };
@@ -235,7 +241,7 @@
         let now = self.context.clock.now();
         let (verdict, effects) = self.holder.offer_snapshot(&offer.bytes, &offer.digest, now);
         if let OfferVerdict::Refused(reason) = verdict {
-            log::warn!("a snapshot is refused: {reason}");
+            log::warn!(event = "snapshot-refused"; "a snapshot is refused: {reason}");
         }
         self.carry_out(effects, context.actor_ref());
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod logging;
 mod member;
+mod metrics;
 mod peer;
 mod runtime;
 mod settings;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -2,7 +2,8 @@
 
 use derive_more::{Display, Error};
 use log::LevelFilter;
-use serde_json::json;
+use log::kv::{Error as FieldError, Key, Value as FieldValue, VisitSource};
+use serde_json::{Map, Value};
 
 use crate::clock::unix_us;
 
@@ -21,15 +22,18 @@
     fern::Dispatch::new()
         .format(move |out, message, record| {
             let unix_us = unix_us();
-            let line = json!({
-                "unix_ms": unix_us / 1_000,
-                "unix_us": unix_us,
-                "level": record.level().as_str(),
-                "node": node,
-                "module": record.target(),
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+            let mut line = Map::new();
+            // Collecting into a map of values has no way to fail.
+            let _ = record.key_values().visit(&mut FieldCollector(&mut line));
+            line.extend([
+                ("unix_ms".to_owned(), Value::from(unix_us / 1_000)),
+                ("unix_us".to_owned(), Value::from(unix_us)),
+                ("level".to_owned(), Value::from(record.level().as_str())),
+                ("node".to_owned(), Value::from(node.as_str())),
+                ("module".to_owned(), Value::from(record.target())),
+                ("message".to_owned(), Value::from(message.to_string())),
+            ]);
+            out.finish(format_args!("{}", Value::Object(line)));
         })
         .level(LevelFilter::Warn)
         .level_for("agatedeck_node", level)
@@ -37,3 +41,15 @@
         .apply()
         .map_err(LogError)
 }
+
+/// Copies the fields of a log line, such as `event`, into its JSON object.
+struct FieldCollector<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldCollector<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: FieldValue<'kvs>) -> Result<(), FieldError> {
+        let number = value.to_u64().map(Value::from);
+        let value = number.unwrap_or_else(|| Value::from(value.to_string()));
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -53,7 +53,7 @@
             continue;
         };
         if let Err(error) = refresh(&context, &members, &wanted, &mut written).await {
-            log::warn!("the nodes named in the store are not up to date: {error}");
+            log::warn!(event = "bootstrap-stale"; "the nodes named in the store are not up to date: {error}");
         }
     }
 }
@@ -101,10 +101,12 @@
         match rows {
             Ok(_) => {
                 if let Err(error) = add_own(context).await {
-                    log::warn!("the node is not named in the store yet: {error}");
+                    log::warn!(event = "bootstrap-unwritten"; "the node is not named in the store yet: {error}");
                 }
             }
-            Err(error) => log::warn!("the nodes named in the store are not known: {error}"),
+            Err(error) => {
+                log::warn!(event = "bootstrap-unread"; "the nodes named in the store are not known: {error}");
+            }
         }
         sleep(jittered(pause)).await;
         pause = pause.saturating_mul(2).min(MAX_PAUSE);
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -87,11 +87,11 @@
                 JoinEffect::Fetch { floor } => self.fetch(floor, keeper),
                 JoinEffect::Serve => {
                     let floor = self.process.floor().unwrap_or(0);
-                    log::info!("serving calls; the floor is version {floor}");
+                    log::info!(event = "serving", floor; "serving calls; the floor is version {floor}");
                     let _ = self.config.tell(RaiseFloor(floor)).await;
                 }
-                JoinEffect::Drain => log::info!("draining"),
-                JoinEffect::Stop => log::info!("no work is left"),
+                JoinEffect::Drain => log::info!(event = "draining"; "draining"),
+                JoinEffect::Stop => log::info!(event = "drained"; "no work is left"),
             }
         }
     }
@@ -102,7 +102,7 @@
             let head = match read_head(&context).await {
                 Ok((head, _)) => Some(head),
                 Err(error) => {
-                    log::warn!("the floor could not be read from the store: {error}");
+                    log::warn!(event = "floor-unread"; "the floor could not be read from the store: {error}");
                     None
                 }
             };
@@ -163,7 +163,9 @@
             {
                 match catch_up(&context, &config, &head).await {
                     Ok(_) => version = head.version,
-                    Err(error) => log::warn!("version {floor} could not be fetched: {error}"),
+                    Err(error) => {
+                        log::warn!(event = "fetch-failed", version = floor; "version {floor} could not be fetched: {error}");
+                    }
                 }
             }
             let _ = keeper.tell(FetchEnded(version)).await;
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -41,7 +41,7 @@
                 tokio::spawn(serve_connection(stream, server.clone()));
             }
             Err(error) => {
-                log::warn!("a control connection was not accepted: {error}");
+                log::warn!(event = "accept-failed"; "a control connection was not accepted: {error}");
                 // Out of file descriptors, most likely; some are freed when connections close.
                 tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -28,6 +28,7 @@
     JoinKeeper, Leave, MemberKeeper, StartDrain, VersionHeld, VersionInForce, WorkDrained,
     run_bootstrap, run_detector, run_join,
 };
+use crate::metrics::run_gauges;
 use crate::peer::{
     ControlServer, DelayedTransport, LinkMeters, LinkTransport, PeerTransport, serve_control,
 };
@@ -200,7 +201,7 @@
         };
         let served = axum::serve(listener, router).with_graceful_shutdown(stopped);
         if let Err(error) = served.await {
-            log::error!("a listener failed: {error}");
+            log::error!(event = "listener-failed"; "a listener failed: {error}");
         }
     })
 }
@@ -340,6 +341,7 @@
         };
         tasks.extend([
             tokio::spawn(run_reader(reader)),
+            tokio::spawn(run_gauges(context.clone(), meters.clone())),
             tokio::spawn(run_detector(context.clone(), members.clone())),
             tokio::spawn(run_join(join.clone())),
             tokio::spawn(run_bootstrap(
@@ -354,6 +356,11 @@
             )),
         ]);
         log::info!(
+            event = "listening",
+            calls:% = addresses.calls,
+            peer:% = addresses.peer,
+            control:% = addresses.control,
+            admin:% = addresses.admin;
             "listening: calls {}, peer {}, control {}, admin {}",
             addresses.calls,
             addresses.peer,
@@ -409,7 +416,7 @@
         let _ = self.join.ask(StartDrain).await;
         let _ = self.members.ask(Leave(MemberStatus::Draining)).await;
         if !self.drain.finish(deadline).await {
-            log::warn!("calls are cut off, because they did not end within the drain limit");
+            log::warn!(event = "drain-limit"; "calls are cut off, because they did not end within the drain limit");
         }
         let _ = self.join.ask(WorkDrained).await;
         let _ = self.members.ask(Leave(MemberStatus::Left)).await;
@@ -424,7 +431,7 @@
         for task in &self.tasks {
             task.abort();
         }
-        log::info!("stopped");
+        log::info!(event = "stopped"; "stopped");
     }
 }
 
--- a/crates/node/src/store/acceptor.rs
+++ b/crates/node/src/store/acceptor.rs
@@ -77,6 +77,9 @@
         let version = plan.delta.version;
         let delta = compress(&plan.delta);
         log::info!(
+            event = "accepted",
+            version,
+            change = plan.delta.change_id;
             "change `{}` is accepted as version {version}",
             plan.delta.change_id
         );
@@ -155,7 +158,7 @@
                 AcceptEvent::HeadRead
             }
             Err(error) => {
-                log::warn!("the newest version could not be read: {error}");
+                log::warn!(event = "head-unread"; "the newest version could not be read: {error}");
                 AcceptEvent::Unreachable
             }
         }
@@ -195,7 +198,7 @@
         let head = match self.next_head(&plan, &head).await {
             Ok(head) => head,
             Err(error) => {
-                log::warn!("a snapshot could not be stored: {error}");
+                log::warn!(event = "snapshot-unstored"; "a snapshot could not be stored: {error}");
                 return AcceptEvent::Unreachable;
             }
         };
@@ -213,7 +216,7 @@
             Ok(TransactionOutcome::Refused(_)) => AcceptEvent::ConditionFailed,
             Err(StoreError::Unreachable(_)) => AcceptEvent::Unreachable,
             Err(error) => {
-                log::warn!("a change was written without an answer: {error}");
+                log::warn!(event = "write-unanswered"; "a change was written without an answer: {error}");
                 self.written = Some(plan);
                 AcceptEvent::Unanswered
             }
@@ -319,7 +322,11 @@
             version.map_or(LookedUp::NotKnown, LookedUp::Accepted)
         }
         Err(error) => {
-            log::warn!("change `{change_id}` could not be looked up: {error}");
+            log::warn!(
+                event = "look-up-failed",
+                change = change_id;
+                "change `{change_id}` could not be looked up: {error}"
+            );
             LookedUp::NotKnown
         }
     }
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -51,7 +51,7 @@
             Ok(()) => failures = 0,
             Err(error) => {
                 failures += 1;
-                log::warn!("the store could not be read: {error}");
+                log::warn!(event = "store-unread"; "the store could not be read: {error}");
             }
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -212,7 +212,7 @@
     std::thread::spawn(move || {
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
             let line: Value = serde_json::from_str(&line).unwrap_or(Value::Null);
-            if let Some(addresses) = line["message"].as_str().and_then(read_addresses) {
+            if let Some(addresses) = read_addresses(&line) {
                 // The receiver is gone once the addresses are known.
                 let _ = sender.send(addresses);
             }
@@ -228,16 +228,14 @@
     }
 }
 
-fn read_addresses(message: &str) -> Option<NodeAddresses> {
-    let parts = message.strip_prefix("listening: ")?;
-    let mut addresses = parts
-        .split(", ")
-        .map(|part| part.split(' ').nth(1)?.parse().ok());
+fn read_addresses(line: &Value) -> Option<NodeAddresses> {
+    let address = |key: &str| line[key].as_str()?.parse().ok();
+    (line["event"] == "listening").then_some(())?;
     Some(NodeAddresses {
-        calls: addresses.next()??,
-        peer: addresses.next()??,
-        control: addresses.next()??,
-        admin: addresses.next()??,
+        calls: address("calls")?,
+        peer: address("peer")?,
+        control: address("control")?,
+        admin: address("admin")?,
     })
 }
 
