--- a/crates/node/src/calls/claim_keeper.rs
+++ b/crates/node/src/calls/claim_keeper.rs
@@ -305,7 +305,9 @@
     async fn handle(&mut self, RowRead { op, row }: RowRead, ctx: &mut Context<Self, ()>) {
         let record = match &row {
             Ok(Some(row)) => decode_claim(&row.value)
-                .inspect_err(|error| log::error!("row `{}`: {error}", row.key))
+                .inspect_err(
+                    |error| log::error!(event = "claim-unreadable"; "row `{}`: {error}", row.key),
+                )
                 .ok(),
             _ => None,
         };
--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -240,6 +240,7 @@
         self.crashes += 1;
         let notices = self.flight.crashed(CrashSettings::default().lapse_ms);
         log::warn!(
+            event = "target-crashed";
             "the target lost its connections with {} kinds of requests in flight",
             notices.len()
         );
