--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use agatedeck_calls::{
-    AttemptResult, BoardSettings, NodePlace, PickError, PickRequest, PickedTarget, RetryBudget,
-    RetryDecision, RetryQuestion, RetrySettings, TargetBoard, TargetKey, TargetStatus, TargetView,
-    TwoChoices, decide_retry,
+    AttemptResult, BalancePolicy, BoardSettings, NodePlace, PickError, PickRequest, PickedTarget,
+    RetryBudget, RetryDecision, RetryQuestion, RetrySettings, RoundRobin, TargetBoard, TargetKey,
+    TargetStatus, TargetView, TwoChoices, decide_retry,
 };
 use agatedeck_clock::Instant;
 use agatedeck_records::SnapshotView;
@@ -20,6 +20,7 @@
 
 use crate::clock::unix_ms;
 use crate::context::NodeContext;
+use crate::settings::BalanceChoice;
 
 /// Owns the target board and the retry budget.
 ///
@@ -41,8 +42,12 @@
     pub(super) fn new(context: NodeContext) -> Self {
         let own = place_of(&context.own);
         let settings = RetrySettings::default();
+        let policy: Box<dyn BalancePolicy> = match context.settings.calls.balance {
+            BalanceChoice::TwoChoices => Box::new(TwoChoices),
+            BalanceChoice::RoundRobin => Box::new(RoundRobin),
+        };
         Self {
-            board: TargetBoard::new(&own, BoardSettings::default(), Box::new(TwoChoices)),
+            board: TargetBoard::new(&own, BoardSettings::default(), policy),
             budget: RetryBudget::new(&settings),
             settings,
             services: HashSet::new(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,6 @@
 pub use peer::link_chart;
 pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError};
 pub use settings::{
-    CallSettings, EmulationSettings, ListenSettings, LogLevel, NodeSettings, SpreadChoice,
-    StoreSettings, TargetSettings,
+    BalanceChoice, CallSettings, EmulationSettings, ListenSettings, LogLevel, NodeSettings,
+    SpreadChoice, StoreSettings, TargetSettings,
 };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -128,6 +128,18 @@
     pub target_connections: u32,
     /// Key `idle_connections`: idle connections kept to each other node; 32 by default.
     pub idle_connections: usize,
+    /// Key `balance`: how a target is chosen among those of the nearest place.
+    pub balance: BalanceChoice,
+}
+
+/// How a target is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum BalanceChoice {
+    /// The better of two random targets by own calls in flight and own latency.
+    #[default]
+    TwoChoices,
+    /// Each in turn. The baseline of measurements.
+    RoundRobin,
 }
 
 impl Default for CallSettings {
@@ -142,6 +154,7 @@
             drain_limit: Duration::from_secs(30),
             target_connections: 130,
             idle_connections: 32,
+            balance: BalanceChoice::default(),
         }
     }
 }
@@ -227,20 +240,26 @@
     }
 
     fn read_spread(&mut self, mut table: TableReader<'_>) {
-        match table.text("policy") {
-            None | Some("tree") => self.spread = SpreadChoice::Tree,
-            Some("poll") => self.spread = SpreadChoice::Poll,
-            Some(other) => {
-                table.note(
-                    "policy",
-                    format!("`policy` must be `tree` or `poll`, not `{other}`"),
-                );
-            }
-        }
+        let choices = [("tree", SpreadChoice::Tree), ("poll", SpreadChoice::Poll)];
+        self.spread = read_choice(&mut table, "policy", choices);
         table.finish();
     }
 }
 
+/// Reads one of two named choices; the first is the default.
+fn read_choice<T: Copy>(table: &mut TableReader<'_>, key: &str, choices: [(&str, T); 2]) -> T {
+    let [(default, first), (other, second)] = choices;
+    match table.text(key) {
+        Some(text) if text == other => second,
+        Some(text) if text != default => {
+            let message = format!("`{key}` must be `{default}` or `{other}`, not `{text}`");
+            table.note(key, message);
+            first
+        }
+        _ => first,
+    }
+}
+
 impl ListenSettings {
     fn read(&mut self, mut table: TableReader<'_>) {
         let mut address = |key: &str, place: &mut SocketAddr| {
@@ -306,6 +325,11 @@
         if let Some(count) = table.integer("idle_connections", CONNECTIONS) {
             self.idle_connections = usize::try_from(count).unwrap_or(usize::MAX);
         }
+        let choices = [
+            ("two-choices", BalanceChoice::TwoChoices),
+            ("round-robin", BalanceChoice::RoundRobin),
+        ];
+        self.balance = read_choice(&mut table, "balance", choices);
         table.finish();
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,9 @@
 //! `agatedeckctl` are thin programs over what is listed here.
 
 pub use agatedeck_node::{
-    ControlBytes, EmulationSettings, ListenSettings, LogLevel, Node, NodeAddresses, NodeError,
-    NodeSettings, SpreadChoice, StoreSettings, TargetSettings, start_logging,
+    BalanceChoice, CallSettings, ControlBytes, EmulationSettings, ListenSettings, LogLevel, Node,
+    NodeAddresses, NodeError, NodeSettings, SpreadChoice, StoreSettings, TargetSettings,
+    start_logging,
 };
 pub use agatedeck_records::{
     ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, RecordConflict, RecordFault,
