Read the rest of a refused upload, so that its refusal arrives

Cause: a refusal was answered while the body was still on its way. The server then closed the connection with unread bytes, which resets it, and the client lost the answer: the caller's node told `unknown` for a call that was not run, and its own caller lost the connection. The new test failed with `left: (504, "unknown", "no-answer")`, `right: (503, "not-run", "queue-full")`.

Ruled out: `Expect: 100-continue` between nodes, since the client does not wait for the answer to it; a larger kept body, since memory would grow with the uploads.

Change: the head of a refusal is sent at once, and its body ends only after the rest of the request was read and discarded, for at most 5 s. A large body that was lent to the client comes back for this when the client drops it. The stand-in of the target no longer sleeps for calls without work.

--- a/crates/node/src/calls/course.rs
+++ b/crates/node/src/calls/course.rs
@@ -23,6 +23,7 @@
 use super::attempt::{AttemptEnd, send_attempt};
 use super::claim_keeper::{ClaimEnd, ClaimLease, ClaimReply, claim_call};
 use super::crash_keeper::CompleteRequest;
+use super::drain_body::after_request;
 use super::gateway::CallDesk;
 use super::headers::{
     ATTEMPT, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, number,
@@ -146,6 +147,10 @@
                         Some(ReadyAnswer::Whole(response)) if outcome == CallOutcome::Answered => {
                             response
                         }
+                        _ if outcome == CallOutcome::NotRun => {
+                            let told = refusal(outcome, self.reason);
+                            after_request(told, request.body.unread().await).await
+                        }
                         _ => refusal(outcome, self.reason),
                     };
                 }
--- /dev/null
+++ b/crates/node/src/calls/drain_body.rs
@@ -0,0 +1,126 @@
+//! Refusals of requests whose body is still on its way.
+//!
+//! A server that answers and closes the connection while the client still sends resets it, and the
+//! client may lose the answer. A refusal would then read as `unknown`. The rest of the body is
+//! therefore read and discarded before the refusal ends; its head is sent at once, so that a client
+//! that looks for an early answer can stop.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use axum::body::{Body, HttpBody};
+use axum::response::Response;
+use bytes::Bytes;
+use hyper::body::{Frame, SizeHint};
+use tokio::sync::oneshot;
+use tokio::time::{Sleep, sleep, timeout};
+
+/// Longest time for which the rest of a body is read. A caller that is slower may lose the refusal.
+const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time within which the client gives back a body that it has not sent to its end.
+const RETURN_LIMIT: Duration = Duration::from_secs(1);
+
+/// The text of a refusal, after the rest of the request.
+struct DrainBody {
+    rest: Option<Body>,
+    text: Bytes,
+    limit: Pin<Box<Sleep>>,
+}
+
+impl HttpBody for DrainBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        while let Some(rest) = &mut self.rest {
+            match Pin::new(rest).poll_frame(context) {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(None | Some(Err(_))) => self.rest = None,
+                Poll::Pending if self.limit.as_mut().poll(context).is_ready() => self.rest = None,
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        let text = std::mem::take(&mut self.text);
+        Poll::Ready((!text.is_empty()).then(|| Ok(Frame::data(text))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.text.len() as u64)
+    }
+}
+
+/// Makes `response` end only after `rest`, the unread part of its request, was read.
+pub(super) async fn after_request(response: Response, rest: Option<Body>) -> Response {
+    let Some(rest) = rest.filter(|rest| !rest.is_end_stream()) else {
+        return response;
+    };
+    let (parts, text) = response.into_parts();
+    let text = axum::body::to_bytes(text, usize::MAX).await;
+    let body = DrainBody {
+        rest: Some(rest),
+        text: text.unwrap_or_default(),
+        limit: Box::pin(sleep(DRAIN_LIMIT)),
+    };
+    Response::from_parts(parts, Body::new(body))
+}
+
+/// A body that is given back when dropped.
+struct LentBody {
+    body: Body,
+    back: Option<oneshot::Sender<Body>>,
+}
+
+impl HttpBody for LentBody {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for LentBody {
+    fn drop(&mut self) {
+        if let Some(back) = self.back.take() {
+            // Nobody waits for it unless the call was refused.
+            let _ = back.send(std::mem::take(&mut self.body));
+        }
+    }
+}
+
+/// The unsent rest of a body that was lent to the client.
+#[derive(Debug)]
+pub(super) struct BodyReturn(oneshot::Receiver<Body>);
+
+impl BodyReturn {
+    /// The rest, if the client gives it back in time.
+    pub(super) async fn rest(self) -> Option<Body> {
+        timeout(RETURN_LIMIT, self.0).await.ok()?.ok()
+    }
+}
+
+/// Lends a body to the client.
+pub(super) fn lend(body: Body) -> (Body, BodyReturn) {
+    let (back, returned) = oneshot::channel();
+    let lent = LentBody {
+        body,
+        back: Some(back),
+    };
+    (Body::new(lent), BodyReturn(returned))
+}
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -14,6 +14,7 @@
 use super::claim_keeper::ClaimKeeper;
 use super::course::{CallCourse, CallRequest};
 use super::crash_keeper::{CrashKeeper, CrashView};
+use super::drain_body::after_request;
 use super::headers::{IDEMPOTENCY_KEY, refusal, text};
 use super::http_client::CallClient;
 use super::latency_keeper::{LatencyKeeper, RecordCall};
@@ -46,13 +47,18 @@
 async fn take_call(State(desk): State<Arc<CallDesk>>, request: Request) -> Response {
     // Taken before the check, so that a call is either counted as open or refused.
     let open = desk.open.token();
-    if *desk.draining.borrow() {
-        return refuse(&desk, None, StopReason::Draining);
-    }
     let (parts, body) = request.into_parts();
+    let draining = *desk.draining.borrow();
+    if draining {
+        let told = refuse(&desk, None, StopReason::Draining);
+        return after_request(told, Some(body)).await;
+    }
     let plan = match CallPlan::of(&desk.context, &parts) {
         Ok(plan) => plan,
-        Err(reason) => return refuse(&desk, None, reason),
+        Err(reason) => {
+            let told = refuse(&desk, None, reason);
+            return after_request(told, Some(body)).await;
+        }
     };
     let settings = &desk.context.settings.calls;
     let claimed = plan.claim_key.is_some();
@@ -65,7 +71,8 @@
     let body = tokio::time::timeout_at(deadline, RequestBody::read(body, limit)).await;
     let body = match body {
         Ok(Ok(body)) if claimed && !body.is_kept() => {
-            return refuse(&desk, Some(plan), StopReason::BodyTooLarge);
+            let told = refuse(&desk, Some(plan), StopReason::BodyTooLarge);
+            return after_request(told, body.unread().await).await;
         }
         Ok(Ok(body)) => body,
         Ok(Err(_)) => return refuse(&desk, Some(plan), StopReason::BodyIncomplete),
@@ -74,8 +81,10 @@
     let digest = request_digest(&parts, &body);
     let fingerprint = fingerprint(&plan.service, &parts, &digest);
     let now = desk.context.clock.now();
-    if desk.crashes.borrow().refuses(fingerprint, now) {
-        return refuse(&desk, Some(plan), StopReason::CrashedTargets);
+    let refused = desk.crashes.borrow().refuses(fingerprint, now);
+    if refused {
+        let told = refuse(&desk, Some(plan), StopReason::CrashedTargets);
+        return after_request(told, body.unread().await).await;
     }
     let request = CallRequest {
         parts,
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -15,6 +15,7 @@
 mod claim_keeper;
 mod course;
 mod crash_keeper;
+mod drain_body;
 mod gateway;
 mod headers;
 mod http_client;
--- a/crates/node/src/calls/request_body.rs
+++ b/crates/node/src/calls/request_body.rs
@@ -5,14 +5,24 @@
 use futures::{StreamExt, stream};
 use http_body_util::BodyExt;
 
+use super::drain_body::{BodyReturn, lend};
+
 /// The body of a request.
 #[derive(Debug)]
 pub(super) enum RequestBody {
     /// The whole body; it can be sent again.
     Kept(Bytes),
-    /// The start of a body that is too large to be kept, and the rest as it arrives. Taken when it
-    /// is sent.
-    Streamed(Bytes, Option<Body>),
+    /// The start of a body that is too large to be kept, and the rest as it arrives.
+    Streamed(Bytes, BodyRest),
+}
+
+/// The part of a large body that is not read yet.
+#[derive(Debug)]
+pub(super) enum BodyRest {
+    Here(Body),
+    /// Sent with an attempt.
+    Lent(BodyReturn),
+    Gone,
 }
 
 impl RequestBody {
@@ -26,7 +36,7 @@
             };
             head.extend_from_slice(&data);
             if head.len() > limit {
-                return Ok(Self::Streamed(head.freeze(), Some(body)));
+                return Ok(Self::Streamed(head.freeze(), BodyRest::Here(body)));
             }
         }
         Ok(Self::Kept(head.freeze()))
@@ -50,10 +60,23 @@
         match self {
             Self::Kept(whole) => Some(Body::from(whole.clone())),
             Self::Streamed(head, rest) => {
+                let BodyRest::Here(body) = std::mem::replace(rest, BodyRest::Gone) else {
+                    return None;
+                };
+                let (lent, back) = lend(body);
+                *rest = BodyRest::Lent(back);
                 let head = stream::iter([Ok(std::mem::take(head))]);
-                let rest = rest.take()?.into_data_stream();
-                Some(Body::from_stream(head.chain(rest)))
+                Some(Body::from_stream(head.chain(lent.into_data_stream())))
             }
         }
     }
+
+    /// What the caller has not sent yet, to be read before the call is refused.
+    pub(super) async fn unread(self) -> Option<Body> {
+        match self {
+            Self::Streamed(_, BodyRest::Here(body)) => Some(body),
+            Self::Streamed(_, BodyRest::Lent(back)) => back.rest().await,
+            Self::Streamed(_, BodyRest::Gone) | Self::Kept(_) => None,
+        }
+    }
 }
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -21,6 +21,7 @@
 
 use super::answer_body::{AnswerBody, AnswerWatch};
 use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
+use super::drain_body::{BodyReturn, after_request, lend};
 use super::headers::{
     DEADLINE, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, outcome_value, refusal, stated_timeout,
     strip_hop_headers, text,
@@ -54,33 +55,47 @@
 
 async fn take_call(State(desk): State<Arc<TargetDesk>>, request: Request) -> Response {
     let open = desk.open.token();
-    let Some((authority, gate)) = &desk.target else {
-        return refuse(&desk, StopReason::NoTarget);
-    };
+    match admit(&desk, request.headers()).await {
+        Ok(admitted) => {
+            let watch = RunWatch {
+                desk: Arc::clone(&desk),
+                lease: Some(admitted.lease),
+                fingerprint: admitted.fingerprint,
+                _open: open,
+            };
+            run(request, watch, admitted.deadline).await
+        }
+        Err(reason) => {
+            let told = refuse(&desk, reason);
+            after_request(told, Some(request.into_body())).await
+        }
+    }
+}
+
+/// A call that has a slot.
+struct AdmittedCall {
+    lease: SlotLease,
+    fingerprint: Fingerprint,
+    deadline: Instant,
+}
+
+async fn admit(desk: &TargetDesk, headers: &HeaderMap) -> Result<AdmittedCall, StopReason> {
+    let (_, gate) = desk.target.as_ref().ok_or(StopReason::NoTarget)?;
     let clock = desk.context.clock;
-    let headers = request.headers();
     let timeout = stated_timeout(headers).unwrap_or(DEFAULT_TIMEOUT);
     let timeout = timeout.min(desk.context.settings.calls.max_timeout);
     let deadline = clock.now().after(timeout);
     let fingerprint = stated_fingerprint(headers);
     if desk.crashes.borrow().refuses(fingerprint, clock.now()) {
-        return refuse(&desk, StopReason::CrashedTargets);
+        return Err(StopReason::CrashedTargets);
     }
     let tenant = text(headers, &TENANT).unwrap_or_default();
-    let lease = match gate.admit(tenant, deadline, fingerprint).await {
-        Ok(lease) => lease,
-        Err(reason) => return refuse(&desk, reason),
-    };
-    let Some(request) = to_target(request, authority, deadline.since(clock.now())) else {
-        return refuse(&desk, StopReason::Unreachable);
-    };
-    let watch = RunWatch {
-        desk: Arc::clone(&desk),
-        lease: Some(lease),
+    let lease = gate.admit(tenant, deadline, fingerprint).await?;
+    Ok(AdmittedCall {
+        lease,
         fingerprint,
-        _open: open,
-    };
-    run(request, watch, deadline).await
+        deadline,
+    })
 }
 
 /// Sends a call that has a slot to the target.
@@ -88,11 +103,20 @@
     let desk = Arc::clone(&watch.desk);
     let until = desk.context.clock.runtime_instant(deadline);
     let load = watch.lease.as_ref().map_or(0.0, |lease| lease.load);
+    let remaining = deadline.since(desk.context.clock.now());
+    let Some((request, back)) = to_target(request, &desk, remaining) else {
+        return refuse(&desk, StopReason::Unreachable);
+    };
     let answer = match timeout_at(until, desk.client.request(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) if error.is_connect() => {
             watch.end(RunEnd::NotSent);
-            return refuse(&desk, StopReason::Unreachable);
+            let told = refuse(&desk, StopReason::Unreachable);
+            let rest = match back {
+                Some(back) => back.rest().await,
+                None => None,
+            };
+            return after_request(told, rest).await;
         }
         Ok(Err(error)) => {
             watch.end(if connection_held(&error) {
@@ -141,9 +165,22 @@
     (load.clamp(0.0, 1.0) * 1000.0) as u16
 }
 
-/// The request as the target receives it.
-fn to_target(request: Request, authority: &Authority, remaining: Duration) -> Option<Request> {
+/// The request as the target receives it, and the way back of a large body.
+fn to_target(
+    request: Request,
+    desk: &TargetDesk,
+    remaining: Duration,
+) -> Option<(Request, Option<BodyReturn>)> {
+    let (authority, _) = desk.target.as_ref()?;
     let (mut parts, body) = request.into_parts();
+    let kept = desk.context.settings.calls.kept_request_bytes as u64;
+    let small = body.size_hint().exact().is_some_and(|size| size <= kept);
+    let (body, back) = if small {
+        (body, None)
+    } else {
+        let (body, back) = lend(body);
+        (body, Some(back))
+    };
     let mut target = uri::Parts::default();
     target.scheme = Some(Scheme::HTTP);
     target.authority = Some(authority.clone());
@@ -154,7 +191,7 @@
     parts.headers.remove(FINGERPRINT);
     let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
     parts.headers.insert(DEADLINE, remaining.max(1).into());
-    Some(Request::from_parts(parts, body))
+    Some((Request::from_parts(parts, body), back))
 }
 
 /// The fingerprint that the caller's node states. Requests without one share a fingerprint of zeros.
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -463,3 +463,34 @@
     let request = mesh.get(0, "/slots").header("agatedeck-outcome", "not-run");
     assert_told(&told(request).await, 500, "answered", "");
 }
+
+/// Guards against a refused upload that is told as unknown because its connection is closed while
+/// the body is still on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_upload_to_a_full_target_is_not_run() {
+    let mesh = Mesh::start(&["waiverbox"]).await;
+    let behaviour = TargetBehaviour {
+        hang: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    // Four slots and four places in the queue.
+    let calls: Vec<_> = (0..8)
+        .map(|_| tokio::spawn(told(mesh.client.post(mesh.url(0, "/waivers")).body("form"))))
+        .collect();
+    eventually("the slots are taken", async || {
+        mesh.target(0).counters().await.started == 4
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for _ in 0..10 {
+        let upload = mesh
+            .client
+            .put(mesh.url(0, "/waivers"))
+            .body(vec![7_u8; 8 << 20]);
+        assert_told(&told(upload).await, 503, "not-run", "queue-full");
+    }
+    for call in calls {
+        call.abort();
+    }
+}
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -370,7 +370,10 @@
     if behaviour.hang {
         return std::future::pending().await;
     }
-    tokio::time::sleep(Duration::from_millis(behaviour.work_ms)).await;
+    // Even a sleep of no time lasts up to 1 ms, the step of the timer.
+    if behaviour.work_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(behaviour.work_ms)).await;
+    }
     let inner = match &behaviour.calls_on {
         Some(url) => Some(call_on(&order.client, url, &headers).await),
         None => None,
