Refuse queued calls before their callers stop waiting; test connections, metrics and settings

Cause: a call that waited in the queue until its deadline was refused at the moment at which its caller's node gave up, so it was told as `unknown` although it never ran, and a claim would have stayed in progress for ever.

Change: the target's node refuses a queued call 30 ms before its deadline, or an eighth of the remaining time if that is less. The stand-in counts its connections.

--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, CrashSettings,
@@ -19,6 +20,12 @@
 use super::reason::StopReason;
 use crate::context::NodeContext;
 
+/// Time before its deadline at which a queued call is refused, so that the refusal reaches its
+/// caller's node before that stops waiting. The call would otherwise be told as unknown, and its
+/// claim, if it has one, would never be released. The remaining time is counted here from the arrival
+/// of the request, so the margin covers the way of both messages, 12 ms each between regions.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(30);
+
 /// The way to a slot of the local target.
 #[derive(Clone)]
 pub(super) struct SlotGate {
@@ -35,12 +42,17 @@
     }
 
     /// Waits for a slot. A call that is dropped while it waits leaves the queue.
+    ///
+    /// `remaining` is the time until the deadline of the call.
     pub(super) async fn admit(
         &self,
         tenant: &str,
-        deadline: Instant,
+        now: Instant,
+        remaining: Duration,
         fingerprint: Fingerprint,
     ) -> Result<SlotLease, StopReason> {
+        let margin = REFUSAL_MARGIN.min(remaining / 8);
+        let deadline = now.after(remaining.saturating_sub(margin));
         let call = CallId::from(self.last_call.fetch_add(1, Ordering::Relaxed));
         let (reply, granted) = oneshot::channel();
         let admit = AdmitCall {
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -84,13 +84,14 @@
     let clock = desk.context.clock;
     let timeout = stated_timeout(headers).unwrap_or(DEFAULT_TIMEOUT);
     let timeout = timeout.min(desk.context.settings.calls.max_timeout);
-    let deadline = clock.now().after(timeout);
+    let now = clock.now();
+    let deadline = now.after(timeout);
     let fingerprint = stated_fingerprint(headers);
-    if desk.crashes.borrow().refuses(fingerprint, clock.now()) {
+    if desk.crashes.borrow().refuses(fingerprint, now) {
         return Err(StopReason::CrashedTargets);
     }
     let tenant = text(headers, &TENANT).unwrap_or_default();
-    let lease = gate.admit(tenant, deadline, fingerprint).await?;
+    let lease = gate.admit(tenant, now, timeout, fingerprint).await?;
     Ok(AdmittedCall {
         lease,
         fingerprint,
--- /dev/null
+++ b/crates/node/tests/call_settings.rs
@@ -0,0 +1,44 @@
+//! The table `calls` of the settings.
+
+use agatedeck_node::{CallSettings, NodeSettings};
+use std::time::Duration;
+
+const REST: &str = r#"
+[node]
+name = "n"
+region = "r"
+domain = "d"
+[listen]
+calls = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+control = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[store]
+url = "http://127.0.0.1:1"
+region = "r"
+"#;
+
+/// Guards against a key that is read into another place, and against lost defaults.
+#[test]
+fn limits_are_read() {
+    let table = "[calls]\nkept_answer_bytes = 1\ndrain_limit_ms = 2\ntarget_connections = 40\n";
+    let settings = NodeSettings::parse("node.toml", &format!("{table}{REST}"));
+    let calls = settings.expect("the settings are in order").calls;
+    assert_eq!(calls.kept_answer_bytes, 1);
+    assert_eq!(calls.drain_limit, Duration::from_millis(2));
+    assert_eq!(calls.target_connections, 40);
+    let defaults = CallSettings::default();
+    assert_eq!(calls.kept_request_bytes, defaults.kept_request_bytes);
+    assert_eq!(calls.probe_interval, defaults.probe_interval);
+}
+
+/// Guards against findings that are lost or reported without their place.
+#[test]
+fn all_findings_are_reported_with_their_place() {
+    let table = "[calls]\ndrain_limit_ms = 0\nidle_connections = \"many\"\nretries = 3\n";
+    let findings = NodeSettings::parse("node.toml", &format!("{table}{REST}"));
+    let findings = findings.expect_err("the settings are wrong").to_string();
+    for place in ["node.toml:2:", "node.toml:3:", "node.toml:4:"] {
+        assert!(findings.contains(place), "{findings}");
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,8 +8,10 @@
 use agatedeck_standin::{PlatformServer, TargetBehaviour, TargetServer};
 use reqwest::{Client, RequestBuilder};
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 
-/// `search` may run twice, `charge` runs at most once, `upload` is not repeated.
+/// `search` may run twice, `charge` runs at most once, `upload` is not repeated, and `wide` has more
+/// slots than connections.
 const RECORDS: &str = r#"
 [[policy]]
 name = "search"
@@ -37,6 +39,31 @@
 repeat = "safe-methods"
 timeout_ms = 20000
 slots = 4
+max_attempts = 1
+
+[[policy]]
+name = "wide"
+[[policy.form]]
+schema = 1
+repeat = "always"
+timeout_ms = 5000
+slots = 300
+queue = 300
+connections = 20
+
+[[service]]
+name = "packprice"
+[[service.form]]
+schema = 1
+policy = "wide"
+health_path = "/health"
+
+[[route]]
+name = "prices"
+[[route.form]]
+schema = 1
+prefix = "/prices"
+service = "packprice"
 
 [[service]]
 name = "slotfinder"
@@ -86,6 +113,8 @@
     pub(crate) nodes: Vec<Option<Node>>,
     pub(crate) targets: Vec<Option<TargetServer>>,
     pub(crate) client: Client,
+    /// Where the nodes send their metrics.
+    pub(crate) metrics: UdpSocket,
     addresses: Vec<(SocketAddr, SocketAddr)>,
 }
 
@@ -111,7 +140,9 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = PlatformServer::start(any).await.expect("platform stand-in");
         let client = Client::builder().no_proxy().build().expect("HTTP client");
+        let metrics = UdpSocket::bind(any).await.expect("a socket for metrics");
         let mut mesh = Self {
+            metrics,
             platform,
             nodes: Vec::new(),
             targets: Vec::new(),
@@ -140,6 +171,7 @@
                     service: (*service).to_owned(),
                     address: target.address(),
                 }),
+                metrics: mesh.metrics.local_addr().ok(),
                 calls: CallSettings {
                     probe_interval: Duration::from_mins(1),
                     ..Default::default()
--- a/crates/standin/src/cut_listener.rs
+++ b/crates/standin/src/cut_listener.rs
@@ -6,21 +6,33 @@
 use std::task::{Context, Poll};
 
 use axum::serve::Listener;
+use kameo::actor::ActorRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
+use crate::target_server::{ConnectionEvent, RunKeeper};
+
 /// Accepts connections that are lost when the token that is current at that time is cancelled.
 #[derive(Debug)]
 pub(crate) struct CutListener {
     listener: TcpListener,
     current: watch::Receiver<CancellationToken>,
+    keeper: ActorRef<RunKeeper>,
 }
 
 impl CutListener {
-    pub(crate) fn new(listener: TcpListener, current: watch::Receiver<CancellationToken>) -> Self {
-        Self { listener, current }
+    pub(crate) fn new(
+        listener: TcpListener,
+        current: watch::Receiver<CancellationToken>,
+        keeper: ActorRef<RunKeeper>,
+    ) -> Self {
+        Self {
+            listener,
+            current,
+            keeper,
+        }
     }
 }
 
@@ -33,8 +45,14 @@
         // A connection without the option only answers later.
         let _ = stream.set_nodelay(true);
         let cut = self.current.borrow().clone().cancelled_owned();
-        let cut = Box::pin(cut);
-        (CutStream { stream, cut }, address)
+        // A keeper that is gone counts nothing any more.
+        let _ = self.keeper.tell(ConnectionEvent::Opened).try_send();
+        let stream = CutStream {
+            stream,
+            cut: Box::pin(cut),
+            keeper: self.keeper.clone(),
+        };
+        (stream, address)
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -46,6 +64,13 @@
 pub(crate) struct CutStream {
     stream: TcpStream,
     cut: Pin<Box<WaitForCancellationFutureOwned>>,
+    keeper: ActorRef<RunKeeper>,
+}
+
+impl Drop for CutStream {
+    fn drop(&mut self) {
+        let _ = self.keeper.tell(ConnectionEvent::Closed).try_send();
+    }
 }
 
 impl CutStream {
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -98,6 +98,10 @@
     pub cancelled: u64,
     /// Largest number of calls at the same time.
     pub peak: u64,
+    /// Connections that are open.
+    pub connections: u64,
+    /// Largest number of connections at the same time.
+    pub peak_connections: u64,
     /// How often each request ran, by its `x-request-id` header.
     pub runs: BTreeMap<String, u64>,
 }
@@ -135,9 +139,10 @@
         // Without a bound, so that the end of a cancelled call can be told from `Drop`.
         let keeper = RunKeeper::spawn_with_mailbox(keeper, mailbox::unbounded());
         let app = router(keeper.clone());
+        let opened = keeper.clone();
         let task = tokio::spawn(async move {
             // See `PlatformServer::start`: a failed listener looks like a target that is gone.
-            let _ = axum::serve(CutListener::new(listener, current), app).await;
+            let _ = axum::serve(CutListener::new(listener, current, opened), app).await;
         });
         Ok(Self {
             address,
@@ -173,7 +178,7 @@
 
 /// Owns the behaviour and the counters.
 #[derive(Actor, Debug)]
-struct RunKeeper {
+pub(crate) struct RunKeeper {
     service: String,
     name: String,
     behaviour: TargetBehaviour,
@@ -245,6 +250,25 @@
     }
 }
 
+/// A connection of the target was opened or closed.
+pub(crate) enum ConnectionEvent {
+    Opened,
+    Closed,
+}
+
+impl Message<ConnectionEvent> for RunKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, event: ConnectionEvent, _: &mut Context<Self, ()>) {
+        let counters = &mut self.counters;
+        match event {
+            ConnectionEvent::Opened => counters.connections += 1,
+            ConnectionEvent::Closed => counters.connections -= 1,
+        }
+        counters.peak_connections = counters.peak_connections.max(counters.connections);
+    }
+}
+
 struct Crash;
 
 impl Message<Crash> for RunKeeper {
