--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -574,3 +574,24 @@
         missing.retain(|metric| !text.lines().any(|line| line.starts_with(metric)));
     }
 }
+
+/// Guards against a load that the target reports and its node does not pass on, and against calls
+/// that are refused because of a report alone (F9).
+#[tokio::test(flavor = "multi_thread")]
+async fn reported_load_is_passed_on_and_refuses_nothing() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        false_load: Some(3),
+        unhealthy: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let url = mesh.peer_url(0, "/slots");
+    eventually("three of four slots are reported", async || {
+        let answer = mesh.client.get(&url).send().await;
+        let answer = answer.expect("the node answers");
+        assert_eq!(answer.status(), 200);
+        answer.headers()["agatedeck-load"] == "750"
+    })
+    .await;
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -68,9 +68,10 @@
 [[service]]
 name = "slotfinder"
 [[service.form]]
-schema = 1
+schema = 2
 policy = "search"
 health_path = "/health"
+load_path = "/load"
 
 [[service]]
 name = "depositdesk"
@@ -173,7 +174,7 @@
                 }),
                 metrics: mesh.metrics.local_addr().ok(),
                 calls: CallSettings {
-                    probe_interval: Duration::from_mins(1),
+                    probe_interval: Duration::from_millis(100),
                     ..Default::default()
                 },
                 ..Default::default()
@@ -231,6 +232,12 @@
         format!("http://{}{path}", self.addresses[node].0)
     }
 
+    /// URL at which a node takes calls of other nodes.
+    pub(crate) fn peer_url(&self, node: usize, path: &str) -> String {
+        let node = self.nodes[node].as_ref().expect("the node runs");
+        format!("http://{}{path}", node.addresses().peer)
+    }
+
     pub(crate) fn get(&self, node: usize, path: &str) -> RequestBuilder {
         self.client.get(self.url(node, path))
     }
