Start a claim before the first attempt that is sent, whichever it is

Cause: the claim of a call was started only with attempt 1. If attempt 1 found no target, a later one was sent with a claim that was not started. Such a claim is released at the deadline of the call, so a resent call could have run a second time. It was found by reading; the window is the backoff of a few milliseconds in which the first target of a service appears, which no test here can hit at will.

Change: the lease of a claim remembers whether it was started, and every attempt asks it. The rest of an upload is read before any answer that the node gives itself, also for `unknown`. A new test guards that an upload waits while its target does not read it.

--- a/crates/node/src/calls/claim_keeper.rs
+++ b/crates/node/src/calls/claim_keeper.rs
@@ -85,6 +85,7 @@
             ClaimVerdict::Granted => ClaimReply::Granted(ClaimLease {
                 id,
                 keeper: keeper.clone(),
+                started: false,
                 ended: false,
             }),
             verdict => ClaimReply::Told(verdict),
@@ -155,14 +156,22 @@
 pub(super) struct ClaimLease {
     id: ClaimId,
     keeper: ActorRef<ClaimKeeper>,
+    started: bool,
     ended: bool,
 }
 
 impl ClaimLease {
-    /// Asks to dispatch the call. To be called immediately before the first byte is sent.
-    pub(super) async fn start(&self) -> Result<(), ClaimRefusal> {
-        let started = self.keeper.ask(StartClaim(self.id)).await;
-        started.map_or(Err(ClaimRefusal::StoreAway), |reply| reply.0)
+    /// Asks to dispatch the call. To be called immediately before each attempt; only the first asks.
+    ///
+    /// A claim that is not started is released at the deadline of the call, so a call that was
+    /// dispatched without it could run twice.
+    pub(super) async fn start(&mut self) -> Result<(), ClaimRefusal> {
+        if !self.started {
+            let reply = self.keeper.ask(StartClaim(self.id)).await;
+            reply.map_or(Err(ClaimRefusal::StoreAway), |reply| reply.0)?;
+            self.started = true;
+        }
+        Ok(())
     }
 
     /// Settles the claim.
--- a/crates/node/src/calls/course.rs
+++ b/crates/node/src/calls/course.rs
@@ -147,11 +147,10 @@
                         Some(ReadyAnswer::Whole(response)) if outcome == CallOutcome::Answered => {
                             response
                         }
-                        _ if outcome == CallOutcome::NotRun => {
+                        _ => {
                             let told = refusal(outcome, self.reason);
                             after_request(told, request.body.unread().await).await
                         }
-                        _ => refusal(outcome, self.reason),
                     };
                 }
                 other => self.carry_out(&[other]),
@@ -243,8 +242,7 @@
         request: &mut CallRequest,
         answer: &mut Option<ReadyAnswer>,
     ) -> Vec<CallEffect> {
-        if let Some(claim) = &self.claim
-            && self.life.attempts() == 1
+        if let Some(claim) = &mut self.claim
             && let Err(refusal) = claim.start().await
         {
             self.reason = refusal.into();
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -328,6 +328,30 @@
     assert_eq!(received, Some(512 * CHUNK as u64));
 }
 
+/// Guards against an upload that is collected in memory while its target does not read it.
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_waits_for_a_target_that_does_not_read() {
+    static CHUNK: [u8; 64 * 1024] = [7; 64 * 1024];
+    let mesh = Mesh::start(&["waiverbox"]).await;
+    let behaviour = TargetBehaviour {
+        stall: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let (sent, sent_seen) = tokio::sync::watch::channel(0_usize);
+    let chunks = futures::stream::iter((0..4096).map(move |_| {
+        sent.send_modify(|sent| *sent += CHUNK.len());
+        Ok::<_, std::io::Error>(CHUNK.as_slice())
+    }));
+    let body = reqwest::Body::wrap_stream(chunks);
+    let upload = mesh.client.put(mesh.url(0, "/waivers/form")).body(body);
+    let upload = told(upload.header("agatedeck-deadline-ms", "700")).await;
+    assert_eq!(upload.outcome, "unknown");
+    // The sockets of three hops hold a part of the 256 MB; the rest was never asked for.
+    let sent = *sent_seen.borrow();
+    assert!(sent < 64 * 1024 * 1024, "{sent} bytes were taken");
+}
+
 /// Guards against inner calls that outlive the deadline of the outer call, and against retries that
 /// multiply over hops.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -50,6 +50,8 @@
     pub failing: bool,
     /// Calls are received and never answered.
     pub hang: bool,
+    /// Calls are neither read to their end nor answered.
+    pub stall: bool,
     /// A call of this path, once received, resets all connections of the target, as a crash does.
     /// The target listens again at once.
     pub crash_path: Option<String>,
@@ -384,6 +386,11 @@
         keeper: keeper.clone(),
         cancelled: true,
     };
+    if order.behaviour.stall {
+        // Holds the request, so that its connection stays open.
+        let _request = request;
+        return std::future::pending().await;
+    }
     let headers = request.headers().clone();
     let body = axum::body::to_bytes(request.into_body(), MAX_BODY_BYTES).await;
     let behaviour = &order.behaviour;
