--- a/crates/records/src/snapshot.rs
+++ b/crates/records/src/snapshot.rs
@@ -147,7 +147,9 @@
 
     /// All records of one kind in the order of their names.
     pub fn records_of(&self, kind: RecordKind) -> impl Iterator<Item = &Record> {
-        self.records().filter(move |record| record.kind() == kind)
+        let of_kind = self.records.range(RecordKey::new(kind, "")..);
+        let of_kind = of_kind.take_while(move |(key, _)| key.kind == kind);
+        of_kind.map(|(_, record)| record.as_ref())
     }
 
     pub(crate) fn record_map(&self) -> &BTreeMap<RecordKey, Arc<Record>> {
