Check the deadline of a streamed answer before each part of it

Cause: the deadline was looked at only when no part of the answer was at hand, so that its check depended on a pause of the target.

Change: the deadline comes first. A new test streams an answer without end. It passes without this change too, since a connection pauses now and then; it guards the check as a whole.

--- a/crates/node/src/calls/answer_body.rs
+++ b/crates/node/src/calls/answer_body.rs
@@ -78,6 +78,11 @@
             self.note_end();
             return Poll::Ready(Some(Ok(Frame::data(head))));
         }
+        // Before the rest, so that an answer that never pauses ends at the deadline as well.
+        if self.watch.is_some() && self.deadline.as_mut().poll(context).is_ready() {
+            self.tell(AnswerWatch::expired);
+            return Poll::Ready(Some(Err(AnswerError::Expired)));
+        }
         match Pin::new(&mut self.rest).poll_frame(context) {
             Poll::Ready(None) => {
                 self.tell(AnswerWatch::ended);
@@ -91,13 +96,7 @@
                 self.tell(|watch| watch.broken(&error));
                 Poll::Ready(Some(Err(AnswerError::Broken(error))))
             }
-            Poll::Pending => {
-                if self.deadline.as_mut().poll(context).is_ready() {
-                    self.tell(AnswerWatch::expired);
-                    return Poll::Ready(Some(Err(AnswerError::Expired)));
-                }
-                Poll::Pending
-            }
+            Poll::Pending => Poll::Pending,
         }
     }
 
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -75,6 +75,21 @@
     .await;
 }
 
+/// Guards against an answer without end that is passed on after the deadline of its call.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_end_is_cut_at_the_deadline() {
+    let mesh = Mesh::start(&["slotfinder"]).await;
+    let behaviour = TargetBehaviour {
+        endless: true,
+        ..Default::default()
+    };
+    mesh.behave(0, behaviour).await;
+    let call = told(mesh.get(0, "/slots").header("agatedeck-deadline-ms", "300"));
+    let call = tokio::time::timeout(Duration::from_secs(5), call).await;
+    let call = call.expect("the answer is cut");
+    assert_eq!((call.status, call.body), (200, None));
+}
+
 /// Guards against a truncated answer that is taken for a whole one (I4).
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_answers_are_never_whole() {
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -61,6 +61,8 @@
     pub break_after_bytes: Option<usize>,
     /// Answers are sent in chunks, without their length.
     pub chunked: bool,
+    /// Answers are in chunks, never pause and never end.
+    pub endless: bool,
     /// URL that each call asks before it answers, with its own `agatedeck-` headers.
     pub calls_on: Option<String>,
 }
@@ -414,6 +416,10 @@
     if behaviour.failing {
         return StatusCode::INTERNAL_SERVER_ERROR.into_response();
     }
+    if behaviour.endless {
+        let chunks = stream::repeat_with(|| Ok::<_, io::Error>(Bytes::from_static(&[b'x'; 4096])));
+        return Body::from_stream(chunks).into_response();
+    }
     let answer = json!({
         "service": order.service,
         "target": order.name,
