Fit slopes over fleets and over the decisions of one node

Each fleet varies one driver; readers of the store are told apart by the nodes' own decision. The decisions are measured on one thread with views of up to 2,700 members, as no machine here runs that many nodes. The kernel's CPU time of a thread was ruled out for them: it is brought up to date every few milliseconds and reads as zero for short events. The median time of batches is used instead.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -10,6 +10,7 @@
 use crate::convergence::ConvergenceSettings;
 use crate::fleet::MAX_NODES;
 use crate::node_process::NodeRun;
+use crate::slopes::SlopeSettings;
 
 /// Worker threads of a node unless stated otherwise. Hosts are small.
 pub(crate) const DEFAULT_WORKERS: usize = 2;
@@ -25,6 +26,7 @@
     Convergence(ConvergenceSettings),
     ControlBytes(ControlBytesSettings),
     Calls(CallSettings),
+    Slopes(SlopeSettings),
 }
 
 /// Reads the command line.
@@ -41,6 +43,7 @@
             Some("convergence") => parse_convergence(parser),
             Some("control-bytes") => parse_control_bytes(parser),
             Some("calls") => parse_calls(parser),
+            Some("slopes") => parse_slopes(parser),
             Some("node") => parse_node(parser),
             _ => Err(format!("unknown subcommand `{}`", name.to_string_lossy()).into()),
         },
@@ -182,3 +185,60 @@
     }
     Ok(Invocation::Calls(settings))
 }
+
+/// Numbers that each lie within `range`.
+fn bounded_list<T>(
+    value: &OsString,
+    range: &std::ops::RangeInclusive<T>,
+) -> Result<Vec<T>, lexopt::Error>
+where
+    T: FromStr + PartialOrd + std::fmt::Display,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let numbers: Vec<T> = list(value)?;
+    match numbers.iter().find(|number| !range.contains(number)) {
+        Some(number) => {
+            Err(format!("{number} is not from {} to {}", range.start(), range.end()).into())
+        }
+        None => Ok(numbers),
+    }
+}
+
+fn parse_slopes(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut settings = SlopeSettings::default();
+    let mut out = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("out") => out = Some(parser.value()?.into()),
+            Long("sizes") => settings.sizes = sizes(&parser.value()?)?,
+            Long("services") => settings.services = bounded_list(&parser.value()?, &(1..=1_000))?,
+            Long("churn-rates") => {
+                settings.churn_rates = bounded_list(&parser.value()?, &(0.0..=10.0))?;
+            }
+            Long("change-rates") => {
+                settings.change_rates = bounded_list(&parser.value()?, &(0.0..=100.0))?;
+            }
+            Long("base-nodes") => settings.base_nodes = bounded(&parser.value()?, 2..=MAX_NODES)?,
+            Long("base-services") => settings.base_services = bounded(&parser.value()?, 1..=1_000)?,
+            Long("base-change-rate") => {
+                settings.base_change_rate = bounded(&parser.value()?, 0.0..=100.0)?;
+            }
+            Long("settle-ms") => settings.settle_ms = bounded(&parser.value()?, 0..=600_000)?,
+            Long("window-ms") => settings.window_ms = bounded(&parser.value()?, 100..=600_000)?,
+            Long("members") => {
+                // A view has several failure domains; a service of it has at least one target.
+                settings.members = bounded_list(&parser.value()?, &(130..=20_000))?;
+            }
+            Long("decision-services") => {
+                settings.decision_services = bounded_list(&parser.value()?, &(1..=1_000))?;
+            }
+            Long("events") => settings.events = bounded(&parser.value()?, 1..=1_000_000)?,
+            Long("workers") => settings.workers = bounded(&parser.value()?, 1..=64)?,
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("help") | Short('h') => return Ok(help(include_str!("../help/slopes.txt"))),
+            other => return Err(other.unexpected()),
+        }
+    }
+    settings.out = out.ok_or("`--out DIR` is missing")?;
+    Ok(Invocation::Slopes(settings))
+}
--- a/crates/bench/src/control_bytes.rs
+++ b/crates/bench/src/control_bytes.rs
@@ -250,7 +250,7 @@
     let mut compressed = 0;
     for _ in 0..settings.changes {
         let prepared = mirror.next_change()?;
-        compressed += prepared.compressed_bytes;
+        compressed += prepared.compressed_bytes();
         let node = rng.random_range(0..size);
         let accepted = fleet.accept(node, &prepared.change).await?;
         fleet.in_force(accepted.version).await?;
--- a/crates/bench/src/fleet/member.rs
+++ b/crates/bench/src/fleet/member.rs
@@ -3,12 +3,17 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
+use std::time::Duration;
 
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdout, Command};
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
+
+/// Time in which a node must leave the mesh and end.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// Name, place and target of a node.
 #[derive(Clone, Debug)]
@@ -76,6 +81,15 @@
         })
     }
 
+    /// Closes the node's input and waits until the process has ended; kills one that hangs.
+    pub(crate) async fn stop(&mut self) -> Result<()> {
+        drop(self.child.stdin.take());
+        if timeout(STOP_LIMIT, self.child.wait()).await.is_err() {
+            self.child.kill().await.into_diagnostic()?;
+        }
+        Ok(())
+    }
+
     /// The process id; `None` once the process was waited for.
     pub(crate) fn id(&self) -> Option<u32> {
         self.child.id()
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -254,14 +254,38 @@
                 return Ok(());
             }
             if Instant::now() >= deadline {
+                let seen = states.iter().map(|state| match state {
+                    Ok(state) => format!("{} {}", state.phase, state.alive_members),
+                    Err(error) => error.to_string(),
+                });
+                let seen: Vec<String> = seen.collect();
                 return Err(miette!(
-                    "only {count} of {expected} nodes serve and see all others alive"
+                    "only {count} of {expected} nodes serve and see all others alive; \
+                     phase and members alive at each node: {}",
+                    seen.join(", ")
                 ));
             }
             sleep(LOOK_PAUSE).await;
         }
     }
 
+    /// Number of nodes.
+    pub(crate) fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Has a node leave the mesh and starts it again, without waiting until it has joined.
+    pub(crate) async fn restart(&mut self, node: usize) -> Result<()> {
+        self.nodes[node].stop().await?;
+        self.nodes[node] = self.launch(node)?;
+        let deadline = Instant::now() + START_LIMIT;
+        while self.nodes[node].addresses.is_none() {
+            self.next_news(deadline, "open their listeners again")
+                .await?;
+        }
+        Ok(())
+    }
+
     /// Addresses of a node that is up.
     pub(crate) fn addresses(&self, node: usize) -> Result<NodeAddresses> {
         let addresses = self.nodes[node].addresses;
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -23,7 +23,15 @@
 impl ProcessUsage {
     /// Reads the usage of the process `id`.
     pub(crate) fn read(id: u32) -> Result<Self> {
-        let folder = format!("/proc/{id}");
+        Self::read_from(&format!("/proc/{id}"))
+    }
+
+    /// Reads the usage of this process.
+    pub(crate) fn of_this_process() -> Result<Self> {
+        Self::read_from("/proc/self")
+    }
+
+    fn read_from(folder: &str) -> Result<Self> {
         let read = |name: &str| {
             let file = format!("{folder}/{name}");
             let text = std::fs::read_to_string(&file).into_diagnostic();
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod node_process;
 mod records;
 mod report;
+mod slopes;
 mod statistics;
 
 use std::process::ExitCode;
@@ -78,6 +79,11 @@
             calls::run(&settings, &mut report).await?;
             report.finish()
         }
+        Invocation::Slopes(settings) => {
+            let mut report = Report::start("slopes", Some(&settings.out), &settings)?;
+            slopes::run(&settings, &mut report).await?;
+            report.finish()
+        }
         Invocation::Print(_) | Invocation::Node(_) => Ok(()),
     }
 }
--- a/crates/bench/src/records.rs
+++ b/crates/bench/src/records.rs
@@ -18,11 +18,18 @@
     sent: u64,
 }
 
-/// A change and the size of its compressed form.
+/// A change and its compressed form, as nodes send it to each other.
 #[derive(Debug)]
 pub(crate) struct PreparedChange {
     pub(crate) change: Change,
-    pub(crate) compressed_bytes: u64,
+    pub(crate) compressed: Vec<u8>,
+}
+
+impl PreparedChange {
+    /// Size of the compressed form.
+    pub(crate) fn compressed_bytes(&self) -> u64 {
+        u64::try_from(self.compressed.len()).unwrap_or(u64::MAX)
+    }
 }
 
 /// Policies, services and routes of `count` services, one of each a service.
@@ -84,11 +91,13 @@
         let planned =
             plan_change(&self.snapshot, &change, now_ms).map_err(|refusal| miette!("{refusal}"))?;
         self.snapshot = planned.snapshot;
-        let compressed_bytes = u64::try_from(compress(&planned.delta).len()).unwrap_or(u64::MAX);
-        Ok(PreparedChange {
-            change,
-            compressed_bytes,
-        })
+        let compressed = compress(&planned.delta);
+        Ok(PreparedChange { change, compressed })
+    }
+
+    /// The configuration that the changes so far lead to.
+    pub(crate) fn snapshot(&self) -> &ConfigSnapshot {
+        &self.snapshot
     }
 
     /// The version that the changes so far lead to.
--- /dev/null
+++ b/crates/bench/src/slopes/event_clock.rs
@@ -0,0 +1,183 @@
+//! CPU time, messages and bytes of decisions, by event kind.
+
+use std::time::Instant;
+
+use agatedeck_wire::ControlPlaneRequest;
+use miette::{IntoDiagnostic, Result};
+use serde::Serialize;
+
+use super::series::SeriesTable;
+use crate::report::Report;
+use crate::statistics::to_f64;
+
+/// Batches into which the events of a kind are cut. The median of their times leaves out those in
+/// which the thread was interrupted.
+const BATCHES: u32 = 20;
+
+/// Messages that a decision asks to send, at the size of the encoded request. The framing, the
+/// envelope of `tarpc` and the answer come on top of that.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SentMessages {
+    pub(super) messages: u64,
+    pub(super) bytes: u64,
+}
+
+impl SentMessages {
+    pub(super) fn add(&mut self, request: &ControlPlaneRequest) -> Result<()> {
+        let encoded = postcard::to_stdvec(request).into_diagnostic()?;
+        self.messages += 1;
+        self.bytes += u64::try_from(encoded.len()).into_diagnostic()?;
+        Ok(())
+    }
+}
+
+/// Cost of one kind of event at one size of the view.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct EventCost {
+    pub(super) role: &'static str,
+    pub(super) event: &'static str,
+    /// What the cost is measured against: `members` or `services`.
+    pub(super) driver: &'static str,
+    /// Size of the driver.
+    pub(super) size: usize,
+    /// Whether this is the two-year size, whose daily load is summed up.
+    pub(super) full_size: bool,
+    pub(super) events: u32,
+    pub(super) cpu_us_per_event: f64,
+    pub(super) messages_per_event: f64,
+    pub(super) bytes_per_event: f64,
+    /// Events of one node on an ordinary day at the two-year size, where the design states them.
+    pub(super) events_per_day: Option<f64>,
+    /// State in bytes, for events that build it up.
+    pub(super) state_bytes: Option<u64>,
+}
+
+/// Where and how often an event occurs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EventPlan {
+    pub(super) role: &'static str,
+    pub(super) event: &'static str,
+    pub(super) driver: &'static str,
+    pub(super) size: usize,
+    pub(super) full_size: bool,
+    pub(super) events: u32,
+    pub(super) events_per_day: Option<f64>,
+}
+
+impl EventPlan {
+    /// Carries out the events and measures them. What `run` returns is counted by `count` afterwards,
+    /// since encoding is no part of a decision.
+    pub(super) fn measure<T>(
+        self,
+        mut run: impl FnMut(u32) -> T,
+        count: impl Fn(&T, &mut SentMessages) -> Result<()>,
+    ) -> Result<EventCost> {
+        let mut results = Vec::with_capacity(self.events as usize);
+        // Decisions never wait, so that the time of a batch without an interruption is CPU time. The
+        // kernel's count of CPU time is brought up to date only every few milliseconds.
+        let batch = (self.events / BATCHES).max(1);
+        let mut times = Vec::new();
+        let mut start = Instant::now();
+        for number in 0..self.events {
+            results.push(run(number));
+            if (number + 1) % batch == 0 {
+                times.push(start.elapsed().as_secs_f64() * 1e6 / f64::from(batch));
+                start = Instant::now();
+            }
+        }
+        times.sort_by(f64::total_cmp);
+        let mut sent = SentMessages::default();
+        for result in &results {
+            count(result, &mut sent)?;
+        }
+        let events = f64::from(self.events);
+        Ok(EventCost {
+            role: self.role,
+            event: self.event,
+            driver: self.driver,
+            size: self.size,
+            full_size: self.full_size,
+            events: self.events,
+            cpu_us_per_event: times[times.len() / 2],
+            messages_per_event: to_f64(sent.messages) / events,
+            bytes_per_event: to_f64(sent.bytes) / events,
+            events_per_day: self.events_per_day,
+            state_bytes: None,
+        })
+    }
+
+    /// Measures events that send nothing.
+    pub(super) fn measure_quiet<T>(self, run: impl FnMut(u32) -> T) -> Result<EventCost> {
+        self.measure(run, |_, _| Ok(()))
+    }
+}
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+const TITLE: &str = "decisions of one node at the two-year size";
+const HEAD: [&str; 9] = [
+    "role",
+    "event",
+    "events",
+    "us CPU",
+    "messages",
+    "bytes",
+    "per day",
+    "% of a core",
+    "B/s",
+];
+
+impl EventCost {
+    pub(super) fn report(&self, seed: u64, report: &mut Report) -> Result<()> {
+        #[derive(Serialize)]
+        struct Line<'a> {
+            seed: u64,
+            #[serde(flatten)]
+            cost: &'a EventCost,
+        }
+        report.record("decision", &Line { seed, cost: self })?;
+        if !self.full_size {
+            return Ok(());
+        }
+        let per_second = self.events_per_day.map(|events| events / SECONDS_PER_DAY);
+        let known =
+            |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.4}"));
+        let cells = vec![
+            self.role.to_owned(),
+            self.event.to_owned(),
+            self.events.to_string(),
+            format!("{:.3}", self.cpu_us_per_event),
+            format!("{:.2}", self.messages_per_event),
+            format!("{:.1}", self.bytes_per_event),
+            self.events_per_day
+                .map_or("-".to_owned(), |events| format!("{events:.1}")),
+            known(per_second.map(|rate| rate * self.cpu_us_per_event / 1e4)),
+            known(per_second.map(|rate| rate * self.bytes_per_event)),
+        ];
+        report.add_row(TITLE, &HEAD, cells);
+        if let Some(state) = self.state_bytes {
+            let cells = vec![
+                self.role.to_owned(),
+                self.event.to_owned(),
+                self.size.to_string(),
+                state.to_string(),
+            ];
+            report.add_row("state in bytes", &["role", "event", "size", "bytes"], cells);
+        }
+        Ok(())
+    }
+
+    pub(super) fn add_to(&self, table: &mut SeriesTable) {
+        let role = format!("{}, {}", self.role, self.event);
+        let size = crate::statistics::count_f64(self.size);
+        let cpu = (size, self.cpu_us_per_event);
+        table.add(self.driver, &role, "CPU us/event", cpu);
+        if self.bytes_per_event > 0.0 {
+            let bytes = (size, self.bytes_per_event);
+            table.add(self.driver, &role, "bytes/event", bytes);
+        }
+        if let Some(state) = self.state_bytes {
+            table.add(self.driver, &role, "state bytes", (size, to_f64(state)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/fleet_runs.rs
@@ -0,0 +1,372 @@
+//! Fleets of real node processes in which one driver is varied at a time.
+
+use std::time::Duration;
+
+use agatedeck_control::{MemberSettings, MemberTable, SpreadPolicy, TreeSpread};
+use agatedeck_standin::PlatformCounters;
+use agatedeck_wire::{Member, MemberStatus};
+use miette::Result;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::SlopeSettings;
+use super::series::SeriesTable;
+use crate::fleet::{Fleet, FleetSettings, NodePlan, NodeState, ProcessUsage};
+use crate::records::ConfigMirror;
+use crate::report::Report;
+use crate::statistics::{count_f64, to_f64};
+
+/// Every how many-th node is restarted in turn where churn is measured. The figures are those of
+/// the others, whose counters run on.
+const VICTIM_STRIDE: usize = 4;
+
+/// Time in which the fleet must be whole again after the restarts.
+const REJOIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// One fleet to be measured.
+#[derive(Clone, Copy, Debug)]
+struct FleetCase {
+    driver: &'static str,
+    nodes: usize,
+    services: usize,
+    restarts_per_second: f64,
+    changes_per_second: f64,
+}
+
+/// What a role used in a window, in the mean over its nodes.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct RoleUse {
+    nodes: usize,
+    bytes_per_second: f64,
+    cross_region_bytes_per_second: f64,
+    cpu_ms_per_second: f64,
+    resident_kib: f64,
+    anonymous_kib: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct FleetResult {
+    driver: &'static str,
+    driver_value: f64,
+    nodes: usize,
+    services: usize,
+    restarts: u64,
+    restarts_per_second: f64,
+    changes: u64,
+    changes_per_second: f64,
+    seconds: f64,
+    seed: u64,
+    reader: RoleUse,
+    ordinary: RoleUse,
+    store_reads_per_second: f64,
+    store_writes_per_second: f64,
+    nodes_in_force: usize,
+}
+
+/// Measures all fleets.
+pub(super) async fn run(
+    settings: &SlopeSettings,
+    table: &mut SeriesTable,
+    report: &mut Report,
+) -> Result<()> {
+    for case in cases(settings) {
+        let result = measure(settings, case).await?;
+        report.record("fleet", &result)?;
+        add_row(report, &result);
+        add_points(table, &result);
+    }
+    Ok(())
+}
+
+fn cases(settings: &SlopeSettings) -> Vec<FleetCase> {
+    let base = FleetCase {
+        driver: "",
+        nodes: settings.base_nodes,
+        services: settings.base_services,
+        restarts_per_second: 0.0,
+        changes_per_second: settings.base_change_rate,
+    };
+    let sizes = settings.sizes.iter().map(|nodes| FleetCase {
+        driver: "nodes",
+        nodes: *nodes,
+        ..base
+    });
+    let services = settings.services.iter().map(|services| FleetCase {
+        driver: "services",
+        services: *services,
+        ..base
+    });
+    let churn = settings.churn_rates.iter().map(|rate| FleetCase {
+        driver: "restarts/s",
+        restarts_per_second: *rate,
+        changes_per_second: 0.0,
+        ..base
+    });
+    let changes = settings.change_rates.iter().map(|rate| FleetCase {
+        driver: "changes/s",
+        changes_per_second: *rate,
+        ..base
+    });
+    sizes.chain(services).chain(churn).chain(changes).collect()
+}
+
+/// Counters of all nodes and of the store at one moment.
+struct Moment {
+    at: Instant,
+    states: Vec<NodeState>,
+    usages: Vec<ProcessUsage>,
+    store: PlatformCounters,
+}
+
+impl Moment {
+    async fn read(fleet: &Fleet) -> Result<Self> {
+        Ok(Self {
+            at: Instant::now(),
+            states: fleet.states().await?,
+            usages: fleet.usages()?,
+            store: fleet.store_counters().await,
+        })
+    }
+}
+
+async fn measure(settings: &SlopeSettings, case: FleetCase) -> Result<FleetResult> {
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let plan = FleetSettings::spread_over_regions(case.nodes, "tree", settings.workers);
+    let readers = readers(&plan.nodes);
+    let mut fleet = Fleet::start(plan).await?;
+    let mut mirror = ConfigMirror::default();
+    let first = mirror.first_change(case.services)?;
+    let accepted = fleet.accept(0, &first.change).await?;
+    fleet.in_force(accepted.version).await?;
+    sleep(Duration::from_millis(settings.settle_ms)).await;
+
+    let start = Moment::read(&fleet).await?;
+    let end_at = start.at + Duration::from_millis(settings.window_ms);
+    let mut done = Done::default();
+    if case.restarts_per_second > 0.0 {
+        done.restarts = restart_nodes(&mut fleet, case.restarts_per_second, end_at).await?;
+    } else if case.changes_per_second > 0.0 {
+        let rate = case.changes_per_second;
+        done.changes = make_changes(&mut fleet, &mut mirror, &mut rng, rate, end_at).await?;
+    }
+    sleep_until(end_at).await;
+    let end = Moment::read(&fleet).await?;
+    if done.changes > 0 {
+        fleet.in_force(mirror.version()).await?;
+    }
+    fleet.wait_joined(Instant::now() + REJOIN_LIMIT).await?;
+    let states = fleet.states().await?;
+    let in_force = states
+        .iter()
+        .filter(|state| state.version == mirror.version());
+    Ok(summarise(
+        settings,
+        case,
+        &readers,
+        &done,
+        &start,
+        &end,
+        in_force.count(),
+    ))
+}
+
+/// What was done to a fleet in the window.
+#[derive(Debug, Default)]
+struct Done {
+    restarts: u64,
+    changes: u64,
+}
+
+fn victims(nodes: usize) -> impl Iterator<Item = usize> + Clone {
+    (0..nodes).skip(1).step_by(VICTIM_STRIDE)
+}
+
+async fn restart_nodes(fleet: &mut Fleet, rate: f64, end: Instant) -> Result<u64> {
+    let (start, mut count) = (Instant::now(), 0_u32);
+    for victim in victims(fleet.len()).cycle() {
+        let due = start + Duration::from_secs_f64(f64::from(count) / rate);
+        if due >= end || Instant::now() >= end {
+            break;
+        }
+        sleep_until(due).await;
+        fleet.restart(victim).await?;
+        count += 1;
+    }
+    Ok(u64::from(count))
+}
+
+async fn make_changes(
+    fleet: &mut Fleet,
+    mirror: &mut ConfigMirror,
+    rng: &mut SmallRng,
+    rate: f64,
+    end: Instant,
+) -> Result<u64> {
+    let (start, mut count) = (Instant::now(), 0_u32);
+    loop {
+        let due = start + Duration::from_secs_f64(f64::from(count) / rate);
+        if due >= end || Instant::now() >= end {
+            return Ok(u64::from(count));
+        }
+        sleep_until(due).await;
+        let prepared = mirror.next_change()?;
+        let node = rng.random_range(0..fleet.len());
+        fleet.accept(node, &prepared.change).await?;
+        count += 1;
+    }
+}
+
+/// Which nodes read the store, by the same decision that the nodes take.
+fn readers(plans: &[NodePlan]) -> Vec<bool> {
+    let mut table = MemberTable::new(&MemberSettings::default());
+    let member = |plan: &NodePlan| Member {
+        node: plan.name.clone(),
+        incarnation: 1,
+        status: MemberStatus::Alive.into(),
+        domain: plan.domain.clone(),
+        region: plan.region.clone(),
+        ..Default::default()
+    };
+    for plan in plans {
+        table.merge(&member(plan), agatedeck_clock::Instant::default());
+    }
+    let policy = TreeSpread {
+        store_region: plans[0].region.clone(),
+        ..Default::default()
+    };
+    let reads = |plan| policy.poll_interval(&table, &member(plan)).is_some();
+    plans.iter().map(reads).collect()
+}
+
+fn role_use(nodes: &[usize], start: &Moment, end: &Moment) -> RoleUse {
+    let seconds = (end.at - start.at).as_secs_f64();
+    let count = count_f64(nodes.len().max(1));
+    let mean = |of: &dyn Fn(usize) -> u64| to_f64(nodes.iter().copied().map(of).sum()) / count;
+    let rate = |of: &dyn Fn(&Moment, usize) -> u64| {
+        mean(&|node| of(end, node).saturating_sub(of(start, node))) / seconds
+    };
+    RoleUse {
+        nodes: nodes.len(),
+        bytes_per_second: rate(&|moment, node| moment.states[node].control_bytes),
+        cross_region_bytes_per_second: rate(&|moment, node| {
+            moment.states[node].cross_region_control_bytes
+        }),
+        cpu_ms_per_second: rate(&|moment, node| moment.usages[node].cpu_ms),
+        resident_kib: mean(&|node| end.usages[node].resident_kib),
+        anonymous_kib: mean(&|node| end.usages[node].anonymous_kib),
+    }
+}
+
+fn summarise(
+    settings: &SlopeSettings,
+    case: FleetCase,
+    readers: &[bool],
+    done: &Done,
+    start: &Moment,
+    end: &Moment,
+    nodes_in_force: usize,
+) -> FleetResult {
+    let seconds = (end.at - start.at).as_secs_f64();
+    let restarted: Vec<usize> = if done.restarts > 0 {
+        victims(case.nodes).collect()
+    } else {
+        Vec::new()
+    };
+    let whole = (0..case.nodes).filter(|node| !restarted.contains(node));
+    let (reading, ordinary): (Vec<usize>, Vec<usize>) = whole.partition(|node| readers[*node]);
+    let restarts_per_second = to_f64(done.restarts) / seconds;
+    let changes_per_second = to_f64(done.changes) / seconds;
+    let rate = |from: u64, to: u64| to_f64(to.saturating_sub(from)) / seconds;
+    FleetResult {
+        driver: case.driver,
+        driver_value: match case.driver {
+            "nodes" => count_f64(case.nodes),
+            "services" => count_f64(case.services),
+            "restarts/s" => restarts_per_second,
+            _ => changes_per_second,
+        },
+        nodes: case.nodes,
+        services: case.services,
+        restarts: done.restarts,
+        restarts_per_second,
+        changes: done.changes,
+        changes_per_second,
+        seconds,
+        seed: settings.seed,
+        reader: role_use(&reading, start, end),
+        ordinary: role_use(&ordinary, start, end),
+        store_reads_per_second: rate(start.store.reads, end.store.reads),
+        store_writes_per_second: rate(start.store.writes, end.store.writes),
+        nodes_in_force,
+    }
+}
+
+fn add_points(table: &mut SeriesTable, result: &FleetResult) {
+    let x = result.driver_value;
+    let driver = result.driver;
+    for (role, used) in [
+        ("reader", &result.reader),
+        ("ordinary node", &result.ordinary),
+    ] {
+        if used.nodes == 0 {
+            continue;
+        }
+        table.add(driver, role, "bytes/s", (x, used.bytes_per_second));
+        table.add(driver, role, "CPU ms/s", (x, used.cpu_ms_per_second));
+        table.add(driver, role, "anonymous KiB", (x, used.anonymous_kib));
+        table.add(driver, role, "resident KiB", (x, used.resident_kib));
+    }
+    table.add(
+        driver,
+        "store",
+        "reads/s",
+        (x, result.store_reads_per_second),
+    );
+    table.add(
+        driver,
+        "store",
+        "writes/s",
+        (x, result.store_writes_per_second),
+    );
+}
+
+const TITLE: &str = "fleets: means of each node that was not restarted; r is a reader of the store";
+const HEAD: [&str; 13] = [
+    "driver",
+    "nodes",
+    "services",
+    "restarts/s",
+    "changes/s",
+    "B/s",
+    "r B/s",
+    "cross B/s",
+    "cpu ms/s",
+    "r cpu ms/s",
+    "anon KiB",
+    "rss KiB",
+    "reads/s",
+];
+
+fn add_row(report: &mut Report, result: &FleetResult) {
+    let one = |value: f64| format!("{value:.1}");
+    let two = |value: f64| format!("{value:.2}");
+    let (reader, ordinary) = (&result.reader, &result.ordinary);
+    let cells = vec![
+        result.driver.to_owned(),
+        result.nodes.to_string(),
+        result.services.to_string(),
+        two(result.restarts_per_second),
+        two(result.changes_per_second),
+        one(ordinary.bytes_per_second),
+        one(reader.bytes_per_second),
+        one(ordinary.cross_region_bytes_per_second),
+        two(ordinary.cpu_ms_per_second),
+        two(reader.cpu_ms_per_second),
+        one(ordinary.anonymous_kib),
+        one(ordinary.resident_kib),
+        two(result.store_reads_per_second),
+    ];
+    report.add_row(TITLE, &HEAD, cells);
+}
--- /dev/null
+++ b/crates/bench/src/slopes/mod.rs
@@ -0,0 +1,96 @@
+//! Growth of state, traffic, CPU time and memory with what drives them, for each role.
+
+mod call_decisions;
+mod control_decisions;
+mod event_clock;
+mod fit;
+mod fleet_runs;
+mod plot;
+mod series;
+
+use std::path::PathBuf;
+
+use miette::{IntoDiagnostic, Result};
+use serde::Serialize;
+
+use crate::arguments::DEFAULT_WORKERS;
+use crate::report::Report;
+
+use event_clock::EventCost;
+use series::SeriesTable;
+
+/// Settings of the measurement.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct SlopeSettings {
+    /// Folder for the JSON lines and the plot.
+    pub(crate) out: PathBuf,
+    pub(crate) sizes: Vec<usize>,
+    pub(crate) services: Vec<usize>,
+    /// Nodes restarted per second.
+    pub(crate) churn_rates: Vec<f64>,
+    /// Changes per second.
+    pub(crate) change_rates: Vec<f64>,
+    /// Size of the fleets whose other driver is varied.
+    pub(crate) base_nodes: usize,
+    /// Services of the fleets whose other driver is varied.
+    pub(crate) base_services: usize,
+    /// Changes per second while sizes and services are varied.
+    pub(crate) base_change_rate: f64,
+    pub(crate) settle_ms: u64,
+    /// Length of each measured window.
+    pub(crate) window_ms: u64,
+    /// Members in the view of the node whose decisions are measured alone.
+    pub(crate) members: Vec<usize>,
+    /// Services in the configuration of that node.
+    pub(crate) decision_services: Vec<usize>,
+    /// Events of each kind, at most; costly kinds use fewer.
+    pub(crate) events: u32,
+    pub(crate) workers: usize,
+    pub(crate) seed: u64,
+}
+
+impl Default for SlopeSettings {
+    fn default() -> Self {
+        Self {
+            out: PathBuf::from("slopes"),
+            sizes: vec![12, 24, 48, 96],
+            services: vec![4, 32, 64, 130],
+            churn_rates: vec![0.0, 0.5, 1.0, 2.0],
+            change_rates: vec![0.0, 2.0, 5.0, 10.0],
+            base_nodes: 24,
+            base_services: 16,
+            base_change_rate: 1.0,
+            settle_ms: 6_000,
+            window_ms: 8_000,
+            members: vec![324, 675, 1_350, 2_700],
+            decision_services: vec![16, 32, 65, 130],
+            events: 2_000,
+            workers: DEFAULT_WORKERS,
+            seed: 1,
+        }
+    }
+}
+
+/// Runs the fleets and the decisions, and draws the plot.
+pub(crate) async fn run(settings: &SlopeSettings, report: &mut Report) -> Result<()> {
+    let mut table = SeriesTable::default();
+    // First, while this process is small: the memory of the view is read off its growth.
+    let decisions = settings.clone();
+    let costs = tokio::task::spawn_blocking(move || measure_decisions(&decisions));
+    for measured in costs.await.into_diagnostic()?? {
+        measured.report(settings.seed, report)?;
+        measured.add_to(&mut table);
+    }
+    fleet_runs::run(settings, &mut table, report).await?;
+    table.report(settings.seed, report)?;
+    let file = settings.out.join("slopes.svg");
+    plot::draw(&table, &file)?;
+    let plot = serde_json::json!({ "file": file });
+    report.record("plot", &plot)
+}
+
+fn measure_decisions(settings: &SlopeSettings) -> Result<Vec<EventCost>> {
+    let mut costs = control_decisions::measure(settings)?;
+    costs.extend(call_decisions::measure(settings)?);
+    Ok(costs)
+}
--- /dev/null
+++ b/crates/bench/src/slopes/series.rs
@@ -0,0 +1,99 @@
+//! Measured values by what drives them.
+
+use std::collections::BTreeMap;
+
+use miette::Result;
+use serde::Serialize;
+
+use super::fit::{LineFit, fit_line};
+use crate::report::Report;
+
+/// What a series is about.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(super) struct SeriesKey {
+    /// What drives the value, for example `nodes`.
+    pub(super) driver: &'static str,
+    /// Role whose cost it is, for example `reader`.
+    pub(super) role: String,
+    /// Measured value with its unit.
+    pub(super) metric: &'static str,
+}
+
+/// Points of each series, `x` being the driver.
+#[derive(Debug, Default)]
+pub(super) struct SeriesTable {
+    points: BTreeMap<SeriesKey, Vec<(f64, f64)>>,
+}
+
+#[derive(Serialize)]
+struct FitLine<'a> {
+    #[serde(flatten)]
+    key: &'a SeriesKey,
+    seed: u64,
+    #[serde(flatten)]
+    fit: LineFit,
+    data: &'a [(f64, f64)],
+}
+
+const TITLE: &str = "fitted slopes: metric = intercept + slope x driver";
+const HEAD: [&str; 7] = [
+    "driver",
+    "role",
+    "metric",
+    "slope",
+    "intercept",
+    "R squared",
+    "points",
+];
+
+impl SeriesTable {
+    pub(super) fn add(
+        &mut self,
+        driver: &'static str,
+        role: &str,
+        metric: &'static str,
+        point: (f64, f64),
+    ) {
+        let key = SeriesKey {
+            driver,
+            role: role.to_owned(),
+            metric,
+        };
+        self.points.entry(key).or_default().push(point);
+    }
+
+    /// All series in the order of their keys.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&SeriesKey, &[(f64, f64)])> {
+        self.points
+            .iter()
+            .map(|(key, points)| (key, points.as_slice()))
+    }
+
+    /// Writes the fit of each series.
+    pub(super) fn report(&self, seed: u64, report: &mut Report) -> Result<()> {
+        for (key, data) in self.iter() {
+            let Some(fit) = fit_line(data) else {
+                continue;
+            };
+            let line = FitLine {
+                key,
+                seed,
+                fit,
+                data,
+            };
+            report.record("fit", &line)?;
+            let r_squared = fit.r_squared.map_or("-".to_owned(), |r| format!("{r:.3}"));
+            let cells = vec![
+                key.driver.to_owned(),
+                key.role.clone(),
+                key.metric.to_owned(),
+                format!("{:.4}", fit.slope),
+                format!("{:.3}", fit.intercept),
+                r_squared,
+                fit.points.to_string(),
+            ];
+            report.add_row(TITLE, &HEAD, cells);
+        }
+        Ok(())
+    }
+}
--- a/crates/bench/tests/smoke.rs
+++ b/crates/bench/tests/smoke.rs
@@ -105,6 +105,49 @@
     }
 }
 
+/// Fails when a fleet does not come together again after restarts, a change is missed, or a file is
+/// not written.
+#[test]
+fn slopes_are_fitted_and_drawn() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().to_str().expect("the path is UTF-8");
+    let arguments = [
+        "slopes",
+        "--out",
+        out,
+        "--sizes",
+        "3",
+        "--services",
+        "2",
+        "--churn-rates",
+        "2",
+        "--change-rates",
+        "0,5",
+        "--base-nodes",
+        "4",
+        "--base-services",
+        "2",
+        "--settle-ms",
+        "100",
+        "--window-ms",
+        "700",
+        "--members",
+        "135,270",
+        "--decision-services",
+        "8,16",
+        "--events",
+        "20",
+    ];
+    for fleet in lines(&arguments, "fleet") {
+        assert_eq!(fleet["nodes_in_force"], fleet["nodes"], "{fleet}");
+    }
+    let file = std::fs::read_to_string(folder.path().join("slopes.jsonl")).expect("the lines");
+    let fits = file.lines().filter(|line| line.contains(r#""kind":"fit""#));
+    assert!(fits.count() > 10);
+    let plot = std::fs::read_to_string(folder.path().join("slopes.svg")).expect("the plot");
+    assert!(plot.ends_with("</svg>\n") || plot.ends_with("</svg>"));
+}
+
 /// Fails when a bad command line starts a measurement, or is not explained.
 #[test]
 fn a_bad_command_line_is_refused() {
