Measure all positions in the tree and the memory of a configuration

One configuration fits into memory that the process already has and read as zero, so a hundred are measured together. The first position below the head has eight children while most have none, so all positions are measured in turn.

--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -44,6 +44,9 @@
 /// Number of an incarnation that is later than all others here.
 const LATER_INCARNATION: u64 = 1_000_000;
 
+/// Copies of a configuration whose memory is measured together.
+const STATE_COPIES: u64 = 100;
+
 /// Events that handle the whole view are repeated fewer times.
 const COSTLY_DIVISOR: u32 = 40;
 
@@ -339,13 +342,21 @@
         ("origin", SpreadReach::Everywhere, 1.0 / fleet),
         ("relay", SpreadReach::Region, relays / fleet),
         ("head", SpreadReach::Domain, heads / fleet),
-        ("inner node", SpreadReach::Subtree(1), 1.0 - domains / fleet),
+        ("other", SpreadReach::Subtree(0), 1.0 - domains / fleet),
     ];
+    let domain_size = u32::try_from(view.members.len() / DOMAINS).into_diagnostic()?;
     for (event, reach, share) in reaches {
         let plan = plan(view, "relay", event, events, Some(orders * share));
         costs.push(plan.measure(
-            |salt| {
-                let salt = u64::from(salt);
+            |number| {
+                let salt = u64::from(number);
+                // All positions below the head in turn; most of them have no children.
+                let reach = match reach {
+                    SpreadReach::Subtree(_) => {
+                        SpreadReach::Subtree(1 + number % domain_size.max(2).saturating_sub(1))
+                    }
+                    other => other,
+                };
                 policy.deliveries(&table, &own, SpreadOrder { salt, reach })
             },
             |deliveries: &Vec<SpreadDelivery>, sent| {
@@ -456,6 +467,35 @@
     Ok(())
 }
 
+fn new_holder() -> Result<VersionHolder> {
+    let mut holder = VersionHolder::new(HolderSettings::default()).into_diagnostic()?;
+    holder.raise_floor(0);
+    Ok(holder)
+}
+
+/// Memory of a configuration in force, in the mean over many of them: a single one may fit into
+/// memory that the process already has.
+fn configuration_state(delta: &[u8], services: usize, full_size: bool) -> Result<EventCost> {
+    let before = ProcessUsage::of_this_process()?;
+    let mut holders = Vec::new();
+    for _ in 0..STATE_COPIES {
+        let mut holder = new_holder()?;
+        holder.offer(1, delta, Instant::default());
+        holder.witnessed(1);
+        holders.push(holder);
+    }
+    let after = ProcessUsage::of_this_process()?;
+    // Each rounded down to whole KiB, which is exact enough for the sizes here.
+    let kib = after.anonymous_kib.saturating_sub(before.anonymous_kib) / STATE_COPIES;
+    Ok(state_cost(
+        "configuration",
+        "services",
+        services,
+        full_size,
+        kib,
+    ))
+}
+
 fn measure_versions(
     settings: &SlopeSettings,
     services: usize,
@@ -478,9 +518,8 @@
         events,
         events_per_day,
     };
-    let before = ProcessUsage::of_this_process()?;
-    let mut holder = VersionHolder::new(HolderSettings::default()).into_diagnostic()?;
-    holder.raise_floor(0);
+    costs.push(configuration_state(&deltas[0], services, full_size)?);
+    let mut holder = new_holder()?;
     let now = Instant::default();
     let mut take = |number: usize| {
         let version = u64::try_from(number + 1).unwrap_or(u64::MAX);
@@ -492,15 +531,6 @@
         asked
     };
     take(0);
-    let after = ProcessUsage::of_this_process()?;
-    let kib = after.anonymous_kib.saturating_sub(before.anonymous_kib);
-    costs.push(state_cost(
-        "configuration",
-        "services",
-        services,
-        full_size,
-        kib,
-    ));
     let changes = plan(
         "ordinary node",
         "change taken",
