Join the parts of a mesh that formed apart

Cause: a node looked for others in the store only until one had taken it in. Nodes that start together before any is named in the store may take each other in by pairs; each part was content with itself, and the mesh stayed split. Seen as a fleet of 8 processes of which none saw all others after 90 s, once in about 150 starts.

Ruled out: the failure detector and the sync of digests, which work within the known members only; 120 further starts of 8 nodes came together within 3 s.

Change: the first-ranked node of each failure domain compares its table with nodes that the store names and that it does not know, at its first look at its row and then at pauses that grow to a minute: under one read a second at 27 failure domains.

Before: the new test ends with two parts of two nodes after 45 s.

--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -12,9 +12,9 @@
 use agatedeck_wire::{Member, MemberStatus};
 use kameo::actor::ActorRef;
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use super::join::{AddContacts, ContactState, JoinKeeper};
+use super::join::{AddContacts, ContactState, JoinKeeper, MeetNodes};
 use crate::context::NodeContext;
 
 /// Prefix of the rows that name a few nodes of each failure domain.
@@ -35,6 +35,10 @@
 /// Pause between two looks at the row of the own failure domain by its first-ranked node.
 const REFRESH_PAUSE: Duration = Duration::from_secs(10);
 
+/// Longest pause between two looks for nodes that are named in the store and not known here. One
+/// read for each failure domain and pause is under one read a second at 27 domains.
+const MAX_MEET_PAUSE: Duration = Duration::from_mins(1);
+
 /// Salt of the ranks that select the nodes named in a row.
 const ROW_SALT: u64 = 0x626f_6f74;
 
@@ -42,11 +46,20 @@
 pub(crate) async fn run_bootstrap(context: NodeContext, join: ActorRef<JoinKeeper>) {
     find_others(&context, &join).await;
     let mut written = BTreeSet::new();
+    let mut meet_pause = REFRESH_PAUSE;
+    let mut meet_at = Instant::now();
     loop {
         sleep(jittered(REFRESH_PAUSE)).await;
-        if let Some(wanted) = row_to_write(&context)
-            && wanted != written
-        {
+        let Some(wanted) = row_to_write(&context) else {
+            continue;
+        };
+        // Before the own row is written, which may still name nodes of another part of the mesh.
+        if Instant::now() >= meet_at {
+            meet_strangers(&context, &join).await;
+            meet_at = Instant::now() + meet_pause;
+            meet_pause = meet_pause.saturating_mul(2).min(MAX_MEET_PAUSE);
+        }
+        if wanted != written {
             match write_row(&context, &wanted).await {
                 Ok(()) => written = wanted,
                 Err(error) => {
@@ -89,6 +102,29 @@
     }
 }
 
+/// Has this node compare its member table with nodes that are named in the store and that it does
+/// not know. Nodes that start together may take each other in by pairs, and each part of the mesh is
+/// content with itself then.
+async fn meet_strangers(context: &NodeContext, join: &ActorRef<JoinKeeper>) {
+    let named = match read_rows(context).await {
+        Ok(named) => named,
+        Err(error) => {
+            log::warn!("the nodes named in the store are not known: {error}");
+            return;
+        }
+    };
+    let table = context.table();
+    let known: BTreeSet<&str> = table
+        .members()
+        .map(|member| member.control_address.as_str())
+        .collect();
+    let strangers = named
+        .into_iter()
+        .filter(|address| !known.contains(address.to_string().as_str()));
+    // The actor is gone only when the node is stopping.
+    let _ = join.tell(MeetNodes(strangers.collect())).await;
+}
+
 /// Addresses of all nodes named in the store.
 async fn read_rows(context: &NodeContext) -> Result<BTreeSet<SocketAddr>, StoreError> {
     let rows = context
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
 
-use super::keeper::{AdoptMembers, MemberKeeper};
+use super::keeper::{AdoptMembers, CompareTables, MemberKeeper};
 use crate::config::{ConfigKeeper, PullNow, RaiseFloor};
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
@@ -304,6 +304,28 @@
     }
 }
 
+/// Control addresses of nodes that this one does not know.
+pub(super) struct MeetNodes(pub(super) Vec<SocketAddr>);
+
+impl Message<MeetNodes> for JoinKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, MeetNodes(addresses): MeetNodes, _: &mut Context<Self, ()>) {
+        for address in addresses {
+            // The region of a node that is not known yet is taken as the own one.
+            let own = &self.context.own;
+            let (region, domain) = (own.region.clone(), own.domain.clone());
+            let peer = PeerAddress {
+                address,
+                region,
+                domain,
+            };
+            // The actor is gone only when the node is stopping.
+            let _ = self.members.tell(CompareTables(peer)).await;
+        }
+    }
+}
+
 /// The node takes no new work from now on.
 pub(crate) struct StartDrain;
 
--- a/crates/node/src/member/keeper.rs
+++ b/crates/node/src/member/keeper.rs
@@ -134,9 +134,19 @@
         keeper: &ActorRef<Self>,
         news: impl FnOnce(ControlPlaneResponse) -> PeerNews + Send + 'static,
     ) {
-        let Some(peer) = self.peer_at(address) else {
-            return;
-        };
+        if let Some(peer) = self.peer_at(address) {
+            self.send_to(peer, request, timeout, keeper, news);
+        }
+    }
+
+    fn send_to(
+        &self,
+        peer: PeerAddress,
+        request: ControlPlaneRequest,
+        timeout: Duration,
+        keeper: &ActorRef<Self>,
+        news: impl FnOnce(ControlPlaneResponse) -> PeerNews + Send + 'static,
+    ) {
         let (context, keeper) = (self.context.clone(), keeper.clone());
         tokio::spawn(async move {
             let deadline = tokio::time::Instant::now() + timeout;
@@ -236,6 +246,33 @@
     }
 }
 
+/// Compares the member tables with a node that may not be known here.
+pub(crate) struct CompareTables(pub(crate) PeerAddress);
+
+impl Message<CompareTables> for MemberKeeper {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        CompareTables(peer): CompareTables,
+        context: &mut Context<Self, ()>,
+    ) {
+        let sync = Sync {
+            digests: self.detector.table().domain_digests(),
+            entries: Vec::new(),
+        };
+        let request = ControlPlaneRequest::Sync { sync };
+        let from = peer.address.to_string();
+        self.send_to(peer, request, SYNC_TIMEOUT, context.actor_ref(), |answer| {
+            let answer = match answer {
+                ControlPlaneResponse::Sync(answer) => answer,
+                _ => SyncAnswer::default(),
+            };
+            PeerNews::Synced { from, answer }
+        });
+    }
+}
+
 /// A comparison of member tables.
 pub(crate) struct AnswerSync(pub(crate) Sync);
 
--- /dev/null
+++ b/crates/node/tests/cold_start.rs
@@ -0,0 +1,96 @@
+//! Two parts of a mesh that formed without knowing of each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agatedeck_node::{Node, NodeSettings, StoreSettings};
+use agatedeck_platform::{HttpStore, HttpStoreSettings, PlatformStore, RowWrite, StoreTransaction};
+use agatedeck_standin::PlatformServer;
+use futures::future::join_all;
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+/// Time in which two nodes that start must know each other. It ends before either of them rewrites
+/// the rows of the store, which they do not do within 5 s.
+const START_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time in which the parts must have become one mesh.
+const REPAIR_LIMIT: Duration = Duration::from_secs(45);
+
+async fn start_pair(store: &str, names: [&str; 2]) -> Vec<Node> {
+    let start = |name: &str| {
+        Node::start(NodeSettings {
+            name: name.to_owned(),
+            region: "kolkata".to_owned(),
+            domain: "kolkata-a".to_owned(),
+            store: StoreSettings {
+                url: store.to_owned(),
+                region: "kolkata".to_owned(),
+                ..Default::default()
+            },
+            ..Default::default()
+        })
+    };
+    let nodes = join_all(names.map(start)).await;
+    nodes
+        .into_iter()
+        .map(|node| node.expect("the node starts"))
+        .collect()
+}
+
+async fn alive_members(admin: SocketAddr) -> u64 {
+    let answer = reqwest::get(format!("http://{admin}/v1/node")).await;
+    let state: Value = answer
+        .expect("the node answers")
+        .json()
+        .await
+        .expect("JSON");
+    state["members"]["MEMBER_STATUS_ALIVE"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+/// Waits until each of `nodes` knows `count` members; returns how many each knows at the end.
+async fn known_members(nodes: &[&Node], count: u64, limit: Duration) -> Vec<u64> {
+    let deadline = Instant::now() + limit;
+    loop {
+        let admins = nodes.iter().map(|node| node.addresses().admin);
+        let known = join_all(admins.map(alive_members)).await;
+        if known.iter().all(|known| *known == count) || Instant::now() >= deadline {
+            return known;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Fails when nodes that took each other in look for no others any more, so that a mesh whose nodes
+/// started together stays split and neither changes nor calls pass between the parts.
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_of_a_mesh_find_each_other() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformServer::start(any).await.expect("the store starts");
+    let first = start_pair(&platform.base_url(), ["node-0", "node-1"]).await;
+    let pair: Vec<&Node> = first.iter().collect();
+    assert_eq!(known_members(&pair, 2, START_LIMIT).await, [2, 2]);
+
+    // The second pair sees the store as it was before the first pair wrote to it.
+    let store = HttpStore::new(&HttpStoreSettings {
+        base_url: platform.base_url(),
+        ..Default::default()
+    })
+    .expect("a client");
+    let cleared = StoreTransaction {
+        conditions: Vec::new(),
+        writes: vec![RowWrite {
+            key: "bootstrap/kolkata-a".to_owned(),
+            value: None,
+        }],
+    };
+    let deadline = Instant::now() + START_LIMIT;
+    let outcome = store.transact(&cleared, deadline).await;
+    outcome.expect("the row is cleared");
+    let second = start_pair(&platform.base_url(), ["node-2", "node-3"]).await;
+
+    let all: Vec<&Node> = first.iter().chain(&second).collect();
+    assert_eq!(known_members(&all, 4, REPAIR_LIMIT).await, [4, 4, 4, 4]);
+}
