Send requests between nodes without a trace context

Cause: each request of the control protocol carried the trace context of tarpc, a trace number of 16 bytes and a random span of up to 10, with a deadline in nanoseconds. A change of 91 bytes costs each node one offer and two records with its witnesses, so the contexts alone took about 80 bytes.

Ruled out: duplicates in the tree (a change costs each receiver one offer) and transfers by pull (bytes between regions stay at one copy for each region).

Change: requests are written as number, remaining milliseconds and body.

--- a/crates/bench/src/slopes/event_clock.rs
+++ b/crates/bench/src/slopes/event_clock.rs
@@ -171,7 +171,9 @@
         let role = format!("{}, {}", self.role, self.event);
         let size = crate::statistics::count_f64(self.size);
         let cpu = (size, self.cpu_us_per_event);
-        table.add(self.driver, &role, "CPU us/event", cpu);
+        if self.events > 0 {
+            table.add(self.driver, &role, "CPU us/event", cpu);
+        }
         if self.bytes_per_event > 0.0 {
             let bytes = (size, self.bytes_per_event);
             table.add(self.driver, &role, "bytes/event", bytes);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,7 +8,7 @@
 mod meter;
 mod rpc;
 
-pub use codec::PostcardCodec;
+pub use codec::{PostcardCodec, WireMessage};
 pub use generated::*;
 pub use meter::{ByteMeter, MeteredStream};
 pub use rpc::control_transport;
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -5,7 +5,7 @@
 use tarpc::{ClientMessage, Response};
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::codec::PostcardCodec;
+use crate::codec::{PostcardCodec, WireMessage};
 use crate::generated::{
     FloorAnswer, FloorRecord, IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer,
     Probe, ProbeAnswer, Pull, PullAnswer, Rumor, RumorAnswer, Survey, SurveyAnswer, Sync,
@@ -48,8 +48,8 @@
 pub fn control_transport<S, In, Out>(stream: S) -> ControlTransport<S, In, Out>
 where
     S: AsyncRead + AsyncWrite,
-    In: serde::de::DeserializeOwned,
-    Out: serde::Serialize,
+    In: WireMessage + serde::de::DeserializeOwned,
+    Out: WireMessage + serde::Serialize,
 {
     let framing = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
