--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Writes the row of the own failure domain if it changed, and hands the addresses in all rows to
-/// the failure detector. Only the first-ranked node of a failure domain does this, so the reads do
+/// Hands the addresses in all rows to the failure detector, and writes the row of the own failure
+/// domain if it changed. Only the first-ranked node of a failure domain does this, so the reads do
 /// not grow with the fleet.
 async fn refresh(
     context: &NodeContext,
@@ -67,15 +67,16 @@
     wanted: &BTreeSet<SocketAddr>,
     written: &mut BTreeSet<SocketAddr>,
 ) -> Result<(), StoreError> {
+    let named = read_rows(context).await?;
+    let contacts = named.iter().map(ToString::to_string).collect();
+    // The keeper is gone only when the node is stopping.
+    let _ = members.tell(SetContacts(contacts)).await;
+    // Written after it was read, since it may name nodes of another part of the mesh.
     if wanted != written {
         let addresses: Vec<SocketAddr> = wanted.iter().copied().collect();
         write_row(context, None, &addresses).await?;
         written.clone_from(wanted);
     }
-    let named = read_rows(context).await?;
-    let contacts = named.iter().map(ToString::to_string).collect();
-    // The keeper is gone only when the node is stopping.
-    let _ = members.tell(SetContacts(contacts)).await;
     Ok(())
 }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -15,6 +15,10 @@
 
 use crate::rpc::{ControlPlaneRequest, ControlPlaneResponse};
 
+/// Longest time for a request that is taken from a message. The sum of a longer one with the present
+/// time might not be a valid instant.
+const MAX_REQUEST_TIME: Duration = Duration::from_mins(10);
+
 /// Encodes one message of the control protocol to a frame.
 #[derive(Debug, Default)]
 pub struct ControlCodec;
@@ -95,7 +99,8 @@
                 message,
             } => {
                 let mut context = context::current();
-                context.deadline = Instant::now() + Duration::from_millis(remaining_ms);
+                let remaining = Duration::from_millis(remaining_ms).min(MAX_REQUEST_TIME);
+                context.deadline = Instant::now() + remaining;
                 ClientMessage::Request(Request {
                     context,
                     id,
