Rank by XXH3 instead of BLAKE3

The same hash ranks relays and readers. Ruled out: a subset without the rounds, since it bounds the connections of a target only on average.

Ranks need an even spread, not resistance to collisions made on purpose: names come from settings of the operators.

--- a/crates/calls/src/routing/subset.rs
+++ b/crates/calls/src/routing/subset.rs
@@ -9,6 +9,8 @@
 
 use std::cmp::Reverse;
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use super::target::{LocalityTier, NodePlace};
 
 /// Bounds on connections between nodes and targets.
@@ -30,26 +32,22 @@
     }
 }
 
-fn score(caller: &str, target: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&(caller.len() as u64).to_le_bytes());
-    hasher.update(caller.as_bytes());
-    hasher.update(target.as_bytes());
-    let mut head = [0; 8];
-    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(head)
+/// Score of a target for the caller whose name has the hash `caller`.
+fn score(caller: u64, target: &str) -> u64 {
+    xxh3_64_with_seed(target.as_bytes(), caller)
 }
 
 /// Order in which `caller` takes targets: half of the subset from its own failure domain, a
 /// quarter from its region and a quarter from beyond, so that a lost domain or region leaves
 /// connections elsewhere; then the rest, nearest first.
 fn preference(caller: &NodePlace<'_>, targets: &[NodePlace<'_>], size: usize) -> Vec<usize> {
+    let name_hash = xxh3_64(caller.node.as_bytes());
     let mut ranked: Vec<_> = targets
         .iter()
         .enumerate()
         .map(|(index, target)| {
             let tier = LocalityTier::between(caller, target);
-            (tier, Reverse(score(caller.node, target.node)), index)
+            (tier, Reverse(score(name_hash, target.node)), index)
         })
         .collect();
     ranked.sort_unstable();
@@ -87,7 +85,7 @@
         return order;
     }
     let mut everyone: Vec<&NodePlace<'_>> = others.chain([own]).collect();
-    everyone.sort_by_cached_key(|caller| (score(caller.node, ""), caller.node));
+    everyone.sort_by_cached_key(|caller| (xxh3_64(caller.node.as_bytes()), caller.node));
     let own_index = everyone.iter().position(|caller| caller.node == own.node);
     let mut orders: Vec<_> = everyone
         .iter()
--- a/crates/control/src/rendezvous.rs
+++ b/crates/control/src/rendezvous.rs
@@ -3,14 +3,11 @@
 //! When the views of two nodes differ, their rankings differ only for the candidates that one of
 //! them does not see.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 /// Score of `candidate` for `salt`; the highest score ranks first.
 pub fn score(salt: u64, candidate: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&salt.to_le_bytes());
-    hasher.update(candidate.as_bytes());
-    let mut head = [0; 8];
-    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(head)
+    xxh3_64_with_seed(candidate.as_bytes(), salt)
 }
 
 /// Sorts `candidates` by their rank for `salt`, the first-ranked one first.
