--- a/crates/control/src/acceptance/process.rs
+++ b/crates/control/src/acceptance/process.rs
@@ -1,4 +1,4 @@
-//! The course of one change at the node that accepts it.
+//! The life of one change at the node that accepts it.
 
 use std::fmt::{self, Write as _};
 
@@ -164,7 +164,7 @@
     unreadable.collect()
 }
 
-/// The course of one change.
+/// The life of one change.
 ///
 /// Invariant: once a write was sent and not answered, the outcome is never `Unreachable`, and a
 /// refusal is given only after the store said that it does not hold the change.
@@ -224,7 +224,7 @@
         self.chart.advance(&mut self.state, event).to_vec()
     }
 
-    /// What to tell the operator; `None` until the course has ended.
+    /// What to tell the operator; `None` until it is decided.
     pub fn outcome(&self) -> Option<AcceptOutcome> {
         match self.state {
             AcceptState::Accepted => self.version.map(AcceptOutcome::Accepted),
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -149,7 +149,7 @@
     assert_eq!(change["writes"][0]["base_revision"], base);
     assert_eq!(
         (&change["change_id"], &change["operator"]),
-        (&json!("c1"), &json!("desk"))
+        (&json!("c1"), &json!("services"))
     );
 }
 
@@ -402,7 +402,7 @@
             .map_or(4, |text| text.parse().unwrap());
         let version = before - 1;
         let change = json!({"version": version, "change_id": format!("c{version}"), "operator":
-            "desk", "accepted_unix_ms": 1000, "puts": ["route `r`"], "retired": ["policy `q`"]});
+            "services", "accepted_unix_ms": 1000, "puts": ["route `r`"], "retired": ["policy `q`"]});
         let changes = if version > 0 { vec![change] } else { vec![] };
         Reply::Json(200, json!({"changes": changes}))
     })
@@ -412,7 +412,7 @@
     for version in [3, 2] {
         write!(
             expected,
-            "version {version}  1970-01-01T00:00:01Z  desk  change c{version}\n  \
+            "version {version}  1970-01-01T00:00:01Z  services  change c{version}\n  \
             + route `r`\n  - policy `q`\n"
         )
         .unwrap();
@@ -422,14 +422,17 @@
     assert_eq!(all["changes"].as_array().map(Vec::len), Some(3));
 
     // A node that ignores `before` must not have the same change printed over and over.
-    let change = json!({"version": 3, "change_id": "c3", "operator": "desk", "accepted_unix_ms":
+    let change = json!({"version": 3, "change_id": "c3", "operator": "services", "accepted_unix_ms":
         u64::MAX, "puts": [], "retired": []});
     let page = json!({"changes": [change]});
     let node = AdminStandin::start(move |_| Reply::Json(200, page.clone())).await;
     let same = ctl("history", &[node.address]).await.out;
     assert_eq!(
         same,
-        format!("version 3  {} ms after 1970  desk  change c3\n", u64::MAX)
+        format!(
+            "version 3  {} ms after 1970  services  change c3\n",
+            u64::MAX
+        )
     );
 }
 
--- a/crates/ctl/tests/front_end.rs
+++ b/crates/ctl/tests/front_end.rs
@@ -105,7 +105,7 @@
         key: RecordKey::new(RecordKind::Policy, "p"),
         options: ChangeOptions {
             change_id: "c1".to_owned(),
-            operator: "desk".to_owned(),
+            operator: "services".to_owned(),
             insist: false,
             submission: SubmissionSettings::default(),
         },
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -116,7 +116,7 @@
     let nodes: Vec<String> = nodes.iter().map(ToString::to_string).collect();
     let environment = CtlEnvironment {
         nodes: (!nodes.is_empty()).then(|| nodes.join(",")),
-        user: Some("desk".to_owned()),
+        user: Some("services".to_owned()),
     };
     let arguments = line.split_whitespace().map(OsString::from);
     let (mut out, mut progress) = (Vec::new(), Vec::new());
--- a/crates/node/src/calls/course.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -24,7 +24,7 @@
 use super::claim_keeper::{ClaimEnd, ClaimLease, ClaimReply, claim_call};
 use super::crash_keeper::CompleteRequest;
 use super::drain_body::after_request;
-use super::gateway::CallDesk;
+use super::gateway::CallServices;
 use super::headers::{
     ATTEMPT, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, number,
     outcome_value, refusal, strip_hop_headers,
@@ -61,8 +61,8 @@
 /// One call. It is owned by the task of the call and then, while a long answer is passed on, by the
 /// body of that answer. Dropped before the end, the caller has gone and the call is cancelled.
 #[derive(Debug)]
-pub(super) struct CallCourse {
-    desk: Arc<CallDesk>,
+pub(super) struct CallTask {
+    services: Arc<CallServices>,
     plan: CallPlan,
     life: CallLife,
     fingerprint: Fingerprint,
@@ -75,13 +75,13 @@
     reason: StopReason,
     started_at: Instant,
     recorded: bool,
-    /// Counts the call as open until the course is dropped.
+    /// Counts the call as open until the task is dropped.
     _open: TaskTrackerToken,
 }
 
-impl CallCourse {
+impl CallTask {
     pub(super) fn new(
-        desk: Arc<CallDesk>,
+        services: Arc<CallServices>,
         plan: CallPlan,
         request: &CallRequest,
         fingerprint: Fingerprint,
@@ -95,8 +95,8 @@
             deadline: plan.deadline,
         });
         Self {
-            started_at: desk.context.clock.now(),
-            desk,
+            started_at: services.context.clock.now(),
+            services,
             plan,
             life,
             fingerprint,
@@ -111,7 +111,7 @@
     }
 
     fn raise(&mut self, event: CallEvent) -> Vec<CallEffect> {
-        self.life.handle(event, self.desk.context.clock.now())
+        self.life.handle(event, self.services.context.clock.now())
     }
 
     fn raise_attempt(&mut self, event: AttemptEvent) -> Vec<CallEffect> {
@@ -119,7 +119,10 @@
     }
 
     fn deadline(&self) -> tokio::time::Instant {
-        self.desk.context.clock.runtime_instant(self.plan.deadline)
+        self.services
+            .context
+            .clock
+            .runtime_instant(self.plan.deadline)
     }
 
     /// Drives the call until its caller is answered.
@@ -156,7 +159,7 @@
                 other => self.carry_out(&[other]),
             }
         }
-        // The chart tells the caller in every course; this keeps an unsound one from hanging.
+        // The chart tells the caller in every case; this keeps an unsound one from hanging.
         refusal(self.life.outcome(), self.reason)
     }
 
@@ -187,7 +190,7 @@
             return self.raise(CallEvent::ClaimRefused);
         };
         let (service, call_deadline) = (&self.plan.service, self.plan.deadline);
-        let claimed = claim_call(&self.desk.claims, service, key, digest, call_deadline);
+        let claimed = claim_call(&self.services.claims, service, key, digest, call_deadline);
         let Ok(reply) = timeout_at(self.deadline(), claimed).await else {
             return self.expire();
         };
@@ -224,7 +227,7 @@
             avoid: self.life.used_targets().to_vec(),
             idempotent: self.plan.idempotent,
         };
-        let picked = self.desk.router.ask(pick).await;
+        let picked = self.services.router.ask(pick).await;
         let Some(lease) = picked.ok().and_then(|reply| reply.0.ok()) else {
             // The reason of an earlier attempt says more.
             if self.life.attempts() == 1 {
@@ -252,8 +255,8 @@
             self.reason = StopReason::Unreachable;
             return self.raise_attempt(AttemptEvent::ConnectFailed);
         };
-        let keep = self.desk.context.settings.calls.kept_answer_bytes;
-        let end = send_attempt(&self.desk.client, message, keep, self.deadline()).await;
+        let keep = self.services.context.settings.calls.kept_answer_bytes;
+        let end = send_attempt(&self.services.client, message, keep, self.deadline()).await;
         let event = match end {
             AttemptEnd::NotSent => {
                 self.reason = StopReason::Unreachable;
@@ -309,7 +312,7 @@
         *message.method_mut() = parts.method.clone();
         let mut headers = parts.headers.clone();
         strip_hop_headers(&mut headers);
-        let now = self.desk.context.clock.now();
+        let now = self.services.context.clock.now();
         let remaining = self.plan.deadline.since(now);
         headers.insert(DEADLINE, millis_rounded_up(remaining).into());
         headers.insert(DEPTH, (self.plan.depth + 1).into());
@@ -343,14 +346,14 @@
             question,
             max_attempts: self.plan.max_attempts,
         };
-        let decision = self.desk.router.ask(ask).await;
+        let decision = self.services.router.ask(ask).await;
         // The router is gone only when the node is stopping.
         let decision = decision.map_or(RetryDecision::Stop(RetryRefusal::Budget), |reply| reply.0);
         self.raise(CallEvent::RetryDecided(decision))
     }
 
     async fn wait(&mut self, at: Instant) -> Vec<CallEffect> {
-        let clock = self.desk.context.clock;
+        let clock = self.services.context.clock;
         sleep_until(clock.runtime_instant(at.min(self.plan.deadline))).await;
         if self.plan.deadline.is_past(clock.now()) {
             return self.expire();
@@ -390,11 +393,11 @@
             return;
         }
         let answered = outcome == CallOutcome::Answered;
-        if answered && self.desk.crashes.borrow().watching {
+        if answered && self.services.crashes.borrow().watching {
             let complete = CompleteRequest(self.fingerprint);
-            let _ = self.desk.crash_keeper.tell(complete).try_send();
+            let _ = self.services.crash_keeper.tell(complete).try_send();
         }
-        let now = self.desk.context.clock.now();
+        let now = self.services.context.clock.now();
         let record = RecordCall {
             tenant: std::mem::take(&mut self.plan.tenant),
             class: std::mem::take(&mut self.plan.class),
@@ -404,11 +407,11 @@
             latency: now.since(self.started_at),
         };
         // The keeper is gone only when the node is stopping.
-        let _ = self.desk.latency.tell(record).try_send();
+        let _ = self.services.latency.tell(record).try_send();
     }
 }
 
-impl AnswerWatch for CallCourse {
+impl AnswerWatch for CallTask {
     fn ended(&mut self) {
         let effects = self.raise_attempt(AttemptEvent::AnswerEnded);
         self.carry_out(&effects);
@@ -426,7 +429,7 @@
     }
 }
 
-impl Drop for CallCourse {
+impl Drop for CallTask {
     fn drop(&mut self) {
         // Without effect on a call that has ended.
         let dispatched = self.target.is_some() && !self.recorded;
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use super::call_task::{CallRequest, CallTask};
 use super::claim_keeper::ClaimKeeper;
-use super::course::{CallCourse, CallRequest};
 use super::crash_keeper::{CrashKeeper, CrashView};
 use super::drain_body::after_request;
 use super::headers::{IDEMPOTENCY_KEY, refusal, text};
@@ -26,7 +26,7 @@
 
 /// What the tasks of calls work with.
 #[derive(Debug)]
-pub(super) struct CallDesk {
+pub(super) struct CallServices {
     pub(super) context: NodeContext,
     pub(super) client: CallClient,
     pub(super) router: ActorRef<CallRouter>,
@@ -40,50 +40,50 @@
 }
 
 /// Takes every call.
-pub(super) fn gateway_router(desk: Arc<CallDesk>) -> Router {
-    Router::new().fallback(take_call).with_state(desk)
+pub(super) fn gateway_router(services: Arc<CallServices>) -> Router {
+    Router::new().fallback(take_call).with_state(services)
 }
 
-async fn take_call(State(desk): State<Arc<CallDesk>>, request: Request) -> Response {
+async fn take_call(State(services): State<Arc<CallServices>>, request: Request) -> Response {
     // Taken before the check, so that a call is either counted as open or refused.
-    let open = desk.open.token();
+    let open = services.open.token();
     let (parts, body) = request.into_parts();
-    let draining = *desk.draining.borrow();
+    let draining = *services.draining.borrow();
     if draining {
-        let told = refuse(&desk, None, StopReason::Draining);
+        let told = refuse(&services, None, StopReason::Draining);
         return after_request(told, Some(body)).await;
     }
-    let plan = match CallPlan::of(&desk.context, &parts) {
+    let plan = match CallPlan::of(&services.context, &parts) {
         Ok(plan) => plan,
         Err(reason) => {
-            let told = refuse(&desk, None, reason);
+            let told = refuse(&services, None, reason);
             return after_request(told, Some(body)).await;
         }
     };
-    let settings = &desk.context.settings.calls;
+    let settings = &services.context.settings.calls;
     let claimed = plan.claim_key.is_some();
     let limit = if claimed {
         settings.claimed_request_bytes
     } else {
         settings.kept_request_bytes
     };
-    let deadline = desk.context.clock.runtime_instant(plan.deadline);
+    let deadline = services.context.clock.runtime_instant(plan.deadline);
     let body = tokio::time::timeout_at(deadline, RequestBody::read(body, limit)).await;
     let body = match body {
         Ok(Ok(body)) if claimed && !body.is_kept() => {
-            let told = refuse(&desk, Some(plan), StopReason::BodyTooLarge);
+            let told = refuse(&services, Some(plan), StopReason::BodyTooLarge);
             return after_request(told, body.unread().await).await;
         }
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return refuse(&desk, Some(plan), StopReason::BodyIncomplete),
-        Err(_) => return refuse(&desk, Some(plan), StopReason::Deadline),
+        Ok(Err(_)) => return refuse(&services, Some(plan), StopReason::BodyIncomplete),
+        Err(_) => return refuse(&services, Some(plan), StopReason::Deadline),
     };
     let digest = request_digest(&parts, &body);
     let fingerprint = fingerprint(&plan.service, &parts, &digest);
-    let now = desk.context.clock.now();
-    let refused = desk.crashes.borrow().refuses(fingerprint, now);
+    let now = services.context.clock.now();
+    let refused = services.crashes.borrow().refuses(fingerprint, now);
     if refused {
-        let told = refuse(&desk, Some(plan), StopReason::CrashedTargets);
+        let told = refuse(&services, Some(plan), StopReason::CrashedTargets);
         return after_request(told, body.unread().await).await;
     }
     let request = CallRequest {
@@ -91,13 +91,13 @@
         body,
         digest,
     };
-    CallCourse::new(desk, plan, &request, fingerprint, open)
+    CallTask::new(services, plan, &request, fingerprint, open)
         .run(request)
         .await
 }
 
 /// Answers a call of which nothing was sent.
-fn refuse(desk: &CallDesk, plan: Option<CallPlan>, reason: StopReason) -> Response {
+fn refuse(services: &CallServices, plan: Option<CallPlan>, reason: StopReason) -> Response {
     let (tenant, class) = plan.map_or_else(Default::default, |plan| (plan.tenant, plan.class));
     let record = RecordCall {
         tenant,
@@ -108,7 +108,7 @@
         latency: std::time::Duration::ZERO,
     };
     // The keeper is gone only when the node is stopping.
-    let _ = desk.latency.tell(record).try_send();
+    let _ = services.latency.tell(record).try_send();
     refusal(CallOutcome::NotRun, reason)
 }
 
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -12,8 +12,8 @@
 
 mod answer_body;
 mod attempt;
+mod call_task;
 mod claim_keeper;
-mod course;
 mod crash_keeper;
 mod drain_body;
 mod gateway;
--- a/crates/node/src/store/acceptor.rs
+++ b/crates/node/src/store/acceptor.rs
@@ -56,7 +56,7 @@
         let Ok(process) = AcceptProcess::new() else {
             return AcceptReply(None);
         };
-        let mut course = AcceptCourse {
+        let mut task = AcceptTask {
             acceptor: self,
             change: &change,
             process,
@@ -64,8 +64,8 @@
             plan: None,
             written: None,
         };
-        let outcome = course.run(deadline).await;
-        if let (Some(AcceptOutcome::Accepted(_)), Some(plan)) = (&outcome, course.written.take()) {
+        let outcome = task.run(deadline).await;
+        if let (Some(AcceptOutcome::Accepted(_)), Some(plan)) = (&outcome, task.written.take()) {
             self.put_in_force(plan).await;
         }
         AcceptReply(outcome)
@@ -103,7 +103,7 @@
 }
 
 /// Carries out the actions of one change.
-struct AcceptCourse<'a> {
+struct AcceptTask<'a> {
     acceptor: &'a ChangeAcceptor,
     change: &'a Change,
     process: AcceptProcess,
@@ -112,7 +112,7 @@
     written: Option<PlannedChange>,
 }
 
-impl AcceptCourse<'_> {
+impl AcceptTask<'_> {
     async fn run(&mut self, deadline: Instant) -> Option<AcceptOutcome> {
         let mut next = Some(AcceptAction::ReadHead);
         while let Some(action) = next.take() {
