--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -24,7 +24,7 @@
 use super::claim_keeper::{ClaimEnd, ClaimLease, ClaimReply, claim_call};
 use super::crash_keeper::CompleteRequest;
 use super::drain_body::after_request;
-use super::gateway::CallServices;
+use super::gateway::GatewayContext;
 use super::headers::{
     ATTEMPT, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, number,
     outcome_value, refusal, strip_hop_headers,
@@ -62,7 +62,7 @@
 /// body of that answer. Dropped before the end, the caller has gone and the call is cancelled.
 #[derive(Debug)]
 pub(super) struct CallTask {
-    services: Arc<CallServices>,
+    shared: Arc<GatewayContext>,
     plan: CallPlan,
     life: CallLife,
     fingerprint: Fingerprint,
@@ -81,7 +81,7 @@
 
 impl CallTask {
     pub(super) fn new(
-        services: Arc<CallServices>,
+        shared: Arc<GatewayContext>,
         plan: CallPlan,
         request: &CallRequest,
         fingerprint: Fingerprint,
@@ -95,8 +95,8 @@
             deadline: plan.deadline,
         });
         Self {
-            started_at: services.context.clock.now(),
-            services,
+            started_at: shared.context.clock.now(),
+            shared,
             plan,
             life,
             fingerprint,
@@ -111,7 +111,7 @@
     }
 
     fn raise(&mut self, event: CallEvent) -> Vec<CallEffect> {
-        self.life.handle(event, self.services.context.clock.now())
+        self.life.handle(event, self.shared.context.clock.now())
     }
 
     fn raise_attempt(&mut self, event: AttemptEvent) -> Vec<CallEffect> {
@@ -119,7 +119,7 @@
     }
 
     fn deadline(&self) -> tokio::time::Instant {
-        self.services
+        self.shared
             .context
             .clock
             .runtime_instant(self.plan.deadline)
@@ -190,7 +190,7 @@
             return self.raise(CallEvent::ClaimRefused);
         };
         let (service, call_deadline) = (&self.plan.service, self.plan.deadline);
-        let claimed = claim_call(&self.services.claims, service, key, digest, call_deadline);
+        let claimed = claim_call(&self.shared.claims, service, key, digest, call_deadline);
         let Ok(reply) = timeout_at(self.deadline(), claimed).await else {
             return self.expire();
         };
@@ -227,7 +227,7 @@
             avoid: self.life.used_targets().to_vec(),
             idempotent: self.plan.idempotent,
         };
-        let picked = self.services.router.ask(pick).await;
+        let picked = self.shared.router.ask(pick).await;
         let Some(lease) = picked.ok().and_then(|reply| reply.0.ok()) else {
             // The reason of an earlier attempt says more.
             if self.life.attempts() == 1 {
@@ -255,8 +255,8 @@
             self.reason = StopReason::Unreachable;
             return self.raise_attempt(AttemptEvent::ConnectFailed);
         };
-        let keep = self.services.context.settings.calls.kept_answer_bytes;
-        let end = send_attempt(&self.services.client, message, keep, self.deadline()).await;
+        let keep = self.shared.context.settings.calls.kept_answer_bytes;
+        let end = send_attempt(&self.shared.client, message, keep, self.deadline()).await;
         let event = match end {
             AttemptEnd::NotSent => {
                 self.reason = StopReason::Unreachable;
@@ -312,7 +312,7 @@
         *message.method_mut() = parts.method.clone();
         let mut headers = parts.headers.clone();
         strip_hop_headers(&mut headers);
-        let now = self.services.context.clock.now();
+        let now = self.shared.context.clock.now();
         let remaining = self.plan.deadline.since(now);
         headers.insert(DEADLINE, millis_rounded_up(remaining).into());
         headers.insert(DEPTH, (self.plan.depth + 1).into());
@@ -346,14 +346,14 @@
             question,
             max_attempts: self.plan.max_attempts,
         };
-        let decision = self.services.router.ask(ask).await;
+        let decision = self.shared.router.ask(ask).await;
         // The router is gone only when the node is stopping.
         let decision = decision.map_or(RetryDecision::Stop(RetryRefusal::Budget), |reply| reply.0);
         self.raise(CallEvent::RetryDecided(decision))
     }
 
     async fn wait(&mut self, at: Instant) -> Vec<CallEffect> {
-        let clock = self.services.context.clock;
+        let clock = self.shared.context.clock;
         sleep_until(clock.runtime_instant(at.min(self.plan.deadline))).await;
         if self.plan.deadline.is_past(clock.now()) {
             return self.expire();
@@ -393,11 +393,11 @@
             return;
         }
         let answered = outcome == CallOutcome::Answered;
-        if answered && self.services.crashes.borrow().watching {
+        if answered && self.shared.crashes.borrow().watching {
             let complete = CompleteRequest(self.fingerprint);
-            let _ = self.services.crash_keeper.tell(complete).try_send();
+            let _ = self.shared.crash_keeper.tell(complete).try_send();
         }
-        let now = self.services.context.clock.now();
+        let now = self.shared.context.clock.now();
         let record = RecordCall {
             tenant: std::mem::take(&mut self.plan.tenant),
             class: std::mem::take(&mut self.plan.class),
@@ -407,7 +407,7 @@
             latency: now.since(self.started_at),
         };
         // The keeper is gone only when the node is stopping.
-        let _ = self.services.latency.tell(record).try_send();
+        let _ = self.shared.latency.tell(record).try_send();
     }
 }
 
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -26,7 +26,7 @@
 
 /// What the tasks of calls work with.
 #[derive(Debug)]
-pub(super) struct CallServices {
+pub(super) struct GatewayContext {
     pub(super) context: NodeContext,
     pub(super) client: CallClient,
     pub(super) router: ActorRef<CallRouter>,
@@ -40,50 +40,50 @@
 }
 
 /// Takes every call.
-pub(super) fn gateway_router(services: Arc<CallServices>) -> Router {
-    Router::new().fallback(take_call).with_state(services)
+pub(super) fn gateway_router(shared: Arc<GatewayContext>) -> Router {
+    Router::new().fallback(take_call).with_state(shared)
 }
 
-async fn take_call(State(services): State<Arc<CallServices>>, request: Request) -> Response {
+async fn take_call(State(shared): State<Arc<GatewayContext>>, request: Request) -> Response {
     // Taken before the check, so that a call is either counted as open or refused.
-    let open = services.open.token();
+    let open = shared.open.token();
     let (parts, body) = request.into_parts();
-    let draining = *services.draining.borrow();
+    let draining = *shared.draining.borrow();
     if draining {
-        let told = refuse(&services, None, StopReason::Draining);
+        let told = refuse(&shared, None, StopReason::Draining);
         return after_request(told, Some(body)).await;
     }
-    let plan = match CallPlan::of(&services.context, &parts) {
+    let plan = match CallPlan::of(&shared.context, &parts) {
         Ok(plan) => plan,
         Err(reason) => {
-            let told = refuse(&services, None, reason);
+            let told = refuse(&shared, None, reason);
             return after_request(told, Some(body)).await;
         }
     };
-    let settings = &services.context.settings.calls;
+    let settings = &shared.context.settings.calls;
     let claimed = plan.claim_key.is_some();
     let limit = if claimed {
         settings.claimed_request_bytes
     } else {
         settings.kept_request_bytes
     };
-    let deadline = services.context.clock.runtime_instant(plan.deadline);
+    let deadline = shared.context.clock.runtime_instant(plan.deadline);
     let body = tokio::time::timeout_at(deadline, RequestBody::read(body, limit)).await;
     let body = match body {
         Ok(Ok(body)) if claimed && !body.is_kept() => {
-            let told = refuse(&services, Some(plan), StopReason::BodyTooLarge);
+            let told = refuse(&shared, Some(plan), StopReason::BodyTooLarge);
             return after_request(told, body.unread().await).await;
         }
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return refuse(&services, Some(plan), StopReason::BodyIncomplete),
-        Err(_) => return refuse(&services, Some(plan), StopReason::Deadline),
+        Ok(Err(_)) => return refuse(&shared, Some(plan), StopReason::BodyIncomplete),
+        Err(_) => return refuse(&shared, Some(plan), StopReason::Deadline),
     };
     let digest = request_digest(&parts, &body);
     let fingerprint = fingerprint(&plan.service, &parts, &digest);
-    let now = services.context.clock.now();
-    let refused = services.crashes.borrow().refuses(fingerprint, now);
+    let now = shared.context.clock.now();
+    let refused = shared.crashes.borrow().refuses(fingerprint, now);
     if refused {
-        let told = refuse(&services, Some(plan), StopReason::CrashedTargets);
+        let told = refuse(&shared, Some(plan), StopReason::CrashedTargets);
         return after_request(told, body.unread().await).await;
     }
     let request = CallRequest {
@@ -91,13 +91,13 @@
         body,
         digest,
     };
-    CallTask::new(services, plan, &request, fingerprint, open)
+    CallTask::new(shared, plan, &request, fingerprint, open)
         .run(request)
         .await
 }
 
 /// Answers a call of which nothing was sent.
-fn refuse(services: &CallServices, plan: Option<CallPlan>, reason: StopReason) -> Response {
+fn refuse(shared: &GatewayContext, plan: Option<CallPlan>, reason: StopReason) -> Response {
     let (tenant, class) = plan.map_or_else(Default::default, |plan| (plan.tenant, plan.class));
     let record = RecordCall {
         tenant,
@@ -108,7 +108,7 @@
         latency: std::time::Duration::ZERO,
     };
     // The keeper is gone only when the node is stopping.
-    let _ = services.latency.tell(record).try_send();
+    let _ = shared.latency.tell(record).try_send();
     refusal(CallOutcome::NotRun, reason)
 }
 
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -16,12 +16,12 @@
 
 use super::claim_keeper::{ClaimKeeper, CountOpenClaims};
 use super::crash_keeper::{CrashKeeper, SweepReports};
-use super::gateway::{CallServices, gateway_router};
+use super::gateway::{GatewayContext, gateway_router};
 use super::http_client::call_client;
 use super::latency_keeper::{FlushMetrics, LatencyKeeper};
 use super::router::{CallRouter, ViewChanged};
 use super::slot_keeper::{DrainSlots, PolicyChanged, SlotGate, SlotKeeper};
-use super::target_side::{TargetServices, target_router};
+use super::target_side::{TargetContext, target_router};
 use super::target_watch::{ProbeTarget, TargetWatch};
 use crate::context::NodeContext;
 use crate::spread::SpreadRelay;
@@ -115,7 +115,7 @@
                 let _ = watch.tell(ProbeTarget).await;
             }));
         }
-        let call_services = CallServices {
+        let call_context = GatewayContext {
             context: context.clone(),
             client: peers,
             router,
@@ -126,7 +126,7 @@
             draining: drain_seen,
             open: open.clone(),
         };
-        let target_services = TargetServices {
+        let target_context = TargetContext {
             context: context.clone(),
             client: local,
             target,
@@ -138,8 +138,8 @@
         Ok(Self {
             crash_keeper,
             latency,
-            gateway: gateway_router(Arc::new(call_services)),
-            target_side: target_router(Arc::new(target_services)),
+            gateway: gateway_router(Arc::new(call_context)),
+            target_side: target_router(Arc::new(target_context)),
             drain: CallDrain {
                 draining,
                 slots: slots.map(|slots| (slots, slots_drained)),
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -36,7 +36,7 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the handler works with.
-pub(super) struct TargetServices {
+pub(super) struct TargetContext {
     pub(super) context: NodeContext,
     pub(super) client: CallClient,
     /// The local target and the way to its slots, if there is one.
@@ -49,16 +49,16 @@
 }
 
 /// Takes every call.
-pub(super) fn target_router(services: Arc<TargetServices>) -> Router {
-    Router::new().fallback(take_call).with_state(services)
+pub(super) fn target_router(shared: Arc<TargetContext>) -> Router {
+    Router::new().fallback(take_call).with_state(shared)
 }
 
-async fn take_call(State(services): State<Arc<TargetServices>>, request: Request) -> Response {
-    let open = services.open.token();
-    match admit(&services, request.headers()).await {
+async fn take_call(State(shared): State<Arc<TargetContext>>, request: Request) -> Response {
+    let open = shared.open.token();
+    match admit(&shared, request.headers()).await {
         Ok(admitted) => {
             let watch = RunWatch {
-                services: Arc::clone(&services),
+                shared: Arc::clone(&shared),
                 lease: Some(admitted.lease),
                 fingerprint: admitted.fingerprint,
                 _open: open,
@@ -66,7 +66,7 @@
             run(request, watch, admitted.deadline).await
         }
         Err(reason) => {
-            let told = refuse(&services, reason);
+            let told = refuse(&shared, reason);
             after_request(told, Some(request.into_body())).await
         }
     }
@@ -79,15 +79,15 @@
     deadline: Instant,
 }
 
-async fn admit(services: &TargetServices, headers: &HeaderMap) -> Result<AdmittedCall, StopReason> {
-    let (_, gate) = services.target.as_ref().ok_or(StopReason::NoTarget)?;
-    let clock = services.context.clock;
+async fn admit(shared: &TargetContext, headers: &HeaderMap) -> Result<AdmittedCall, StopReason> {
+    let (_, gate) = shared.target.as_ref().ok_or(StopReason::NoTarget)?;
+    let clock = shared.context.clock;
     let timeout = stated_timeout(headers).unwrap_or(DEFAULT_TIMEOUT);
-    let timeout = timeout.min(services.context.settings.calls.max_timeout);
+    let timeout = timeout.min(shared.context.settings.calls.max_timeout);
     let now = clock.now();
     let deadline = now.after(timeout);
     let fingerprint = stated_fingerprint(headers);
-    if services.crashes.borrow().refuses(fingerprint, now) {
+    if shared.crashes.borrow().refuses(fingerprint, now) {
         return Err(StopReason::CrashedTargets);
     }
     let tenant = text(headers, &TENANT).unwrap_or_default();
@@ -101,18 +101,18 @@
 
 /// Sends a call that has a slot to the target.
 async fn run(request: Request, mut watch: RunWatch, deadline: Instant) -> Response {
-    let services = Arc::clone(&watch.services);
-    let until = services.context.clock.runtime_instant(deadline);
+    let shared = Arc::clone(&watch.shared);
+    let until = shared.context.clock.runtime_instant(deadline);
     let load = watch.lease.as_ref().map_or(0.0, |lease| lease.load);
-    let remaining = deadline.since(services.context.clock.now());
-    let Some((request, back)) = to_target(request, &services, remaining) else {
-        return refuse(&services, StopReason::Unreachable);
+    let remaining = deadline.since(shared.context.clock.now());
+    let Some((request, back)) = to_target(request, &shared, remaining) else {
+        return refuse(&shared, StopReason::Unreachable);
     };
-    let answer = match timeout_at(until, services.client.request(request)).await {
+    let answer = match timeout_at(until, shared.client.request(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) if error.is_connect() => {
             watch.end(RunEnd::NotSent);
-            let told = refuse(&services, StopReason::Unreachable);
+            let told = refuse(&shared, StopReason::Unreachable);
             let rest = match back {
                 Some(back) => back.rest().await,
                 None => None,
@@ -169,12 +169,12 @@
 /// The request as the target receives it, and the way back of a large body.
 fn to_target(
     request: Request,
-    services: &TargetServices,
+    shared: &TargetContext,
     remaining: Duration,
 ) -> Option<(Request, Option<BodyReturn>)> {
-    let (authority, _) = services.target.as_ref()?;
+    let (authority, _) = shared.target.as_ref()?;
     let (mut parts, body) = request.into_parts();
-    let kept = services.context.settings.calls.kept_request_bytes as u64;
+    let kept = shared.context.settings.calls.kept_request_bytes as u64;
     let small = body.size_hint().exact().is_some_and(|size| size <= kept);
     let (body, back) = if small {
         (body, None)
@@ -203,17 +203,17 @@
 }
 
 /// Answers a call of which nothing was sent to the target.
-fn refuse(services: &TargetServices, reason: StopReason) -> Response {
+fn refuse(shared: &TargetContext, reason: StopReason) -> Response {
     let count = CountEvent::TargetRefused(reason);
     // The keeper is gone only when the node is stopping.
-    let _ = services.latency.tell(count).try_send();
+    let _ = shared.latency.tell(count).try_send();
     refusal(CallOutcome::NotRun, reason)
 }
 
 /// Holds the slot of a call until its answer has ended. Dropped before, the caller's node has gone,
 /// and the connection to the target is closed with the answer.
 struct RunWatch {
-    services: Arc<TargetServices>,
+    shared: Arc<TargetContext>,
     lease: Option<SlotLease>,
     fingerprint: Fingerprint,
     /// Counts the call as open until the watch is dropped.
@@ -231,9 +231,9 @@
 impl AnswerWatch for RunWatch {
     fn ended(&mut self) {
         self.end(RunEnd::Answered);
-        if self.services.crashes.borrow().watching {
+        if self.shared.crashes.borrow().watching {
             let complete = CompleteRequest(self.fingerprint);
-            let _ = self.services.crash_keeper.tell(complete).try_send();
+            let _ = self.shared.crash_keeper.tell(complete).try_send();
         }
     }
 
