Take a floor from peers only if one of the own domain remembers the host

Cause: the answer to a join names the version that the answering node last saw this host hold, also when that node stands in another domain. Versions are not spread as member updates, so that number may be older than what the host served. A host whose domain has no other live node had nobody left to ask, and took the old number as its floor: it served version 2, was replaced while the store was away, and served version 1.

Ruled out: the witnesses, which record before a version is put in force; a host without peers in its domain has none.

A host without such a peer waits for the store.

--- a/crates/control/src/join/process.rs
+++ b/crates/control/src/join/process.rs
@@ -93,6 +93,8 @@
     adopted: bool,
     /// Highest version that a peer remembers for this host.
     remembered: u64,
+    /// Whether a node of the domain remembers this host in this round.
+    remembered_in_domain: bool,
     /// Highest version that an answering peer holds.
     held_by_peers: u64,
     /// Nodes of the domain, by name, that have not answered in this round; `None` until a peer
@@ -117,6 +119,7 @@
             unasked: BTreeSet::new(),
             adopted: false,
             remembered: 0,
+            remembered_in_domain: false,
             held_by_peers: 0,
             awaited: None,
             floor: None,
@@ -258,6 +261,7 @@
         rng: &mut impl Rng,
     ) -> Vec<JoinEffect> {
         self.remembered = self.remembered.max(answer.version);
+        self.remembered_in_domain |= answer.version > 0;
         if let Some(awaited) = &mut self.awaited {
             awaited.remove(node);
         }
@@ -296,7 +300,9 @@
     /// Decides whether the peers' answers give the floor.
     fn conclude(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<JoinEffect> {
         let all_answered = self.awaited.as_ref().is_some_and(BTreeMap::is_empty);
-        if all_answered && self.remembered > 0 {
+        // Nodes of other domains are no witnesses, and the version that they show for this host may
+        // be older than the one it served.
+        if all_answered && self.remembered_in_domain {
             self.found(self.remembered.max(self.held_by_peers), now, rng)
         } else {
             Vec::new()
@@ -324,6 +330,7 @@
             match action {
                 JoinAction::Ask => {
                     self.awaited = None;
+                    self.remembered_in_domain = false;
                     self.unasked = self.contacts.clone();
                     self.round_ends_at = Some(after_ms(now, self.settings.round_ms));
                     effects.push(JoinEffect::ReadHead);
