Do not report a change as refused while a write of it is open

Cause: a write whose answer was lost may still be on its way when the look-up finds no change. The change is then planned again. If a node that cannot read it has joined meanwhile, it was refused as unreadable after a second look-up, and the first write took effect later.

Ruled out: every other refusal. Conflicts and faults follow from the records alone, so that a plan that was written once is refused only on a newer head, on which the open write fails its condition.

Change: such a refusal is reported as not yet known while a write is open on a head that was not seen to move.

--- a/crates/control/src/acceptance/process.rs
+++ b/crates/control/src/acceptance/process.rs
@@ -167,12 +167,15 @@
 /// The course of one change.
 ///
 /// Invariant: once a write was sent and not answered, the outcome is never `Unreachable`, and a
-/// refusal is given only after the store said that it does not hold the change.
+/// refusal is given only after the store said that it does not hold the change. A refusal that does
+/// not come from a newer head is not given while a write is open.
 #[derive(Debug)]
 pub struct AcceptProcess {
     chart: AcceptTable,
     state: AcceptState,
     may_be_written: bool,
+    /// A write was sent and not answered, and the head it depends on was not seen to move since.
+    write_is_open: bool,
     refusal: Option<AcceptOutcome>,
     version: Option<u64>,
 }
@@ -190,6 +193,7 @@
             chart,
             state,
             may_be_written: false,
+            write_is_open: false,
             refusal: None,
             version: None,
         })
@@ -220,6 +224,7 @@
         ];
         if self.state == AcceptState::Writing && unclear.contains(&event) {
             self.may_be_written = true;
+            self.write_is_open = event != AcceptEvent::ConditionFailed;
         }
         self.chart.advance(&mut self.state, event).to_vec()
     }
@@ -228,7 +233,14 @@
     pub fn outcome(&self) -> Option<AcceptOutcome> {
         match self.state {
             AcceptState::Accepted => self.version.map(AcceptOutcome::Accepted),
-            AcceptState::Refused => self.refusal.clone(),
+            AcceptState::Refused => match &self.refusal {
+                // Nodes that joined since do not keep the open write from taking effect. Every
+                // other refusal follows from a head on which the open write can no longer succeed.
+                Some(AcceptOutcome::Unreadable(_)) if self.write_is_open => {
+                    Some(AcceptOutcome::NotYetKnown)
+                }
+                refusal => refusal.clone(),
+            },
             AcceptState::Undecided if self.may_be_written => Some(AcceptOutcome::NotYetKnown),
             AcceptState::Undecided => Some(AcceptOutcome::Unreachable),
             _ => None,
