State the version of each pulled delta

Cause: pulled deltas were offered under the version after the tip. When a version arrived over the tree while the pull was under way, an old delta was offered as a newer version, and the node reported that version as refused.

Change: the answer names its newest version, from which the version of each delta follows; deltas that were overtaken are stale. The loop moves from the node to VersionHolder, so that traces cover it.

Conclusion: found by the trace paused-node, which passes with the change.

--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -174,6 +174,23 @@
         (verdict, effects)
     }
 
+    /// Takes in pulled deltas in ascending order, the last of which leads to version `newest`.
+    ///
+    /// Versions that arrived by another way since the pull was sent are passed over.
+    pub fn offer_pulled(
+        &mut self,
+        newest: u64,
+        deltas: &[Vec<u8>],
+        now: Instant,
+    ) -> Vec<VersionEffect> {
+        let before_first = newest.saturating_sub(deltas.len() as u64);
+        let mut effects = Vec::new();
+        for (version, delta) in (before_first + 1..).zip(deltas) {
+            effects.extend(self.offer(version, delta, now).1);
+        }
+        effects
+    }
+
     fn keep_ahead(&mut self, version: u64, delta: &[u8]) {
         self.ahead.insert(version, delta.to_vec());
         while self.ahead.len() > self.settings.kept_ahead {
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -136,11 +136,10 @@
     fn take_pulled(&mut self, pulled: &PullAnswer, keeper: &ActorRef<Self>) {
         let now = self.context.clock.now();
         if pulled.snapshot.is_empty() {
-            for delta in &pulled.deltas {
-                let version = self.holder.tip().version() + 1;
-                let (_, effects) = self.holder.offer(version, delta, now);
-                self.carry_out(effects, keeper);
-            }
+            let effects = self
+                .holder
+                .offer_pulled(pulled.version, &pulled.deltas, now);
+            self.carry_out(effects, keeper);
         } else {
             let (_, effects) = self
                 .holder
