Report a node as serving only once it serves

Cause: the join ends when a version at or above the floor is checked. It is put in force after its witnesses answered, up to 150 ms later. Until then the node answered calls with not-run, as it must, but reported the phase serving with version 0.

Ruled out: calls; the gateway follows may_serve.

Change: the report shows the phase fetching until the node may serve.

Conclusion: found by a_node_takes_its_floor_from_its_peers_in_an_outage, which passes with the change.

--- a/crates/node/src/admin/survey.rs
+++ b/crates/node/src/admin/survey.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use agatedeck_control::JoinState;
 use agatedeck_wire::{
     ControlPlaneRequest, ControlPlaneResponse, Member, NodeReport, SpreadScope, Survey,
     SurveyAnswer,
@@ -49,10 +50,14 @@
     let reason = refusal.map_or(String::new(), |(version, reason)| {
         format!("version {version} is refused: {reason}")
     });
-    let phase = context.phase.borrow().to_string();
+    // The join ends when the floor is checked, up to the witnesses' timeout before it is in force.
+    let phase = match *context.phase.borrow() {
+        JoinState::Serving if !served.may_serve => JoinState::Fetching,
+        phase => phase,
+    };
     NodeReport {
         version: served.snapshot.version(),
-        phase,
+        phase: phase.to_string(),
         reason,
         ..unreached(&context.own)
     }
