Test distribution under failure as state machines

Two proptest state machines drive VersionHolder, AcceptProcess, TreeSpread and JoinProcess of six hosts over a model store and a bag of messages, against the list of accepted changes. One mixes all faults evenly; the other is mostly restarts in an outage, which the even mixture seldom completes.

--- /dev/null
+++ b/crates/control/tests/model/course.rs
@@ -0,0 +1,131 @@
+//! The course of one change at the node that accepts it, as `agatedeck-node` carries it out.
+
+use agatedeck_control::{
+    AcceptAction, AcceptEvent, AcceptOutcome, AcceptProcess, unreadable_nodes,
+};
+use agatedeck_records::{ConfigSnapshot, PlannedChange, plan_change};
+use agatedeck_wire::{Change, Head, Member};
+
+use super::store::{Store, Transaction};
+
+/// What happens to a request to the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fate {
+    /// It runs and its answer arrives.
+    Answered,
+    /// It runs and its answer is lost.
+    AnswerLost,
+    /// It is thought lost and runs later.
+    Late,
+    /// It is lost before it runs.
+    Lost,
+    /// The store says that it did not run the request.
+    Away,
+}
+
+#[derive(Debug)]
+pub(crate) struct Course {
+    pub(crate) change: Change,
+    pub(crate) process: AcceptProcess,
+    pub(crate) next: AcceptAction,
+    pub(crate) head: Option<(Head, u64)>,
+    plan: Option<PlannedChange>,
+    written: Option<PlannedChange>,
+}
+
+impl Course {
+    pub(crate) fn new(change: &Change) -> Self {
+        Self {
+            change: change.clone(),
+            process: AcceptProcess::new().unwrap(),
+            next: AcceptAction::ReadHead,
+            head: None,
+            plan: None,
+            written: None,
+        }
+    }
+
+    /// Moves on by `event`; returns the outcome once there is one.
+    pub(crate) fn advance(&mut self, event: AcceptEvent) -> Option<AcceptOutcome> {
+        if let Some(action) = self.process.advance(event).last() {
+            self.next = *action;
+        }
+        self.process.outcome()
+    }
+
+    /// The plan that was written, if the change was accepted by this very write.
+    pub(crate) fn own_plan(&mut self, version: u64) -> Option<PlannedChange> {
+        self.written
+            .take()
+            .filter(|plan| plan.delta.version == version)
+    }
+
+    pub(crate) fn make_plan(&mut self, tip: &ConfigSnapshot, live: &[Member]) -> AcceptEvent {
+        let plan = match plan_change(tip, &self.change, 0) {
+            Ok(plan) => plan,
+            Err(refusal) => {
+                self.process.note_refusal(AcceptOutcome::Refused(refusal));
+                return AcceptEvent::PlanRefused;
+            }
+        };
+        let unreadable = unreadable_nodes(&plan.snapshot, live.iter());
+        if !unreadable.is_empty() {
+            self.process
+                .note_refusal(AcceptOutcome::Unreadable(unreadable));
+            return AcceptEvent::PlanRefused;
+        }
+        self.plan = Some(plan);
+        AcceptEvent::PlanMade
+    }
+
+    pub(crate) fn write(
+        &mut self,
+        store: &mut Store,
+        late: &mut Vec<Transaction>,
+        fate: Fate,
+    ) -> AcceptEvent {
+        let (Some(plan), Some((head, head_revision))) = (self.plan.take(), self.head.take()) else {
+            return AcceptEvent::Unreachable;
+        };
+        if plan.delta.version != head.version + 1 {
+            return AcceptEvent::ConditionFailed;
+        }
+        let transaction = Transaction {
+            head_revision,
+            plan: plan.clone(),
+            change: self.change.clone(),
+        };
+        if store.away {
+            return AcceptEvent::Unreachable;
+        }
+        match fate {
+            Fate::Away => return AcceptEvent::Unreachable,
+            Fate::Answered => {
+                if !store.transact(&transaction) {
+                    return AcceptEvent::ConditionFailed;
+                }
+                self.process.note_version(plan.delta.version);
+                self.written = Some(plan);
+                return AcceptEvent::Committed;
+            }
+            Fate::AnswerLost => drop(store.transact(&transaction)),
+            Fate::Late => late.push(transaction),
+            Fate::Lost => {}
+        }
+        self.written = Some(plan);
+        AcceptEvent::Unanswered
+    }
+
+    pub(crate) fn look_up(&mut self, store: &Store, fate: Fate) -> AcceptEvent {
+        if store.away || !matches!(fate, Fate::Answered) {
+            return AcceptEvent::Unreachable;
+        }
+        match store.change_version(&self.change.change_id) {
+            Some(version) => {
+                self.process.note_version(version);
+                AcceptEvent::ChangeFound
+            }
+            None => AcceptEvent::ChangeAbsent,
+        }
+    }
+}
