Test failures with real processes

Nodes are killed, paused and restarted by process id while changes go on; the platform's outages and lost answers come from its stand-in. Cuts between processes are left to the state machine.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -23,6 +23,8 @@
     pub(crate) nodes: Vec<(&'static str, &'static str, &'static str)>,
     /// Region of the store.
     pub store_region: &'static str,
+    /// Whether each node is told the control addresses of those started before it.
+    pub seeded: bool,
 }
 
 impl Default for FleetSettings {
@@ -35,6 +37,7 @@
                 ("mumbai", "mumbai-b", "depositdesk"),
             ],
             store_region: "kolkata",
+            seeded: false,
         }
     }
 }
@@ -70,6 +73,7 @@
     pub(crate) nodes: Vec<NodeProcess>,
     pub(crate) client: reqwest::Client,
     folder: TempDir,
+    settings: FleetSettings,
 }
 
 /// Answer to a call.
@@ -95,45 +99,42 @@
             nodes: Vec::new(),
             client,
             folder,
+            settings,
         };
-        for (index, (region, domain, service)) in settings.nodes.iter().enumerate() {
+        let places = fleet.settings.nodes.clone();
+        for (index, (region, domain, service)) in places.into_iter().enumerate() {
             let name = format!("node-{index}");
             let target = TargetServer::start(TargetSettings {
-                service: (*service).to_owned(),
+                service: service.to_owned(),
                 name: name.clone(),
                 ..Default::default()
             })
             .await
             .expect("target stand-in");
-            let file = fleet.write_settings(
-                &name,
-                region,
-                domain,
-                service,
-                target.address(),
-                settings.store_region,
-            );
             fleet.targets.push(target);
+            let file = fleet.write_settings(index, region, domain, service);
             fleet.nodes.push(start_node(name, &file));
         }
         fleet
     }
 
-    fn write_settings(
-        &self,
-        name: &str,
-        region: &str,
-        domain: &str,
-        service: &str,
-        target: SocketAddr,
-        store_region: &str,
-    ) -> PathBuf {
+    fn write_settings(&self, index: usize, region: &str, domain: &str, service: &str) -> PathBuf {
+        let name = format!("node-{index}");
+        let target = self.targets[index].address();
+        let store_region = self.settings.store_region;
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .filter(|node| self.settings.seeded && node.name != name)
+            .map(|node| node.addresses.control.to_string())
+            .collect();
         let text = format!(
             r#"
 [node]
 name = "{name}"
 region = "{region}"
 domain = "{domain}"
+seeds = {seeds:?}
 
 [listen]
 calls = "127.0.0.1:0"
@@ -156,6 +157,53 @@
         file
     }
 
+    /// Kills a node with SIGKILL.
+    pub(crate) fn kill(&mut self, node: usize) {
+        let child = &mut self.nodes[node].child;
+        child.kill().expect("the node runs");
+        child.wait().expect("the node ends");
+    }
+
+    /// Starts a node that was killed, under its old name and with empty memory.
+    pub(crate) fn restart(&mut self, node: usize) {
+        self.restart_together(&[node]);
+    }
+
+    /// Starts all of `nodes` at the same time, under their old names and with empty memory.
+    pub(crate) fn restart_together(&mut self, nodes: &[usize]) {
+        let files: Vec<(String, PathBuf)> = nodes
+            .iter()
+            .map(|node| {
+                let (region, domain, service) = self.settings.nodes[*node];
+                let file = self.write_settings(*node, region, domain, service);
+                (format!("node-{node}"), file)
+            })
+            .collect();
+        let started: Vec<NodeProcess> = std::thread::scope(|scope| {
+            let threads: Vec<_> = files
+                .into_iter()
+                .map(|(name, file)| scope.spawn(move || start_node(name, &file)))
+                .collect();
+            threads
+                .into_iter()
+                .map(|thread| thread.join().expect("the node starts"))
+                .collect()
+        });
+        for (node, process) in nodes.iter().zip(started) {
+            self.nodes[*node] = process;
+        }
+    }
+
+    /// Sends a signal to a node, such as `STOP`.
+    pub(crate) fn signal(&self, node: usize, signal: &str) {
+        let id = self.nodes[node].child.id().to_string();
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id)
+            .status();
+        assert!(status.expect("`kill` runs").success());
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.nodes.len()
     }
