Wait for the updates of a start to leave the probes before measuring

Cause: 8 s after the start, a fleet of 48 nodes sent 693 B/s a node and one of 96 sent 1,215, as each node still passed on the entries of all that had joined. Settings: 60 s after the start the rates are 105 and 107 B/s (24 nodes: 124), so idle traffic does not grow with the fleet. The pause now grows with the number of nodes.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -148,6 +148,9 @@
             Long("pause-ms") => settings.pause_ms = bounded(&parser.value()?, 0..=60_000)?,
             Long("idle-ms") => settings.idle_ms = bounded(&parser.value()?, 100..=600_000)?,
             Long("settle-ms") => settings.settle_ms = bounded(&parser.value()?, 0..=600_000)?,
+            Long("settle-per-node-ms") => {
+                settings.settle_per_node_ms = bounded(&parser.value()?, 0..=10_000)?;
+            }
             Long("workers") => settings.workers = bounded(&parser.value()?, 1..=64)?,
             Long("seed") => settings.seed = parser.value()?.parse()?,
             Long("help") | Short('h') => {
@@ -224,6 +227,9 @@
                 settings.base_change_rate = bounded(&parser.value()?, 0.0..=100.0)?;
             }
             Long("settle-ms") => settings.settle_ms = bounded(&parser.value()?, 0..=600_000)?,
+            Long("settle-per-node-ms") => {
+                settings.settle_per_node_ms = bounded(&parser.value()?, 0..=10_000)?;
+            }
             Long("window-ms") => settings.window_ms = bounded(&parser.value()?, 100..=600_000)?,
             Long("members") => {
                 // A view has several failure domains; a service of it has at least one target.
--- a/crates/bench/src/control_bytes.rs
+++ b/crates/bench/src/control_bytes.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::arguments::DEFAULT_WORKERS;
-use crate::fleet::{Fleet, FleetSettings, ProcessUsage};
+use crate::fleet::{Fleet, FleetSettings, ProcessUsage, SETTLE_PER_NODE_MS};
 use crate::records::ConfigMirror;
 use crate::report::Report;
 use crate::statistics::{count_f64, to_f64};
@@ -32,6 +32,8 @@
     pub(crate) idle_ms: u64,
     /// Pause after the start, in which the updates on nodes that joined die down.
     pub(crate) settle_ms: u64,
+    /// Further pause for each node.
+    pub(crate) settle_per_node_ms: u64,
     pub(crate) workers: usize,
     pub(crate) seed: u64,
 }
@@ -45,7 +47,8 @@
             services: 4,
             pause_ms: 100,
             idle_ms: 10_000,
-            settle_ms: 8_000,
+            settle_ms: 6_000,
+            settle_per_node_ms: SETTLE_PER_NODE_MS,
             workers: DEFAULT_WORKERS,
             seed: 1,
         }
@@ -242,7 +245,9 @@
     let first = mirror.first_change(settings.services)?;
     let accepted = fleet.accept(0, &first.change).await?;
     fleet.in_force(accepted.version).await?;
-    sleep(Duration::from_millis(settings.settle_ms)).await;
+    fleet
+        .settle(settings.settle_ms, settings.settle_per_node_ms)
+        .await;
 
     let start = FleetTotals::read(&fleet).await?;
     sleep(Duration::from_millis(settings.idle_ms)).await;
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -43,6 +43,11 @@
 /// Pause between two looks at a condition that is not reported by itself.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for each node of a fleet that starts until the updates on all of them are off the probes.
+/// Each update is sent some 15 times, up to 8 in one message and two to three messages a second, so
+/// that the rate of bytes stays high for this long and then drops.
+pub(crate) const SETTLE_PER_NODE_MS: u64 = 1_000;
+
 /// Most node processes that a fleet may have. 200 take about 4 GB.
 pub(crate) const MAX_NODES: usize = 200;
 
@@ -269,6 +274,13 @@
         }
     }
 
+    /// Waits until what the start of the nodes brought about has died down.
+    pub(crate) async fn settle(&self, base_ms: u64, per_node_ms: u64) {
+        let nodes = u64::try_from(self.nodes.len()).unwrap_or(u64::MAX);
+        let pause = base_ms.saturating_add(per_node_ms.saturating_mul(nodes));
+        sleep(Duration::from_millis(pause)).await;
+    }
+
     /// Number of nodes.
     pub(crate) fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/bench/src/slopes/fleet_runs.rs
+++ b/crates/bench/src/slopes/fleet_runs.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use super::SlopeSettings;
 use super::series::SeriesTable;
@@ -140,7 +140,9 @@
     let first = mirror.first_change(case.services)?;
     let accepted = fleet.accept(0, &first.change).await?;
     fleet.in_force(accepted.version).await?;
-    sleep(Duration::from_millis(settings.settle_ms)).await;
+    fleet
+        .settle(settings.settle_ms, settings.settle_per_node_ms)
+        .await;
 
     let start = Moment::read(&fleet).await?;
     let end_at = start.at + Duration::from_millis(settings.window_ms);
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::arguments::DEFAULT_WORKERS;
+use crate::fleet::SETTLE_PER_NODE_MS;
 use crate::report::Report;
 
 use event_clock::EventCost;
@@ -37,6 +38,8 @@
     /// Changes per second while sizes and services are varied.
     pub(crate) base_change_rate: f64,
     pub(crate) settle_ms: u64,
+    /// Further pause for each node.
+    pub(crate) settle_per_node_ms: u64,
     /// Length of each measured window.
     pub(crate) window_ms: u64,
     /// Members in the view of the node whose decisions are measured alone.
@@ -61,6 +64,7 @@
             base_services: 16,
             base_change_rate: 1.0,
             settle_ms: 6_000,
+            settle_per_node_ms: SETTLE_PER_NODE_MS,
             window_ms: 8_000,
             members: vec![324, 675, 1_350, 2_700],
             decision_services: vec![16, 32, 65, 130],
