--- a/crates/bench/tests/smoke.rs
+++ b/crates/bench/tests/smoke.rs
@@ -1,7 +1,9 @@
 //! Guards that each subcommand runs to its end with tiny sizes, that its lines are JSON, and that
 //! the product's invariants held while it ran. Speed is not checked.
 
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -152,6 +154,58 @@
     assert!(plot.ends_with("</svg>\n") || plot.ends_with("</svg>"));
 }
 
+/// Processes that run as children of `parent`; those that have ended and wait to be reaped do not.
+fn running_children(parent: u32) -> Vec<String> {
+    let folders = std::fs::read_dir("/proc").expect("the list of processes");
+    let children = folders.flatten().filter_map(|folder| {
+        let stat = std::fs::read_to_string(folder.path().join("stat")).ok()?;
+        let (_, fields) = stat.rsplit_once(") ")?;
+        let mut fields = fields.split(' ');
+        let (state, of) = (fields.next()?, fields.next()?);
+        let running = state != "Z" && of == parent.to_string();
+        running.then(|| folder.file_name().to_string_lossy().into_owned())
+    });
+    children.collect()
+}
+
+fn is_running(process: &str) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let state = stat.rsplit_once(") ").map(|(_, fields)| &fields[..1]);
+    state.is_some_and(|state| state != "Z")
+}
+
+/// Fails when an interrupted measurement leaves nodes behind.
+#[test]
+fn an_interrupt_ends_the_nodes() {
+    let mut bench = Command::new(env!("CARGO_BIN_EXE_agatedeck-bench"))
+        .args(["convergence", "--sizes", "3", "--changes", "1000"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program runs");
+    let stdout = bench.stdout.take().expect("standard output");
+    let mut first = String::new();
+    let read = BufReader::new(stdout).read_line(&mut first);
+    assert!(read.is_ok_and(|read| read > 0));
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let mut nodes = Vec::new();
+    while nodes.len() < 3 && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(20));
+        nodes = running_children(bench.id());
+    }
+    assert_eq!(nodes.len(), 3);
+    let id = bench.id().to_string();
+    let killed = Command::new("kill").args(["-INT", &id]).status();
+    assert!(killed.is_ok_and(|status| status.success()));
+    let status = bench.wait().expect("the program ends");
+    assert_eq!(status.code(), Some(1));
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while nodes.iter().any(|node| is_running(node)) {
+        assert!(Instant::now() < deadline, "nodes {nodes:?} are left");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Fails when a bad command line starts a measurement, or is not explained.
 #[test]
 fn a_bad_command_line_is_refused() {
