Choose the targets of services apart from the actor that picks them

Now a blocking task chooses them and the router only puts them on its board. The first call of a service still waits for its subset. Ruled out: a longer pause between refreshes, since a draining target must get no new work after 2 s.

--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -26,6 +26,7 @@
 mod router;
 mod slot_keeper;
 mod system;
+mod target_plan;
 mod target_side;
 mod target_watch;
 
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -4,13 +4,11 @@
 use std::net::SocketAddr;
 
 use agatedeck_calls::{
-    AttemptResult, BalancePolicy, BoardSettings, NodePlace, PickError, PickRequest, PickedTarget,
-    RetryBudget, RetryDecision, RetryQuestion, RetrySettings, RoundRobin, TargetBoard, TargetKey,
-    TargetStatus, TargetView, TwoChoices, decide_retry,
+    AttemptResult, BalancePolicy, BoardSettings, PickError, PickRequest, PickedTarget, RetryBudget,
+    RetryDecision, RetryQuestion, RetrySettings, RoundRobin, TargetBoard, TargetKey, TwoChoices,
+    decide_retry,
 };
 use agatedeck_clock::Instant;
-use agatedeck_records::SnapshotView;
-use agatedeck_wire::{Member, MemberStatus};
 use axum::http::uri::Authority;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -18,14 +16,14 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::clock::unix_ms;
+use super::target_plan::{TargetPlan, place_of};
 use crate::context::NodeContext;
 use crate::settings::BalanceChoice;
 
 /// Owns the target board and the retry budget.
 ///
 /// Only services that were called from here are on the board. Their subsets are computed when the
-/// first call comes and when members or configuration change, never between.
+/// first call comes and, apart from this actor, when members or configuration change.
 #[derive(Actor)]
 pub(super) struct CallRouter {
     context: NodeContext,
@@ -33,6 +31,10 @@
     budget: RetryBudget,
     settings: RetrySettings,
     services: HashSet<String>,
+    /// Whether targets are being worked out.
+    planning: bool,
+    /// Whether members or configuration have changed since that began.
+    changed_since: bool,
     /// Peer addresses in the form that requests need, so that no attempt has to parse one.
     authorities: HashMap<SocketAddr, Authority>,
     rng: SmallRng,
@@ -51,39 +53,38 @@
             budget: RetryBudget::new(&settings),
             settings,
             services: HashSet::new(),
+            planning: false,
+            changed_since: false,
             authorities: HashMap::new(),
             rng: SmallRng::from_rng(&mut rand::rng()),
             context,
         }
     }
 
-    /// Puts the targets of a service on the board as members and configuration state them.
-    fn refresh(&mut self, service: &str) {
-        let (served, table) = (self.context.served(), self.context.table());
-        let view = SnapshotView::new(&served.snapshot, self.context.own.reads_schema);
-        let Some(policy) = view.policy_of(service) else {
-            self.board.replace_targets(service, &[], &[], 0);
-            return;
-        };
-        let targets: Vec<TargetView<'_>> = table
-            .members()
-            .filter(|member| member.service == service)
-            .filter_map(|member| {
-                target_view(member, policy.form.slots, policy.form.warm_up_ms.into())
-            })
-            .collect();
-        let calls = |member: &&Member| {
-            let caller = view.service(&member.service);
-            caller.is_some_and(|caller| caller.form.depends_on.iter().any(|name| name == service))
-        };
-        let mut callers: Vec<NodePlace<'_>> = table.live().filter(calls).map(place_of).collect();
-        if callers.is_empty() {
-            // No service depends on this one, so its callers are outside and may call at any node.
-            callers = table.live().map(place_of).collect();
-        }
-        let warm_up_ms = policy.form.warm_up_ms;
+    /// Puts the targets of a service on the board.
+    fn apply(&mut self, plan: &TargetPlan) {
+        let (chosen, draining) = (plan.chosen(), plan.draining());
         self.board
-            .replace_targets(service, &targets, &callers, warm_up_ms);
+            .set_targets(&plan.service, &chosen, &draining, plan.warm_up_ms);
+    }
+
+    /// Works out the targets of all services on the board, apart from this actor.
+    fn start_planning(&mut self, router: &ActorRef<Self>) {
+        self.planning = true;
+        let (context, router) = (self.context.clone(), router.clone());
+        let services = self.services.clone();
+        tokio::spawn(async move {
+            let choose = move || {
+                let plans = services
+                    .iter()
+                    .map(|name| TargetPlan::choose(&context, name));
+                plans.collect::<Vec<_>>()
+            };
+            // Choosing does not panic, and the router is gone only when the node is stopping.
+            if let Ok(plans) = tokio::task::spawn_blocking(choose).await {
+                let _ = router.tell(PlansReady(plans)).await;
+            }
+        });
     }
 
     fn authority(&mut self, peer: SocketAddr) -> Option<Authority> {
@@ -96,34 +97,6 @@
     }
 }
 
-fn place_of(member: &Member) -> NodePlace<'_> {
-    NodePlace {
-        node: &member.node,
-        domain: &member.domain,
-        region: &member.region,
-    }
-}
-
-fn target_view(member: &Member, slots: u32, warm_up_ms: u64) -> Option<TargetView<'_>> {
-    let status = match member.status() {
-        MemberStatus::Alive => TargetStatus::Alive,
-        MemberStatus::Suspect => TargetStatus::Suspect,
-        MemberStatus::Draining => TargetStatus::Draining,
-        MemberStatus::Left | MemberStatus::Dead => return None,
-    };
-    Some(TargetView {
-        place: place_of(member),
-        peer: member.peer_address.parse().ok()?,
-        // The incarnation also rises when a suspicion is refuted, so it does not tell a restart.
-        // A restarted target is warmed up by the slots that its own node opens step by step.
-        generation: 0,
-        slots,
-        // The incarnation starts from the Unix time at which the node started.
-        warm: unix_ms().saturating_sub(member.incarnation) > warm_up_ms,
-        status,
-    })
-}
-
 /// The target of an attempt. It is given back to the board when dropped without a result, so that
 /// an attempt whose task has gone is not counted as in flight for ever.
 #[derive(Debug)]
@@ -181,7 +154,8 @@
 
     async fn handle(&mut self, pick: PickTarget, ctx: &mut Context<Self, PickReply>) -> PickReply {
         if !self.services.contains(&pick.service) {
-            self.refresh(&pick.service);
+            let plan = TargetPlan::choose(&self.context, &pick.service);
+            self.apply(&plan);
             self.services.insert(pick.service.clone());
         }
         if pick.first {
@@ -265,10 +239,24 @@
 impl Message<ViewChanged> for CallRouter {
     type Reply = ();
 
-    async fn handle(&mut self, ViewChanged: ViewChanged, _: &mut Context<Self, ()>) {
-        for service in std::mem::take(&mut self.services) {
-            self.refresh(&service);
-            self.services.insert(service);
+    async fn handle(&mut self, ViewChanged: ViewChanged, ctx: &mut Context<Self, ()>) {
+        if self.planning {
+            self.changed_since = true;
+        } else {
+            self.start_planning(ctx.actor_ref());
+        }
+    }
+}
+
+struct PlansReady(Vec<TargetPlan>);
+
+impl Message<PlansReady> for CallRouter {
+    type Reply = ();
+
+    async fn handle(&mut self, PlansReady(plans): PlansReady, ctx: &mut Context<Self, ()>) {
+        self.planning = false;
+        for plan in &plans {
+            self.apply(plan);
         }
         let table = self.context.table();
         let peers: HashSet<SocketAddr> = table
@@ -276,5 +264,8 @@
             .filter_map(|member| member.peer_address.parse().ok())
             .collect();
         self.authorities.retain(|peer, _| peers.contains(peer));
+        if std::mem::take(&mut self.changed_since) {
+            self.start_planning(ctx.actor_ref());
+        }
     }
 }
