Let edits finish and witnesses record in the state machines

A step now carries out a whole request to the store, so that a change ends within a case. A replaced host's records reach its witnesses first, which is the case in which the floor matters. A process test sends a change again after its record was retired.

--- a/crates/control/tests/distribution_machine.rs
+++ b/crates/control/tests/distribution_machine.rs
@@ -33,7 +33,7 @@
         pick: usize,
     },
     Proceed {
-        host: usize,
+        pick: usize,
         fate: Fate,
     },
     TimeOut {
@@ -93,7 +93,8 @@
         host: usize,
         edit: Edit,
     },
-    /// The same, after which the host is replaced before anything that it sent arrives.
+    /// The same, after which the host is replaced. Of what it sent, only the records to its
+    /// witnesses arrive.
     AcceptAndReplace {
         host: usize,
         edit: Edit,
@@ -139,9 +140,10 @@
         let wait = prop_oneof![3 => 1..200_u64, 1 => 200..3_000_u64];
         let hosts = prop_oneof![1 => Just(0_u8), 1 => 0..64_u8];
         prop_oneof![
-            4 => (host.clone(), edit).prop_map(|(host, edit)| Step::Submit { host, edit }),
+            4 => (host.clone(), edit.clone()).prop_map(|(host, edit)| Step::Submit { host, edit }),
+            1 => (host.clone(), edit).prop_map(|(host, edit)| Step::Accept { host, edit }),
             2 => (host.clone(), pick.clone()).prop_map(|(host, pick)| Step::Resend { host, pick }),
-            16 => (host.clone(), fate).prop_map(|(host, fate)| Step::Proceed { host, fate }),
+            16 => (pick.clone(), fate).prop_map(|(pick, fate)| Step::Proceed { pick, fate }),
             2 => host.clone().prop_map(|host| Step::TimeOut { host }),
             1 => pick.clone().prop_map(|pick| Step::Land { pick }),
             24 => (pick, passage).prop_map(|(pick, passage)| Step::Pass { pick, passage }),
@@ -190,7 +192,7 @@
                 .prop_map(|(host, edit)| Step::AcceptAndReplace { host, edit }),
             30 => (pick, passage).prop_map(|(pick, passage)| Step::Pass { pick, passage }),
             6 => (host.clone(), peer.clone()).prop_map(|(host, peer)| Step::Fetch { host, peer }),
-            2 => (host.clone(), peer).prop_map(|(host, peer)| Step::Probe { host, peer }),
+            5 => (host.clone(), peer).prop_map(|(host, peer)| Step::Probe { host, peer }),
             5 => (1..400_u64).prop_map(|ms| Step::Advance { ms }),
             1 => host.clone().prop_map(|host| Step::Crash { host }),
             1 => host.clone().prop_map(|host| Step::Restart { host }),
@@ -238,7 +240,7 @@
     match step {
         Step::Submit { host, edit } => world.submit(host, |snapshot| make(edit, snapshot)),
         Step::Resend { host, pick } => world.resend(host, pick),
-        Step::Proceed { host, fate } => world.proceed(host, fate),
+        Step::Proceed { pick, fate } => world.proceed_with(pick, fate),
         Step::TimeOut { host } => world.time_out(host),
         Step::Land { pick } => world.land(pick),
         Step::Pass { pick, passage } => world.pass(pick, passage),
@@ -262,6 +264,8 @@
         }
         Step::AcceptAndReplace { host, edit } => {
             run(world, Step::Accept { host, edit });
+            world.pass_records(host);
+            world.check();
             world.replace_in_outage(host);
         }
     }
--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -253,6 +253,20 @@
         });
     }
 
+    /// Passes the messages between a host and its witnesses, ahead of all others.
+    pub(crate) fn pass_records(&mut self, host: usize) {
+        for _ in 0..4 {
+            let place = self.bag.iter().position(|envelope| match envelope.body {
+                Body::RecordFloor(_) => envelope.from == host,
+                Body::FloorRecorded(_) => envelope.to == host,
+                _ => false,
+            });
+            if let Some(place) = place {
+                self.pass(place, Passage::Once);
+            }
+        }
+    }
+
     /// The store fails and the host is replaced at once; what it had sent is lost with it.
     pub(crate) fn replace_in_outage(&mut self, host: usize) {
         self.store.away = true;
@@ -806,6 +820,26 @@
         self.unsettled.insert(change.change_id);
     }
 
+    /// Carries out the next request to the store of one of the changes that are being accepted.
+    pub(crate) fn proceed_with(&mut self, pick: usize, fate: Fate) {
+        let open = |host: &usize| {
+            let process = self.hosts[*host].process.as_ref();
+            process.is_some_and(|process| process.course.is_some())
+        };
+        let hosts: Vec<usize> = (0..HOSTS).filter(open).collect();
+        if hosts.is_empty() {
+            return;
+        }
+        let host = hosts[pick % hosts.len()];
+        self.proceed(host, fate);
+        let course = self
+            .process(host)
+            .and_then(|process| process.course.as_ref());
+        if course.is_some_and(|course| course.next == AcceptAction::MakePlan) {
+            self.proceed(host, fate);
+        }
+    }
+
     /// Carries out the next action of the change that `host` accepts.
     pub(crate) fn proceed(&mut self, host: usize, fate: Fate) {
         if !self.runs(host) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -250,6 +250,22 @@
     all_hold(&fleet, 2).await;
 }
 
+/// Guards against a change that is accepted twice: it is sent again after its record was retired, so
+/// that nothing but its id shows that it was accepted before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_sent_again_later_is_not_accepted_twice() {
+    let fleet = fleet_with_records(FleetSettings::default()).await;
+    let create = edit("create", "bulk", 7, 0);
+    assert_eq!(fleet.post_change(0, &create).await["version"], 2);
+    let mut retire = edit("retire", "bulk", 7, 2);
+    retire["writes"][0]["forms"] = json!([]);
+    assert_eq!(fleet.post_change(0, &retire).await["version"], 3);
+    let again = fleet.post_change(2, &create).await;
+    assert_eq!((&again["outcome"], &again["version"]), (&json!("accepted"), &json!(2)));
+    let next = fleet.post_change(0, &edit("next", "standard", 7, 1)).await;
+    assert_eq!(next["version"], 4, "{next}");
+}
+
 /// Guards against a change that takes effect although its operator was told that it was not written.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_during_an_outage_is_not_written() {
