--- a/crates/calls/src/call/chart.rs
+++ b/crates/calls/src/call/chart.rs
@@ -7,8 +7,8 @@
 
 /// State of a call at the caller's node.
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[display(rename_all = "snake_case")]
-#[from_str(rename_all = "snake_case")]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum CallState {
     /// Nothing has been done for the call yet.
     Received,
@@ -31,7 +31,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum ChartEvent {
     ClaimNeeded,
     ClaimNotNeeded,
@@ -57,7 +57,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum ChartAction {
     Claim,
     Pick,
--- a/crates/calls/src/routing/life.rs
+++ b/crates/calls/src/routing/life.rs
@@ -7,8 +7,8 @@
 
 /// State of a target as the caller's node sees it.
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[display(rename_all = "snake_case")]
-#[from_str(rename_all = "snake_case")]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum TargetState {
     /// No call has been answered yet.
     Cold,
@@ -25,7 +25,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum TargetEvent {
     KnownWarm,
     Answered,
@@ -39,7 +39,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum TargetAction {
     StartWarmUp,
     StartEjection,
--- a/crates/control/src/join/chart.rs
+++ b/crates/control/src/join/chart.rs
@@ -7,8 +7,8 @@
 
 /// How far a node has come on its way from its start to its end.
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[display(rename_all = "snake_case")]
-#[from_str(rename_all = "snake_case")]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum JoinState {
     /// Nothing was asked yet.
     Starting,
@@ -27,7 +27,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum JoinEvent {
     Start,
     FloorKnown,
@@ -40,7 +40,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum JoinAction {
     Ask,
     ScheduleRetry,
--- a/crates/control/src/member/chart.rs
+++ b/crates/control/src/member/chart.rs
@@ -7,7 +7,7 @@
 use derive_more::FromStr;
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum MemberState {
     Alive,
     Suspect,
@@ -17,7 +17,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum MemberEvent {
     Answered,
     Unreached,
@@ -32,7 +32,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
-#[from_str(rename_all = "snake_case")]
+#[from_str(rename_all = "kebab-case")]
 pub(crate) enum MemberAction {
     StartSuspicion,
     StartRetention,
