--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -11,6 +11,10 @@
 
 use super::stage::{self, StageAction, StageEvent, StageState, StageTable};
 
+/// Deltas of up to this size are sent without a comparison with the snapshot, whose compression
+/// takes longer than sending them.
+const SMALL_PULL_BYTES: usize = 4 * 1024;
+
 /// Settings of a [`VersionHolder`].
 #[derive(Clone, Debug)]
 pub struct HolderSettings {
@@ -376,8 +380,11 @@
             .filter(|(version, _)| *version > held && *version <= current);
         let wanted: Vec<Vec<u8>> = wanted.map(|(_, bytes)| bytes.clone()).collect();
         let complete = wanted.len() as u64 == current - held;
-        let snapshot = self.current.compressed();
         let delta_bytes: usize = wanted.iter().map(Vec::len).sum();
+        if complete && delta_bytes <= SMALL_PULL_BYTES {
+            return PullReply::Deltas(wanted);
+        }
+        let snapshot = self.current.compressed();
         if complete && delta_bytes <= snapshot.len() {
             PullReply::Deltas(wanted)
         } else {
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -292,18 +292,21 @@
     }
 }
 
-/// Closes the connection if nothing was sent since `unused_since`.
+/// Closes the connection if nothing was sent since `unused_since`. The reply tells whether it was
+/// unused.
 pub(super) struct CloseUnused {
     pub(super) unused_since: Instant,
 }
 
 impl Message<CloseUnused> for PeerLink {
-    type Reply = ();
+    type Reply = bool;
 
-    async fn handle(&mut self, close: CloseUnused, context: &mut Context<Self, ()>) {
-        if self.last_used < close.unused_since {
+    async fn handle(&mut self, close: CloseUnused, context: &mut Context<Self, bool>) -> bool {
+        let unused = self.last_used < close.unused_since;
+        if unused {
             let link = context.actor_ref().clone();
             self.advance(LinkEvent::Lost, &link);
         }
+        unused
     }
 }
--- a/crates/node/src/peer/link_keeper.rs
+++ b/crates/node/src/peer/link_keeper.rs
@@ -69,9 +69,16 @@
         let Some(unused_since) = Instant::now().checked_sub(UNUSED_TIMEOUT) else {
             return;
         };
-        for link in self.links.values() {
-            // A link that is gone has nothing to close.
-            let _ = link.tell(CloseUnused { unused_since }).await;
+        let mut unused = Vec::new();
+        for (address, link) in &self.links {
+            // A link that is gone counts as unused.
+            if link.ask(CloseUnused { unused_since }).await.unwrap_or(true) {
+                unused.push(*address);
+            }
+        }
+        // Dropped from the map, or links to addresses that are gone would add up.
+        for address in unused {
+            self.links.remove(&address);
         }
     }
 }
