--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -1,5 +1,6 @@
 //! Holds the version in force and the versions on their way to it.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,10 +12,6 @@
 
 use super::stage::{self, StageAction, StageEvent, StageState, StageTable};
 
-/// Deltas of up to this size are sent without a comparison with the snapshot, whose compression
-/// takes longer than sending them.
-const SMALL_PULL_BYTES: usize = 4 * 1024;
-
 /// Settings of a [`VersionHolder`].
 #[derive(Clone, Debug)]
 pub struct HolderSettings {
@@ -94,6 +91,8 @@
     settings: HolderSettings,
     chart: StageTable,
     current: Arc<ConfigSnapshot>,
+    /// The compressed form of `current`, once it was needed.
+    compressed: OnceCell<Vec<u8>>,
     floor: Option<u64>,
     candidates: VecDeque<CandidateVersion>,
     ahead: BTreeMap<u64, Vec<u8>>,
@@ -112,6 +111,7 @@
             settings,
             chart: stage::load()?,
             current: Arc::default(),
+            compressed: OnceCell::new(),
             floor: None,
             candidates: VecDeque::new(),
             ahead: BTreeMap::new(),
@@ -365,6 +365,7 @@
             self.refusal = None;
         }
         self.current = Arc::clone(&snapshot);
+        self.compressed = OnceCell::new();
         effects.push(VersionEffect::PutInForce(snapshot));
     }
 
@@ -381,14 +382,11 @@
         let wanted: Vec<Vec<u8>> = wanted.map(|(_, bytes)| bytes.clone()).collect();
         let complete = wanted.len() as u64 == current - held;
         let delta_bytes: usize = wanted.iter().map(Vec::len).sum();
-        if complete && delta_bytes <= SMALL_PULL_BYTES {
-            return PullReply::Deltas(wanted);
-        }
-        let snapshot = self.current.compressed();
+        let snapshot = self.compressed.get_or_init(|| self.current.compressed());
         if complete && delta_bytes <= snapshot.len() {
             PullReply::Deltas(wanted)
         } else {
-            PullReply::Snapshot(snapshot)
+            PullReply::Snapshot(snapshot.clone())
         }
     }
 }
