--- a/crates/control/tests/distribution_machine.rs
+++ b/crates/control/tests/distribution_machine.rs
@@ -37,7 +37,7 @@
         fate: Fate,
     },
     TimeOut {
-        host: usize,
+        pick: usize,
     },
     Land {
         pick: usize,
@@ -144,7 +144,7 @@
             1 => (host.clone(), edit).prop_map(|(host, edit)| Step::Accept { host, edit }),
             2 => (host.clone(), pick.clone()).prop_map(|(host, pick)| Step::Resend { host, pick }),
             16 => (pick.clone(), fate).prop_map(|(pick, fate)| Step::Proceed { pick, fate }),
-            2 => host.clone().prop_map(|host| Step::TimeOut { host }),
+            1 => pick.clone().prop_map(|pick| Step::TimeOut { pick }),
             1 => pick.clone().prop_map(|pick| Step::Land { pick }),
             24 => (pick, passage).prop_map(|(pick, passage)| Step::Pass { pick, passage }),
             3 => (host.clone(), peer.clone()).prop_map(|(host, peer)| Step::Fetch { host, peer }),
@@ -241,7 +241,7 @@
         Step::Submit { host, edit } => world.submit(host, |snapshot| make(edit, snapshot)),
         Step::Resend { host, pick } => world.resend(host, pick),
         Step::Proceed { pick, fate } => world.proceed_with(pick, fate),
-        Step::TimeOut { host } => world.time_out(host),
+        Step::TimeOut { pick } => world.time_out(pick),
         Step::Land { pick } => world.land(pick),
         Step::Pass { pick, passage } => world.pass(pick, passage),
         Step::Fetch { host, peer } => world.fetch(host, peer),
@@ -322,7 +322,7 @@
 }
 
 fn config() -> Config {
-    let cases = from_environment("AGATEDECK_PROPTEST_CASES", 256);
+    let cases = from_environment("AGATEDECK_PROPTEST_CASES", 512);
     Config {
         cases: u32::try_from(cases).unwrap(),
         rng_seed: RngSeed::Fixed(from_environment("AGATEDECK_PROPTEST_SEED", 0x00a9_a7ed)),
--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -820,17 +820,21 @@
         self.unsettled.insert(change.change_id);
     }
 
-    /// Carries out the next request to the store of one of the changes that are being accepted.
-    pub(crate) fn proceed_with(&mut self, pick: usize, fate: Fate) {
+    /// One of the hosts that are accepting a change.
+    fn accepting(&self, pick: usize) -> Option<usize> {
         let open = |host: &usize| {
             let process = self.hosts[*host].process.as_ref();
             process.is_some_and(|process| process.course.is_some())
         };
         let hosts: Vec<usize> = (0..HOSTS).filter(open).collect();
-        if hosts.is_empty() {
+        (!hosts.is_empty()).then(|| hosts[pick % hosts.len()])
+    }
+
+    /// Carries out the next request to the store of one of the changes that are being accepted.
+    pub(crate) fn proceed_with(&mut self, pick: usize, fate: Fate) {
+        let Some(host) = self.accepting(pick) else {
             return;
-        }
-        let host = hosts[pick % hosts.len()];
+        };
         self.proceed(host, fate);
         let course = self
             .process(host)
@@ -889,10 +893,10 @@
         }
     }
 
-    pub(crate) fn time_out(&mut self, host: usize) {
-        if !self.runs(host) {
+    pub(crate) fn time_out(&mut self, pick: usize) {
+        let Some(host) = self.accepting(pick).filter(|host| self.runs(*host)) else {
             return;
-        }
+        };
         if let Some(course) = self.process(host).unwrap().course.take() {
             self.go_on(host, course, AcceptEvent::Deadline);
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -261,7 +261,10 @@
     retire["writes"][0]["forms"] = json!([]);
     assert_eq!(fleet.post_change(0, &retire).await["version"], 3);
     let again = fleet.post_change(2, &create).await;
-    assert_eq!((&again["outcome"], &again["version"]), (&json!("accepted"), &json!(2)));
+    assert_eq!(
+        (&again["outcome"], &again["version"]),
+        (&json!("accepted"), &json!(2))
+    );
     let next = fleet.post_change(0, &edit("next", "standard", 7, 1)).await;
     assert_eq!(next["version"], 4, "{next}");
 }
