Run a node on two worker threads, and test SIGTERM with real processes

Cause: the daemon started one worker thread for each core of the host, while the host belongs to its target and all measurements used two. The setting node.workers changes it. Ruled out for now: one thread.

The new test sends SIGTERM to a node with a call in flight.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,6 +7,7 @@
 use agatedeck_findings::{FindingList, TableReader, TomlDocument};
 
 const MILLISECONDS: RangeInclusive<u64> = 1..=600_000;
+const WORKERS: RangeInclusive<u64> = 1..=64;
 const MICROSECONDS: RangeInclusive<u64> = 0..=1_000_000;
 const KEPT_BYTES: RangeInclusive<u64> = 0..=16 * 1024 * 1024;
 const CONNECTIONS: RangeInclusive<u64> = 4..=10_000;
@@ -30,6 +31,8 @@
     pub calls: CallSettings,
     /// Control addresses of other nodes to join by while the store is away.
     pub seeds: Vec<SocketAddr>,
+    /// Threads that run the tasks of the daemon; 2 if not stated.
+    pub workers: Option<usize>,
     /// How versions spread.
     pub spread: SpreadChoice,
     /// Where metrics are sent, as `StatsD` over UDP; `None` for nowhere.
@@ -230,6 +233,8 @@
         self.name = required("name");
         self.region = required("region");
         self.domain = required("domain");
+        let workers = table.integer("workers", WORKERS);
+        self.workers = workers.and_then(|workers| usize::try_from(workers).ok());
         for seed in table.texts("seeds") {
             match seed.parse() {
                 Ok(seed) => self.seeds.push(seed),
--- a/src/bin/agatedeck-node.rs
+++ b/src/bin/agatedeck-node.rs
@@ -7,6 +7,7 @@
 use lexopt::prelude::*;
 use log::LevelFilter;
 use miette::{IntoDiagnostic, Result, WrapErr};
+use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
@@ -28,6 +29,9 @@
 
 const BAD_INPUT: u8 = 2;
 
+/// Worker threads of a node. The host belongs to its target; measurements use the same number.
+const DEFAULT_WORKERS: usize = 2;
+
 struct Arguments {
     config: PathBuf,
     check: bool,
@@ -96,8 +100,16 @@
     NodeSettings::parse(&file, &text).map_err(|findings| findings.to_string())
 }
 
-#[tokio::main]
-async fn run(settings: NodeSettings) -> Result<()> {
+fn run(settings: NodeSettings) -> Result<()> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.workers.unwrap_or(DEFAULT_WORKERS))
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<()> {
     let level = settings.log_level.unwrap_or(LevelFilter::Info);
     start_logging(&settings.name, level).into_diagnostic()?;
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use agatedeck_standin::PlatformFaults;
+use agatedeck_standin::{PlatformFaults, TargetBehaviour};
 use serde_json::{Value, json};
 use support::{Fleet, FleetSettings, eventually};
 
@@ -318,3 +318,40 @@
         all_hold(&fleet, version).await;
     }
 }
+
+/// Guards against a shutdown that cuts off a call in flight (I8), and against new work at a node
+/// that drains (I7).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_node_finishes_its_calls_and_takes_no_new_ones() {
+    let mut fleet = fleet_with_records(FleetSettings {
+        nodes: vec![
+            ("kolkata", "kolkata-a", "slotfinder"),
+            ("kolkata", "kolkata-a", "depositdesk"),
+        ],
+        ..Default::default()
+    })
+    .await;
+    let patient = "[[policy]]\nname = \"standard\"\n[[policy.form]]\nschema = 1\n\
+                   timeout_ms = 6000\n";
+    let accepted = fleet.post_change(0, &change("patient", patient, 1)).await;
+    assert_eq!(accepted["version"], 2, "{accepted}");
+    all_hold(&fleet, 2).await;
+    // Longer than listeners are given to close, so that only waiting for the call saves it.
+    let slow = TargetBehaviour {
+        work_ms: 2_500,
+        ..Default::default()
+    };
+    fleet.targets[0].set_behaviour(slow).await;
+    let (in_flight, late) = tokio::join!(fleet.call(1, "/slots/today", "in-flight"), async {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        fleet.signal(0, "TERM");
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        fleet.call(1, "/slots/today", "late").await
+    });
+    assert_eq!(in_flight.outcome, "answered", "{in_flight:?}");
+    assert_eq!(in_flight.body["request"], "in-flight");
+    assert_eq!(late.outcome, "not-run", "{late:?}");
+    assert_eq!(fleet.targets[0].counters().await.runs.get("late"), None);
+    let exit = fleet.nodes[0].child.wait().expect("the node ends");
+    assert_eq!(exit.code(), Some(0));
+}
