--- a/crates/bench/src/calls/mesh.rs
+++ b/crates/bench/src/calls/mesh.rs
@@ -182,8 +182,8 @@
                 return Ok(());
             }
             if Instant::now() >= deadline {
-                let told = answer.text().await.unwrap_or_default();
-                return Err(miette!("calls are not answered through the nodes: {told}"));
+                let body = answer.text().await.unwrap_or_default();
+                return Err(miette!("calls are not answered through the nodes: {body}"));
             }
             sleep(Duration::from_millis(50)).await;
         }
--- a/crates/bench/src/fleet/member.rs
+++ b/crates/bench/src/fleet/member.rs
@@ -102,7 +102,7 @@
     while let Ok(Some(line)) = lines.next_line().await {
         let line: Value = serde_json::from_str(&line).unwrap_or_default();
         let message = line["message"].as_str().unwrap_or_default();
-        let told = if let Some(addresses) = read_addresses(message) {
+        let update = if let Some(addresses) = read_addresses(message) {
             Some(NodeNews::Listening {
                 node,
                 process,
@@ -119,9 +119,9 @@
                     at_us,
                 })
         };
-        if let Some(told) = told {
+        if let Some(update) = update {
             // The receiver is gone once the fleet was dropped.
-            let _ = news.send(told);
+            let _ = news.send(update);
         }
     }
 }
--- a/crates/control/tests/distribution_machine.rs
+++ b/crates/control/tests/distribution_machine.rs
@@ -7,7 +7,7 @@
 
 use agatedeck_records::{ConfigSnapshot, RecordKey};
 use agatedeck_wire::RecordKind;
-use model::course::Fate;
+use model::acceptance::Fate;
 use model::records::{policy, retire, service};
 use model::world::{HOSTS, Passage, World};
 use proptest::prelude::*;
--- a/crates/control/tests/model/course.rs
+++ b/crates/control/tests/model/acceptance.rs
@@ -1,4 +1,4 @@
-//! The course of one change at the node that accepts it, as `agatedeck-node` carries it out.
+//! A change that is being accepted at one node, as `agatedeck-node` carries it out.
 
 use agatedeck_control::{
     AcceptAction, AcceptEvent, AcceptOutcome, AcceptProcess, unreadable_nodes,
@@ -24,7 +24,7 @@
 }
 
 #[derive(Debug)]
-pub(crate) struct Course {
+pub(crate) struct PendingChange {
     pub(crate) change: Change,
     pub(crate) process: AcceptProcess,
     pub(crate) next: AcceptAction,
@@ -33,7 +33,7 @@
     written: Option<PlannedChange>,
 }
 
-impl Course {
+impl PendingChange {
     pub(crate) fn new(change: &Change) -> Self {
         Self {
             change: change.clone(),
--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::course::{Course, Fate};
+use super::acceptance::{Fate, PendingChange};
 use super::store::{Store, Transaction};
 
 /// Region and failure domain of each host. Four hosts share a domain, so that a host has peers
@@ -88,7 +88,7 @@
     orders: BTreeSet<SpreadOrder>,
     /// What this process was asked to remember, by the model's own count.
     recorded: BTreeMap<usize, u64>,
-    course: Option<Course>,
+    pending: Option<PendingChange>,
     /// Whether the floor came from peers while none of them remembered what the host served: the
     /// gap that section 3 of the design page states.
     gap: bool,
@@ -233,7 +233,7 @@
             asked: BTreeMap::new(),
             orders: BTreeSet::new(),
             recorded: BTreeMap::new(),
-            course: None,
+            pending: None,
             gap: false,
             own,
         });
@@ -242,9 +242,9 @@
 
     pub(crate) fn crash(&mut self, host: usize) {
         if let Some(process) = self.hosts[host].process.take()
-            && let Some(course) = process.course
+            && let Some(pending) = process.pending
         {
-            self.unsettled.insert(course.change.change_id);
+            self.unsettled.insert(pending.change.change_id);
         }
         self.hosts[host].frozen = false;
         // What a process that is gone has yet to send of its own version is gone with it.
@@ -786,7 +786,7 @@
         let change_id = format!("c{}", self.submitted.len());
         let Some(process) = self
             .process(host)
-            .filter(|process| process.course.is_none())
+            .filter(|process| process.pending.is_none())
         else {
             return;
         };
@@ -796,7 +796,7 @@
             writes,
             ..Change::default()
         };
-        process.course = Some(Course::new(&change));
+        process.pending = Some(PendingChange::new(&change));
         self.submitted.push(change);
     }
 
@@ -805,16 +805,16 @@
         if self.submitted.is_empty() {
             return;
         }
-        // The last few are the ones whose course may still be open.
+        // The last few are the ones whose pending may still be open.
         let back = pick % self.submitted.len().min(3);
         let change = self.submitted[self.submitted.len() - 1 - back].clone();
         let Some(process) = self
             .process(host)
-            .filter(|process| process.course.is_none())
+            .filter(|process| process.pending.is_none())
         else {
             return;
         };
-        process.course = Some(Course::new(&change));
+        process.pending = Some(PendingChange::new(&change));
         self.told_absent.remove(&change.change_id);
         // What one node then says of its own attempt does not speak for the other attempts.
         self.unsettled.insert(change.change_id);
@@ -824,7 +824,7 @@
     fn accepting(&self, pick: usize) -> Option<usize> {
         let open = |host: &usize| {
             let process = self.hosts[*host].process.as_ref();
-            process.is_some_and(|process| process.course.is_some())
+            process.is_some_and(|process| process.pending.is_some())
         };
         let hosts: Vec<usize> = (0..HOSTS).filter(open).collect();
         (!hosts.is_empty()).then(|| hosts[pick % hosts.len()])
@@ -836,10 +836,10 @@
             return;
         };
         self.proceed(host, fate);
-        let course = self
+        let pending = self
             .process(host)
-            .and_then(|process| process.course.as_ref());
-        if course.is_some_and(|course| course.next == AcceptAction::MakePlan) {
+            .and_then(|process| process.pending.as_ref());
+        if pending.is_some_and(|pending| pending.next == AcceptAction::MakePlan) {
             self.proceed(host, fate);
         }
     }
@@ -849,17 +849,17 @@
         if !self.runs(host) {
             return;
         }
-        let Some(mut course) = self.process(host).unwrap().course.take() else {
+        let Some(mut pending) = self.process(host).unwrap().pending.take() else {
             return;
         };
         let reached = self.store_answers(host);
         let fate = if reached { fate } else { Fate::Away };
-        let event = match course.next {
+        let event = match pending.next {
             AcceptAction::ReadHead | AcceptAction::RetryRead => {
                 if matches!(fate, Fate::Answered) {
                     let head = self.store.head();
                     self.catch_up(host);
-                    course.head = Some(head);
+                    pending.head = Some(head);
                     AcceptEvent::HeadRead
                 } else {
                     AcceptEvent::Unreachable
@@ -876,14 +876,14 @@
                         ..Member::default()
                     });
                 }
-                course.make_plan(&tip, &live)
+                pending.make_plan(&tip, &live)
             }
-            AcceptAction::Write => course.write(&mut self.store, &mut self.late, fate),
+            AcceptAction::Write => pending.write(&mut self.store, &mut self.late, fate),
             AcceptAction::LookUp | AcceptAction::RetryLookUp | AcceptAction::Answer => {
-                course.look_up(&self.store, fate)
+                pending.look_up(&self.store, fate)
             }
         };
-        self.go_on(host, course, event);
+        self.go_on(host, pending, event);
     }
 
     /// Takes the change that `host` accepts to its end, without a fault.
@@ -897,24 +897,24 @@
         let Some(host) = self.accepting(pick).filter(|host| self.runs(*host)) else {
             return;
         };
-        if let Some(course) = self.process(host).unwrap().course.take() {
-            self.go_on(host, course, AcceptEvent::Deadline);
+        if let Some(pending) = self.process(host).unwrap().pending.take() {
+            self.go_on(host, pending, AcceptEvent::Deadline);
         }
     }
 
-    fn go_on(&mut self, host: usize, mut course: Course, event: AcceptEvent) {
-        let Some(outcome) = course.advance(event) else {
-            self.process(host).unwrap().course = Some(course);
+    fn go_on(&mut self, host: usize, mut pending: PendingChange, event: AcceptEvent) {
+        let Some(outcome) = pending.advance(event) else {
+            self.process(host).unwrap().pending = Some(pending);
             return;
         };
-        let id = course.change.change_id.clone();
+        let id = pending.change.change_id.clone();
         let processes = self.hosts.iter().filter_map(|host| host.process.as_ref());
-        let mut courses = processes.filter_map(|process| process.course.as_ref());
-        let elsewhere = courses.any(|course| course.change.change_id == id);
+        let mut changes = processes.filter_map(|process| process.pending.as_ref());
+        let elsewhere = changes.any(|pending| pending.change.change_id == id);
         match &outcome {
             AcceptOutcome::Accepted(version) => {
                 assert_eq!(self.store.oracle.version_of(&id), Some(*version));
-                if let Some(plan) = course.own_plan(*version) {
+                if let Some(plan) = pending.own_plan(*version) {
                     let delta = compress(&plan.delta);
                     let reach = SpreadReach::Everywhere;
                     let salt = *version;
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -151,8 +151,8 @@
                             response
                         }
                         _ => {
-                            let told = refusal(outcome, self.reason);
-                            after_request(told, request.body.unread().await).await
+                            let response = refusal(outcome, self.reason);
+                            after_request(response, request.body.unread().await).await
                         }
                     };
                 }
@@ -199,20 +199,20 @@
                 self.claim = Some(lease);
                 (CallEvent::ClaimGranted, StopReason::Cancelled)
             }
-            ClaimReply::Told(ClaimVerdict::Stored(stored)) => match stored_answer(stored) {
+            ClaimReply::Decided(ClaimVerdict::Stored(stored)) => match stored_answer(stored) {
                 Some(response) => {
                     *answer = Some(ReadyAnswer::Whole(response));
                     (CallEvent::ClaimReplayed, StopReason::Cancelled)
                 }
                 None => (CallEvent::ClaimUnknown, StopReason::AnswerNotKept),
             },
-            ClaimReply::Told(ClaimVerdict::InProgress) => {
+            ClaimReply::Decided(ClaimVerdict::InProgress) => {
                 (CallEvent::ClaimUnknown, StopReason::InProgress)
             }
-            ClaimReply::Told(ClaimVerdict::Refused(refusal)) => {
+            ClaimReply::Decided(ClaimVerdict::Refused(refusal)) => {
                 (CallEvent::ClaimRefused, refusal.into())
             }
-            ClaimReply::Told(ClaimVerdict::Unknown | ClaimVerdict::Granted) => {
+            ClaimReply::Decided(ClaimVerdict::Unknown | ClaimVerdict::Granted) => {
                 (CallEvent::ClaimUnknown, StopReason::UnknownEarlier)
             }
         };
--- a/crates/node/src/calls/claim_keeper.rs
+++ b/crates/node/src/calls/claim_keeper.rs
@@ -88,7 +88,7 @@
                 started: false,
                 ended: false,
             }),
-            verdict => ClaimReply::Told(verdict),
+            verdict => ClaimReply::Decided(verdict),
         });
     }
 
@@ -199,7 +199,7 @@
 pub(super) enum ClaimReply {
     Granted(ClaimLease),
     /// Any verdict but [`ClaimVerdict::Granted`].
-    Told(ClaimVerdict),
+    Decided(ClaimVerdict),
 }
 
 /// Claims a call. The answer comes over `reply`.
@@ -232,7 +232,7 @@
                 let count = CountEvent::Claim(verdict_name(&verdict));
                 let _ = self.latency.tell(count).try_send();
                 // A caller that has gone needs no answer.
-                let _ = begin.reply.send(ClaimReply::Told(verdict));
+                let _ = begin.reply.send(ClaimReply::Decided(verdict));
             }
         }
     }
@@ -409,7 +409,7 @@
         deadline,
         reply,
     };
-    let away = || ClaimReply::Told(ClaimVerdict::Refused(ClaimRefusal::StoreAway));
+    let away = || ClaimReply::Decided(ClaimVerdict::Refused(ClaimRefusal::StoreAway));
     if keeper.tell(begin).try_send().is_err() {
         return away();
     }
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -50,14 +50,14 @@
     let (parts, body) = request.into_parts();
     let draining = *shared.draining.borrow();
     if draining {
-        let told = refuse(&shared, None, StopReason::Draining);
-        return after_request(told, Some(body)).await;
+        let response = refuse(&shared, None, StopReason::Draining);
+        return after_request(response, Some(body)).await;
     }
     let plan = match CallPlan::of(&shared.context, &parts) {
         Ok(plan) => plan,
         Err(reason) => {
-            let told = refuse(&shared, None, reason);
-            return after_request(told, Some(body)).await;
+            let response = refuse(&shared, None, reason);
+            return after_request(response, Some(body)).await;
         }
     };
     let settings = &shared.context.settings.calls;
@@ -71,8 +71,8 @@
     let body = tokio::time::timeout_at(deadline, RequestBody::read(body, limit)).await;
     let body = match body {
         Ok(Ok(body)) if claimed && !body.is_kept() => {
-            let told = refuse(&shared, Some(plan), StopReason::BodyTooLarge);
-            return after_request(told, body.unread().await).await;
+            let response = refuse(&shared, Some(plan), StopReason::BodyTooLarge);
+            return after_request(response, body.unread().await).await;
         }
         Ok(Ok(body)) => body,
         Ok(Err(_)) => return refuse(&shared, Some(plan), StopReason::BodyIncomplete),
@@ -83,8 +83,8 @@
     let now = shared.context.clock.now();
     let refused = shared.crashes.borrow().refuses(fingerprint, now);
     if refused {
-        let told = refuse(&shared, Some(plan), StopReason::CrashedTargets);
-        return after_request(told, body.unread().await).await;
+        let response = refuse(&shared, Some(plan), StopReason::CrashedTargets);
+        return after_request(response, body.unread().await).await;
     }
     let request = CallRequest {
         parts,
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -66,8 +66,8 @@
             run(request, watch, admitted.deadline).await
         }
         Err(reason) => {
-            let told = refuse(&shared, reason);
-            after_request(told, Some(request.into_body())).await
+            let response = refuse(&shared, reason);
+            after_request(response, Some(request.into_body())).await
         }
     }
 }
@@ -112,12 +112,12 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) if error.is_connect() => {
             watch.end(RunEnd::NotSent);
-            let told = refuse(&shared, StopReason::Unreachable);
+            let response = refuse(&shared, StopReason::Unreachable);
             let rest = match back {
                 Some(back) => back.rest().await,
                 None => None,
             };
-            return after_request(told, rest).await;
+            return after_request(response, rest).await;
         }
         Ok(Err(error)) => {
             watch.end(if connection_held(&error) {
--- a/crates/node/src/member/keeper.rs
+++ b/crates/node/src/member/keeper.rs
@@ -219,7 +219,7 @@
 }
 
 /// Control addresses that the store names. The failure detector compares tables with those of which
-/// it knows no live node, so that nodes that know only each other meet the rest.
+/// it knows no live node, so that a part of the mesh that formed apart is joined to the rest.
 pub(super) struct SetContacts(pub(super) Vec<String>);
 
 impl Message<SetContacts> for MemberKeeper {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -8,28 +8,7 @@
 
 use agatedeck_standin::{PlatformFaults, TargetBehaviour};
 use serde_json::{Value, json};
-use support::{Fleet, FleetSettings, eventually};
-
-const RECORDS: &str = r#"
-[[policy]]
-name = "standard"
-[[policy.form]]
-schema = 1
-
-[[service]]
-name = "slotfinder"
-[[service.form]]
-schema = 1
-policy = "standard"
-health_path = "/health"
-
-[[route]]
-name = "slots"
-[[route.form]]
-schema = 1
-prefix = "/slots"
-service = "slotfinder"
-"#;
+use support::{Fleet, FleetSettings, SERVICE_RECORDS, eventually};
 
 const CONVERGENCE: Duration = Duration::from_secs(15);
 
@@ -49,7 +28,9 @@
 /// Starts a fleet and has version 1 in force on all its nodes.
 async fn fleet_with_records(settings: FleetSettings) -> Fleet {
     let fleet = Fleet::start(settings).await;
-    let accepted = fleet.post_change(0, &change("first", RECORDS, 0)).await;
+    let accepted = fleet
+        .post_change(0, &change("first", SERVICE_RECORDS, 0))
+        .await;
     assert_eq!(accepted["version"], 1, "{accepted}");
     all_hold(&fleet, 1).await;
     fleet
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,6 +17,28 @@
 /// Time allowed for a node to open its listeners.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The service `slotfinder` with a policy and a route.
+pub(crate) const SERVICE_RECORDS: &str = r#"
+[[policy]]
+name = "standard"
+[[policy.form]]
+schema = 1
+
+[[service]]
+name = "slotfinder"
+[[service.form]]
+schema = 1
+policy = "standard"
+health_path = "/health"
+
+[[route]]
+name = "slots"
+[[route.form]]
+schema = 1
+prefix = "/slots"
+service = "slotfinder"
+"#;
+
 /// Places and services of the fleet that a test starts.
 pub(crate) struct FleetSettings {
     /// Region, failure domain and service of each node.
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -6,33 +6,13 @@
 use std::time::Duration;
 
 use serde_json::json;
-use support::{Fleet, FleetSettings, eventually};
-
-const RECORDS: &str = r#"
-[[policy]]
-name = "standard"
-[[policy.form]]
-schema = 1
-
-[[service]]
-name = "slotfinder"
-[[service.form]]
-schema = 1
-policy = "standard"
-health_path = "/health"
-
-[[route]]
-name = "slots"
-[[route.form]]
-schema = 1
-prefix = "/slots"
-service = "slotfinder"
-"#;
+use support::{Fleet, FleetSettings, SERVICE_RECORDS, eventually};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_reaches_every_node_and_calls_are_answered() {
     let fleet = Fleet::start(FleetSettings::default()).await;
-    let records = agatedeck::read_record_file("records.toml", RECORDS).expect("records are valid");
+    let records =
+        agatedeck::read_record_file("records.toml", SERVICE_RECORDS).expect("records are valid");
     let writes: Vec<_> = records.iter().map(|record| record.to_write(0)).collect();
     let change = json!({
         "change_id": "first", "operator": "test", "writes": writes, "insist": false,
