Count an answer with a server error as a failure of its target

Cause: an answer of 500 was passed on, as it must be, and settled on the board as an answer.

Ruled out: a retry on 500, since the target ran the call.

--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use agatedeck_calls::{
-    AttemptEvent, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms, ClaimAnswer,
-    ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
+    AttemptEvent, AttemptResult, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms,
+    ClaimAnswer, ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
 };
 use agatedeck_clock::Instant;
 use axum::body::Body;
@@ -71,6 +71,10 @@
     answer: Option<AnswerRecord>,
     /// Load that the target reported with its answer.
     load: Option<f64>,
+    /// Whether the target answered with a status of 500 or above. The caller receives the answer,
+    /// but on the board it counts as a failure: a target that fails at once looks fast and idle and
+    /// would draw calls away from healthy ones.
+    server_error: bool,
     /// Why the last attempt has no answer.
     reason: StopReason,
     started_at: Instant,
@@ -104,6 +108,7 @@
             claim: None,
             answer: None,
             load: None,
+            server_error: false,
             reason: StopReason::Cancelled,
             recorded: false,
             _open: open,
@@ -169,6 +174,12 @@
             match *effect {
                 CallEffect::Finish { result, .. } => {
                     if let Some(target) = self.target.take() {
+                        let failed = self.server_error && result == AttemptResult::Answered;
+                        let result = if failed {
+                            AttemptResult::Failed
+                        } else {
+                            result
+                        };
                         target.settle(result, self.load.take());
                     }
                 }
@@ -331,6 +342,7 @@
     fn note_answer(&mut self, parts: &Parts, body: Option<&Bytes>) {
         let load = number(&parts.headers, &LOAD).and_then(|load| u32::try_from(load).ok());
         self.load = load.map(|load| f64::from(load) / 1000.0);
+        self.server_error = parts.status.is_server_error();
         if self.claim.is_some() {
             let content_type = super::headers::text(&parts.headers, &header::CONTENT_TYPE);
             self.answer = Some(AnswerRecord {
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -143,6 +143,34 @@
     assert_told(&answer, 503, "not-run", "unreachable");
 }
 
+/// Guards against a target that answers with errors at once, looks fast and idle for it, and draws
+/// calls away from the healthy ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_that_answers_with_errors_is_ejected() {
+    let mesh = Mesh::start(&["slotfinder", "slotfinder", "slotfinder"]).await;
+    let failing = TargetBehaviour {
+        failing: true,
+        ..Default::default()
+    };
+    mesh.behave(0, failing).await;
+    let slow = TargetBehaviour {
+        work_ms: 5,
+        ..Default::default()
+    };
+    mesh.behave(1, slow.clone()).await;
+    mesh.behave(2, slow).await;
+    let mut errors = 0;
+    for _ in 0..120 {
+        let answer = told(mesh.get(0, "/slots")).await;
+        errors += u32::from(answer.status == 500);
+    }
+    // A third is its share under round robin; ejection must leave it less than half of that.
+    assert!(
+        errors < 20,
+        "{errors} of 120 calls went to the failing target"
+    );
+}
+
 /// Guards against requests in flight that a graceful shutdown cuts off (I8), and against calls that
 /// are not answered because one of two targets leaves.
 #[tokio::test(flavor = "multi_thread")]
