Wait for the membership in the quickstart, and print why a call has no answer

In one of five runs on a busy machine one call of 5642 was told not-run with 503, so the quickstart failed. The reason was not printed; the likely cause is a node that did not know a target yet, as calls began once all nodes served, not once they knew each other. The quickstart now waits for that and prints the reason.

--- a/examples/quickstart/load.rs
+++ b/examples/quickstart/load.rs
@@ -153,6 +153,9 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or("none")
         .to_owned();
+    let reason = answer.headers().get("agatedeck-reason");
+    let reason = reason.and_then(|value| value.to_str().ok());
+    let outcome = reason.map_or(outcome.clone(), |reason| format!("{outcome}, {reason}"));
     let Ok(body) = answer.bytes().await else {
         return lost("broken off", start);
     };
--- a/examples/quickstart/mesh.rs
+++ b/examples/quickstart/mesh.rs
@@ -1,6 +1,7 @@
 //! The mesh of the quickstart: stand-ins and nodes.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use agatedeck::{ListenSettings, Node, NodeSettings, StoreSettings, TargetSettings};
 use agatedeck_standin::{PlatformServer, TargetServer, TargetSettings as StandinSettings};
@@ -11,6 +12,9 @@
 
 const REGIONS: [&str; 3] = ["kolkata", "mumbai", "chennai"];
 
+/// Time in which all nodes must know each other after the start.
+const MEMBERSHIP_LIMIT: Duration = Duration::from_secs(30);
+
 const SERVICES: [&str; 8] = [
     "slotfinder",
     "depositdesk",
@@ -32,6 +36,23 @@
     }
 }
 
+/// Waits until a node knows all others as alive.
+async fn wait_for_members(client: &Client, node: &Node, count: usize) -> Result<()> {
+    let url = format!("http://{}/v1/node", node.addresses().admin);
+    let deadline = Instant::now() + MEMBERSHIP_LIMIT;
+    while Instant::now() < deadline {
+        let answer = client.get(&url).send().await.into_diagnostic()?;
+        let state: Value = answer.json().await.into_diagnostic()?;
+        if state["members"]["MEMBER_STATUS_ALIVE"] == count {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Err(miette!(
+        "a node does not know the others after {MEMBERSHIP_LIMIT:?}"
+    ))
+}
+
 /// A running mesh.
 pub(crate) struct Mesh {
     pub(crate) nodes: Vec<Node>,
@@ -85,6 +106,10 @@
         }
         // Every node has read its floor once it serves the empty version 0.
         futures::future::join_all(nodes.iter().map(|node| node.in_force(0))).await;
+        // A node that does not know a target yet answers calls to its service with `not-run`.
+        for node in &nodes {
+            wait_for_members(&client, node, nodes.len()).await?;
+        }
         Ok(Self {
             nodes,
             client,
