--- a/crates/records/src/change.rs
+++ b/crates/records/src/change.rs
@@ -6,7 +6,7 @@
 use agatedeck_wire::{Change, Delta, Record, RecordName, RecordWrite};
 use derive_more::{Display, Error};
 
-use crate::check::{RecordFault, record_faults, references};
+use crate::check::{RecordFault, record_faults};
 use crate::key::RecordKey;
 use crate::snapshot::ConfigSnapshot;
 
@@ -157,13 +157,3 @@
         Err(ChangeRefusal::Faulty(faults))
     }
 }
-
-/// Keys of the records in `snapshot` that refer to `key`.
-pub fn referrers(snapshot: &ConfigSnapshot, key: &RecordKey) -> Vec<RecordKey> {
-    let refers = |record: &&Record| references(record).any(|target| target == *key);
-    snapshot
-        .records()
-        .filter(refers)
-        .map(RecordKey::of)
-        .collect()
-}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -11,7 +11,7 @@
 mod snapshot;
 mod view;
 
-pub use change::{ChangeRefusal, PlannedChange, RecordConflict, plan_change, referrers};
+pub use change::{ChangeRefusal, PlannedChange, RecordConflict, plan_change};
 pub use check::{RecordFault, record_faults};
 pub use file::{FileRecord, read_record_file};
 pub use key::{RecordKey, kind_from_name, kind_name};
