--- a/crates/bench/src/slopes/call_decisions.rs
+++ b/crates/bench/src/slopes/call_decisions.rs
@@ -169,6 +169,7 @@
             &CallTicket {
                 call,
                 tenant,
+                priority: 0,
                 deadline,
             },
             now,
--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -69,6 +69,7 @@
         peer_address: format!("{host}:7401"),
         reads_schema: 2,
         version: 1,
+        ..Member::default()
     }
 }
 
--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -1,6 +1,6 @@
 //! The slots and the queue of one target.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
@@ -48,6 +48,9 @@
     pub call: CallId,
     /// Tenant that the call is counted for.
     pub tenant: &'a str,
+    /// Rank of the call; 0 is the most urgent. More urgent calls run first, and tenants share the
+    /// slots among the calls of one rank.
+    pub priority: u32,
     /// Deadline of the call.
     pub deadline: Instant,
 }
@@ -95,6 +98,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct CallEntry {
+    priority: u32,
     tenant: TenantKey,
     deadline: Instant,
     /// When the call was sent to the target; `None` while it is queued.
@@ -110,7 +114,9 @@
 pub struct AdmissionQueue {
     settings: AdmissionSettings,
     calls: HashMap<CallId, CallEntry>,
-    ring: TenantRing,
+    /// Tenants with calls here, by the rank of the calls.
+    rings: BTreeMap<u32, TenantRing>,
+    weights: HashMap<String, u32>,
     /// Queued calls by deadline.
     deadlines: BTreeSet<(Instant, CallId)>,
     running: u32,
@@ -118,6 +124,8 @@
     warm_at: Instant,
     draining: bool,
     told_drained: bool,
+    /// Whether the target takes no calls at present.
+    closed: bool,
 }
 
 impl AdmissionQueue {
@@ -127,18 +135,23 @@
             warm_at: now.after(Duration::from_millis(settings.warm_up_ms.into())),
             settings,
             calls: HashMap::new(),
-            ring: TenantRing::default(),
+            rings: BTreeMap::new(),
+            weights: HashMap::new(),
             deadlines: BTreeSet::new(),
             running: 0,
             service_time: ServiceTime::default(),
             draining: false,
             told_drained: false,
+            closed: false,
         }
     }
 
     /// Sets the weight of a tenant in the turn; 1 if never set.
     pub fn set_weight(&mut self, tenant: &str, weight: u32) {
-        self.ring.set_weight(tenant, weight);
+        for ring in self.rings.values_mut() {
+            ring.set_weight(tenant, weight);
+        }
+        self.weights.insert(tenant.to_owned(), weight);
     }
 
     /// Puts changed settings of the endpoint policy in force. Calls that run or wait stay.
@@ -158,22 +171,24 @@
             effects.push(AdmissionEffect::Refuse(ticket.call, reason));
             return effects;
         }
-        let tenant = self.ring.enter(ticket.tenant);
+        let priority = ticket.priority;
+        let tenant = self.enter(priority, ticket.tenant);
         if self.running >= self.open_slots(now) {
-            let reason = self.make_room(tenant, &mut effects);
+            let reason = self.make_room(priority, tenant, &mut effects);
             if let Some(reason) = reason {
-                self.ring.leave_if_idle(tenant);
+                self.leave_if_idle(priority, tenant);
                 effects.push(AdmissionEffect::Refuse(ticket.call, reason));
                 return effects;
             }
         }
         let entry = CallEntry {
+            priority,
             tenant,
             deadline: ticket.deadline,
             started_at: None,
         };
         self.calls.insert(ticket.call, entry);
-        self.ring.push(tenant, ticket.call);
+        self.ring_mut(priority).push(tenant, ticket.call);
         self.deadlines.insert((ticket.deadline, ticket.call));
         self.fill_slots(now, &mut effects);
         effects
@@ -215,6 +230,35 @@
         self.tick(now)
     }
 
+    /// Takes no calls until [`Self::reopen`], and refuses those that wait. Running calls go on.
+    pub fn close(&mut self, now: Instant) -> Vec<AdmissionEffect> {
+        self.closed = true;
+        let waiting: Vec<CallId> = self.deadlines.iter().map(|&(_, call)| call).collect();
+        let mut effects = Vec::new();
+        for call in waiting {
+            self.unqueue(call);
+            effects.push(AdmissionEffect::Refuse(call, RefusalReason::Draining));
+        }
+        effects.extend(self.tick(now));
+        effects
+    }
+
+    /// Takes calls again after [`Self::close`].
+    pub fn reopen(&mut self) {
+        self.closed = false;
+    }
+
+    /// Expected time until a call of this rank that arrives now would get a slot.
+    pub fn expected_start(&self, priority: u32, now: Instant) -> Duration {
+        let slots = self.open_slots(now).max(1);
+        if self.running < slots {
+            return Duration::ZERO;
+        }
+        let ahead = self.queued_up_to(priority) + 1;
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.service_time.mean().saturating_mul(ahead) / slots
+    }
+
     /// Warms the target up again after it has restarted.
     pub fn restart_warm_up(&mut self, now: Instant) {
         self.warm_at = now.after(Duration::from_millis(self.settings.warm_up_ms.into()));
@@ -258,10 +302,10 @@
         self.deadlines.len()
     }
 
-    /// Load to be reported to callers' nodes: calls here over slots, at most 1.
+    /// Load to be reported to callers' nodes: calls here over slots; above 1 while calls wait.
     pub fn load(&self) -> f64 {
         let slots = f64::from(self.settings.slots.max(1));
-        (f64::from(u32::try_from(self.calls.len()).unwrap_or(u32::MAX)) / slots).min(1.0)
+        f64::from(u32::try_from(self.calls.len()).unwrap_or(u32::MAX)) / slots
     }
 
     /// Slots open now; fewer than all while the target warms up.
@@ -279,17 +323,17 @@
     }
 
     fn refusal(&self, ticket: &CallTicket<'_>, now: Instant) -> Option<RefusalReason> {
-        if self.draining {
+        if self.draining || self.closed {
             return Some(RefusalReason::Draining);
         }
-        let done_at = now.after(self.expected_wait(ticket.tenant, now));
+        let done_at = now.after(self.expected_wait(ticket, now));
         let misses = ticket.deadline.is_past(now) || ticket.deadline < done_at;
         misses.then_some(RefusalReason::Deadline)
     }
 
-    /// Time that a call of `tenant` that arrives now needs at least, or is expected to need if it
-    /// has to wait for a slot.
-    fn expected_wait(&self, tenant: &str, now: Instant) -> Duration {
+    /// Time that a call that arrives now needs at least, or is expected to need if it has to wait
+    /// for a slot.
+    fn expected_wait(&self, ticket: &CallTicket<'_>, now: Instant) -> Duration {
         let slots = self.open_slots(now);
         // With a slot open, only a call shorter than any is refused, since an unused slot is worth
         // nothing. With half of them open it is let through to measure the service time anew;
@@ -302,31 +346,67 @@
         }
         // Each call of the tenant before it waits for one turn of the ring, but never for more
         // calls than are queued.
-        let own = self.ring.queued_of(tenant) + 1;
-        let waiting = self.ring.waiting() + usize::from(own == 1);
-        let ahead = (own * waiting).min(self.queued() + 1);
+        let ring = self.rings.get(&ticket.priority);
+        let own = ring.map_or(0, |ring| ring.queued_of(ticket.tenant)) + 1;
+        let waiting = ring.map_or(0, TenantRing::waiting) + usize::from(own == 1);
+        let peers = ring.map_or(0, TenantRing::queued) + 1;
+        let urgent = self.queued_up_to(ticket.priority) + 1 - peers;
+        let ahead = (own * waiting).min(peers) + urgent;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let wait = self.service_time.mean().saturating_mul(ahead) / slots;
         wait.saturating_add(self.service_time.cautious())
     }
 
+    /// Calls in the queue that run before a call of this rank that arrives now.
+    fn queued_up_to(&self, priority: u32) -> usize {
+        let rings = self.rings.range(..=priority);
+        rings.map(|(_, ring)| ring.queued()).sum()
+    }
+
+    fn ring_mut(&mut self, priority: u32) -> &mut TenantRing {
+        self.rings.entry(priority).or_default()
+    }
+
+    fn enter(&mut self, priority: u32, tenant: &str) -> TenantKey {
+        let weight = self.weights.get(tenant).copied();
+        let ring = self.rings.entry(priority).or_default();
+        if let Some(weight) = weight {
+            ring.set_weight(tenant, weight);
+        }
+        ring.enter(tenant)
+    }
+
+    fn leave_if_idle(&mut self, priority: u32, tenant: TenantKey) {
+        self.ring_mut(priority).leave_if_idle(tenant);
+    }
+
     /// Makes room in the queue for a call of `tenant`, or says why there is none.
     fn make_room(
         &mut self,
+        priority: u32,
         tenant: TenantKey,
         effects: &mut Vec<AdmissionEffect>,
     ) -> Option<RefusalReason> {
         let queue = usize::try_from(self.settings.queue).unwrap_or(usize::MAX);
         let share = self.share_of(queue);
-        let held = self.ring.get(tenant).queued.len();
-        if held >= share && self.ring.others_wait(tenant) {
+        let ring = self.rings.entry(priority).or_default();
+        let held = ring.get(tenant).queued.len();
+        if held >= share && ring.others_wait(tenant) {
             return Some(RefusalReason::TenantShare);
         }
         if self.queued() < queue {
             return None;
         }
+        // A less urgent call gives way, the newest of the least urgent ones first.
+        let mut less_urgent = self.rings.range(priority + 1..).rev();
+        if let Some(newest) = less_urgent.find_map(|(_, ring)| ring.newest_over(0)) {
+            self.unqueue(newest);
+            effects.push(AdmissionEffect::Refuse(newest, RefusalReason::QueueFull));
+            return None;
+        }
         // A tenant that filled the queue while it was alone gives way to one below its share.
-        let newest = (held < share).then(|| self.ring.newest_over(share));
+        let ring = self.ring_mut(priority);
+        let newest = (held < share).then(|| ring.newest_over(share));
         let Some(newest) = newest.flatten() else {
             return Some(RefusalReason::QueueFull);
         };
@@ -348,24 +428,24 @@
         let slots = self.open_slots(now);
         let cap = u32::try_from(self.share_of(slots as usize)).unwrap_or(slots);
         while self.running < slots
-            && let Some(call) = self.ring.pop(cap)
+            && let Some(call) = self.rings.values_mut().find_map(|ring| ring.pop(cap))
         {
             let Some(entry) = self.calls.get_mut(&call) else {
                 continue;
             };
-            let (tenant, deadline) = (entry.tenant, entry.deadline);
+            let (priority, tenant, deadline) = (entry.priority, entry.tenant, entry.deadline);
             self.deadlines.remove(&(deadline, call));
             // While other calls wait, a slot is not spent on a call that will miss its deadline.
-            let late =
-                self.ring.waiting() > 0 && deadline < now.after(self.service_time.cautious());
+            let others_wait = !self.deadlines.is_empty();
+            let late = others_wait && deadline < now.after(self.service_time.cautious());
             if late || deadline.is_past(now) {
                 self.calls.remove(&call);
-                self.ring.leave_if_idle(tenant);
+                self.leave_if_idle(priority, tenant);
                 effects.push(AdmissionEffect::Refuse(call, RefusalReason::Deadline));
                 continue;
             }
             entry.started_at = Some(now);
-            self.ring.get_mut(tenant).running += 1;
+            self.ring_mut(priority).get_mut(tenant).running += 1;
             self.running += 1;
             effects.push(AdmissionEffect::Run(call));
         }
@@ -382,9 +462,10 @@
             return;
         };
         self.running = self.running.saturating_sub(1);
-        let tenant = self.ring.get_mut(entry.tenant);
+        let ring = self.ring_mut(entry.priority);
+        let tenant = ring.get_mut(entry.tenant);
         tenant.running = tenant.running.saturating_sub(1);
-        self.ring.leave_if_idle(entry.tenant);
+        ring.leave_if_idle(entry.tenant);
     }
 
     fn unqueue(&mut self, call: CallId) {
@@ -393,8 +474,9 @@
         }
         if let Some(entry) = self.calls.remove(&call) {
             self.deadlines.remove(&(entry.deadline, call));
-            self.ring.remove(entry.tenant, call);
-            self.ring.leave_if_idle(entry.tenant);
+            let ring = self.ring_mut(entry.priority);
+            ring.remove(entry.tenant, call);
+            ring.leave_if_idle(entry.tenant);
         }
     }
 }
--- a/crates/calls/src/admission/tenant.rs
+++ b/crates/calls/src/admission/tenant.rs
@@ -80,6 +80,12 @@
         key.map_or(0, |&key| self.tenants[key].queued.len())
     }
 
+    /// Queued calls of all tenants.
+    pub(crate) fn queued(&self) -> usize {
+        let entries = self.turns.iter().map(|&key| &self.tenants[key]);
+        entries.map(|entry| entry.queued.len()).sum()
+    }
+
     /// Tenants with queued calls.
     pub(crate) fn waiting(&self) -> usize {
         self.turns.len()
--- /dev/null
+++ b/crates/calls/src/announce/chart.rs
@@ -0,0 +1,48 @@
+//! States, events and actions of `charts/announcement.toml`.
+
+use std::sync::LazyLock;
+
+use agatedeck_chart::ChartTable;
+use derive_more::{Display, FromStr};
+
+/// What a target has announced of itself.
+#[derive(Clone, Copy, Debug, Display, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+pub enum AnnouncedState {
+    /// Nothing is known, or announcements have stopped.
+    Absent,
+    /// It takes calls.
+    Ready,
+    /// It takes no new calls and finishes those that it has.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, Ord, PartialEq, PartialOrd)]
+#[from_str(rename_all = "kebab-case")]
+pub(super) enum AnnounceEvent {
+    Ready,
+    Draining,
+    Withdrawn,
+    Lapsed,
+    Unreachable,
+    RestartedReady,
+    RestartedDraining,
+}
+
+#[derive(Clone, Copy, Debug, Eq, FromStr, PartialEq)]
+#[from_str(rename_all = "kebab-case")]
+pub(super) enum AnnounceAction {
+    Open,
+    Close,
+    Publish,
+}
+
+pub(super) static ANNOUNCE_CHART: LazyLock<
+    ChartTable<AnnouncedState, AnnounceEvent, AnnounceAction>,
+> = LazyLock::new(|| {
+    ChartTable::parse(include_str!("../../charts/announcement.toml"))
+        .expect("the embedded chart is sound")
+});
--- a/crates/calls/src/call/life.rs
+++ b/crates/calls/src/call/life.rs
@@ -64,6 +64,8 @@
     /// The target's node answered `not-run` because the target has no room; see
     /// [`RefusalReason::is_full`](crate::RefusalReason::is_full).
     TargetFull,
+    /// The target itself saw the call and says that it did not run it.
+    Declined,
     /// The connection was lost before the answer, or the target's node answered `unknown`.
     ConnectionLost,
     /// The head of the answer has arrived.
@@ -81,6 +83,7 @@
             Self::RequestSent => ChartEvent::RequestSent,
             Self::Refused => ChartEvent::Refused,
             Self::TargetFull => ChartEvent::TargetFull,
+            Self::Declined => ChartEvent::Declined,
             Self::ConnectionLost => ChartEvent::ConnectionLost,
             Self::AnswerStarted => ChartEvent::AnswerStarted,
             Self::AnswerTruncated => ChartEvent::AnswerTruncated,
@@ -135,6 +138,8 @@
     terms: CallTerms,
     state: CallState,
     attempts: u32,
+    /// Attempts that a target saw.
+    arrivals: u32,
     /// Outcome of the last attempt.
     last: CallOutcome,
     /// Whether any attempt can have reached a target.
@@ -153,6 +158,7 @@
             terms,
             state: CALL_CHART.initial(),
             attempts: 0,
+            arrivals: 0,
             last: CallOutcome::NotRun,
             may_have_run: false,
             answered: false,
@@ -259,6 +265,7 @@
             ChartAction::CutAnswer => effects.push(CallEffect::CutAnswer),
             ChartAction::NoteAnswered => self.answered = true,
             ChartAction::NoteNotRun => self.last = CallOutcome::NotRun,
+            ChartAction::NoteArrival => self.arrivals += 1,
             ChartAction::NoteUnknown => {
                 self.last = CallOutcome::Unknown;
                 self.may_have_run = true;
@@ -296,6 +303,7 @@
         RetryQuestion {
             outcome: self.last,
             attempts: self.attempts,
+            arrivals: self.arrivals,
             idempotent: self.terms.idempotent,
             replayable: self.terms.replayable,
             owns_retries: owns_retries(self.terms.depth),
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -5,6 +5,7 @@
 //! that any front end can use these decisions.
 
 mod admission;
+mod announce;
 mod call;
 mod claim;
 mod crash;
@@ -15,6 +16,10 @@
 pub use admission::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
 };
+pub use announce::{
+    AnnouncedState, NoticeError, NoticeState, RegisterEffect, RegisterSettings, TargetNotice,
+    TargetRegister,
+};
 pub use call::{AttemptEvent, CallEffect, CallEvent, CallLife, CallState, CallTerms};
 pub use claim::{
     AnswerView, BatchId, BatchOutcome, BatchReport, BatchSettings, CallEnd, ClaimAnswer,
@@ -29,7 +34,7 @@
 pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use retry::{
     CallOutcome, OutcomeError, RetryBudget, RetryDecision, RetryQuestion, RetryRefusal,
-    RetrySettings, decide_retry, owns_retries,
+    RetrySettings, ReturnQuestion, ReturnSettings, decide_retry, owns_retries, return_after,
 };
 pub use routing::{
     AttemptResult, BalancePolicy, BoardSettings, Candidate, NodePlace, PickError, PickRequest,
--- /dev/null
+++ b/crates/calls/src/retry/comeback.rs
@@ -0,0 +1,53 @@
+//! When a caller whose call was not run should come back.
+
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+
+/// Settings of [`return_after`].
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnSettings {
+    /// Shortest time stated, in milliseconds. A target frees a slot in a few times this.
+    pub least_ms: u64,
+    /// Longest time stated, in milliseconds.
+    pub most_ms: u64,
+    /// Time added for each rank below the most urgent, in milliseconds, so that urgent calls return
+    /// first.
+    pub rank_step_ms: u64,
+}
+
+impl Default for ReturnSettings {
+    fn default() -> Self {
+        Self {
+            least_ms: 100,
+            most_ms: 2_000,
+            rank_step_ms: 80,
+        }
+    }
+}
+
+/// What is known of a call that is refused.
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnQuestion {
+    /// Rank of the call; 0 is the most urgent.
+    pub priority: u32,
+    /// When a target expects to have room, if one said so.
+    pub room_after: Option<Duration>,
+}
+
+/// Time after which the caller may come back.
+///
+/// Drawn from a range as long as the wait itself: callers that are refused together would otherwise
+/// return together.
+pub fn return_after(
+    question: &ReturnQuestion,
+    settings: &ReturnSettings,
+    rng: &mut dyn RngCore,
+) -> Duration {
+    let least = Duration::from_millis(settings.least_ms);
+    let rank = Duration::from_millis(settings.rank_step_ms).saturating_mul(question.priority);
+    let earliest = question.room_after.unwrap_or_default().max(least) + rank;
+    let latest = earliest * 2;
+    let drawn = rng.random_range(earliest..=latest);
+    drawn.min(Duration::from_millis(settings.most_ms))
+}
--- a/crates/calls/src/retry/decide.rs
+++ b/crates/calls/src/retry/decide.rs
@@ -11,8 +11,11 @@
 /// Settings of retries.
 #[derive(Clone, Copy, Debug)]
 pub struct RetrySettings {
-    /// Attempts for one call, the first included.
+    /// Targets that one call may be sent to, the first included.
     pub max_attempts: u32,
+    /// Attempts that a call may make beyond that because nodes refused it before its target saw
+    /// it.
+    pub refused_attempts: u32,
     /// Upper end of the first backoff, in milliseconds; each further one doubles it.
     pub backoff_base_ms: u64,
     /// Upper end of any backoff, in milliseconds.
@@ -28,6 +31,7 @@
     fn default() -> Self {
         Self {
             max_attempts: 3,
+            refused_attempts: 0,
             backoff_base_ms: 5,
             backoff_cap_ms: 250,
             budget_percent: 10,
@@ -43,6 +47,8 @@
     pub outcome: CallOutcome,
     /// Attempts made so far.
     pub attempts: u32,
+    /// Attempts that a target saw, whether or not it ran them.
+    pub arrivals: u32,
     /// Whether the policy says that the call may run more than once.
     pub idempotent: bool,
     /// Whether the whole request can be sent again.
@@ -100,7 +106,10 @@
         CallOutcome::Unknown if !question.idempotent => Some(RetryRefusal::NotIdempotent),
         _ if !question.replayable => Some(RetryRefusal::NotReplayable),
         _ if !question.owns_retries => Some(RetryRefusal::NotOwner),
-        _ if question.attempts >= settings.max_attempts => Some(RetryRefusal::Attempts),
+        _ if question.arrivals >= settings.max_attempts => Some(RetryRefusal::Attempts),
+        _ if question.attempts >= settings.max_attempts + settings.refused_attempts => {
+            Some(RetryRefusal::Attempts)
+        }
         _ => None,
     };
     if let Some(refusal) = refusal {
@@ -110,8 +119,9 @@
     if question.deadline.is_past(at) {
         return RetryDecision::Stop(RetryRefusal::Deadline);
     }
-    // Last, so that a call that is not tried again for another reason takes no token.
-    if !budget.try_take() {
+    // Last, so that a call that is not tried again for another reason takes no token. A call that no
+    // target has seen costs no target anything yet.
+    if question.arrivals > 0 && !budget.try_take() {
         return RetryDecision::Stop(RetryRefusal::Budget);
     }
     RetryDecision::RetryAt(at)
--- a/crates/calls/src/retry/mod.rs
+++ b/crates/calls/src/retry/mod.rs
@@ -1,10 +1,12 @@
 //! Whether a call is tried again.
 
 mod budget;
+mod comeback;
 mod decide;
 mod outcome;
 
 pub use budget::RetryBudget;
+pub use comeback::{ReturnQuestion, ReturnSettings, return_after};
 pub use decide::{
     RetryDecision, RetryQuestion, RetryRefusal, RetrySettings, decide_retry, owns_retries,
 };
--- a/crates/calls/src/routing/board.rs
+++ b/crates/calls/src/routing/board.rs
@@ -14,7 +14,7 @@
 use slotmap::SlotMap;
 
 use super::life::{TARGET_CHART, TargetAction, TargetEvent, TargetState};
-use super::policy::{BalancePolicy, Candidate, REPORT_WEIGHT};
+use super::policy::{BalancePolicy, Candidate};
 use super::subset::{SubsetSettings, choose_subset};
 use super::target::{LocalityTier, NodePlace, TargetKey, TargetStatus, TargetView};
 
@@ -28,6 +28,9 @@
 /// was slow once would never be drawn, and so never be measured again.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Largest load taken from a report: all slots in use and a queue of three times as many calls.
+const MAX_REPORTED_LOAD: f64 = 4.0;
+
 /// Steps in which a warming target gets its slots.
 const WARM_UP_STEPS: u64 = 8;
 
@@ -56,6 +59,12 @@
     pub trial_wait_ms: u64,
     /// Time for which a target that refused a call as full is avoided, in milliseconds.
     pub busy_ms: u64,
+    /// Weight of the load that a target's node reports against the calls in flight from here: 1
+    /// where the node counts all calls of its target, less where a report alone must not draw calls
+    /// away.
+    pub report_weight: f64,
+    /// Time in which a reported load loses half its weight, in milliseconds.
+    pub report_half_life_ms: u64,
 }
 
 impl Default for BoardSettings {
@@ -73,6 +82,8 @@
             trials_to_pass: 3,
             trial_wait_ms: 5_000,
             busy_ms: 20,
+            report_weight: 0.25,
+            report_half_life_ms: 1_000,
         }
     }
 }
@@ -162,6 +173,9 @@
     latency_us: f64,
     failure_rate: f64,
     reported_load: f64,
+    reported_at: Instant,
+    /// Calls sent to the target since it reported its load.
+    unreported: u32,
     /// When the averages last changed.
     sampled_at: Instant,
     failures_in_row: u32,
@@ -325,13 +339,15 @@
     /// Notes the load that a target reports with an answer, as a share of its slots.
     ///
     /// A target that has left the board since is passed over.
-    pub fn note_load(&mut self, key: TargetKey, load: f64) {
+    pub fn note_load(&mut self, key: TargetKey, load: f64, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
             target.reported_load = if load.is_nan() {
                 0.0
             } else {
-                load.clamp(0.0, 1.0)
+                load.clamp(0.0, MAX_REPORTED_LOAD)
             };
+            target.reported_at = now;
+            target.unreported = 0;
         }
     }
 
@@ -360,7 +376,8 @@
                 self.candidates.clear();
             }
             if best == Some(class) {
-                self.candidates.push(target.candidate(key, now));
+                self.candidates
+                    .push(target.candidate(key, &self.settings, now));
             }
         }
         if self.candidates.is_empty() {
@@ -371,6 +388,7 @@
         let key = self.candidates[index.min(self.candidates.len() - 1)].key;
         let target = &mut self.targets[key];
         target.in_flight += 1;
+        target.unreported += 1;
         let peer = target.peer;
         Ok(PickedTarget { key, peer })
     }
@@ -406,6 +424,11 @@
             }
             AttemptResult::Refused | AttemptResult::Cancelled => {}
         }
+        if result != AttemptResult::Answered
+            && let Some(target) = self.targets.get_mut(key)
+        {
+            target.unreported = target.unreported.saturating_sub(1);
+        }
     }
 
     fn note_failure(&mut self, key: TargetKey, now: Instant) {
@@ -484,6 +507,8 @@
             latency_us: 0.0,
             failure_rate: 0.0,
             reported_load: 0.0,
+            reported_at: Instant::default(),
+            unreported: 0,
             sampled_at: Instant::default(),
             failures_in_row: 0,
             ejections: 0,
@@ -611,27 +636,39 @@
             PickClass::Full
         } else if self.status == TargetStatus::Suspect {
             PickClass::Suspect
-        } else if self.load(slots) * 100.0 < f64::from(settings.spill_percent) {
+        } else if self.load(slots, settings, now) * 100.0 < f64::from(settings.spill_percent) {
             PickClass::Room(self.tier)
         } else {
             PickClass::Tight(self.tier)
         })
     }
 
-    /// Share of the open slots in use. The reported load counts with a small weight only.
-    fn load(&self, slots: u32) -> f64 {
-        f64::from(self.in_flight) / f64::from(slots) + REPORT_WEIGHT * self.reported_load
+    /// Share of the open slots in use: by the calls in flight from here and, as far as reports
+    /// count, by what else the target runs.
+    fn load(&self, slots: u32, settings: &BoardSettings, now: Instant) -> f64 {
+        let slots = f64::from(slots);
+        let own = f64::from(self.in_flight) / slots;
+        let half_life = Duration::from_millis(settings.report_half_life_ms.max(1));
+        let age = now.since(self.reported_at).as_secs_f64();
+        let kept = (-age / half_life.as_secs_f64()).exp2();
+        let reported = self.reported_load * kept + f64::from(self.unreported) / slots;
+        let others = if settings.report_weight < 1.0 {
+            self.reported_load.min(1.0)
+        } else {
+            (reported - own).max(0.0)
+        };
+        own + settings.report_weight * others
     }
 
-    fn candidate(&self, key: TargetKey, now: Instant) -> Candidate {
+    fn candidate(&self, key: TargetKey, settings: &BoardSettings, now: Instant) -> Candidate {
         let kept = self.kept_share(now);
+        let slots = self.open_slots(now);
         Candidate {
             key,
-            in_flight: self.in_flight,
-            slots: self.open_slots(now),
+            slots,
+            load: self.load(slots, settings, now),
             latency_us: self.latency_us * kept,
             failure_rate: self.failure_rate * kept,
-            reported_load: self.reported_load,
         }
     }
 }
--- a/crates/calls/src/routing/policy.rs
+++ b/crates/calls/src/routing/policy.rs
@@ -6,10 +6,6 @@
 
 use super::target::TargetKey;
 
-/// Weight of the load that a target reports against the load measured here. Reports lag and can be
-/// wrong, so a report alone counts for at most a quarter of the slots.
-pub(crate) const REPORT_WEIGHT: f64 = 0.25;
-
 /// Weight of the share of failed attempts. At 8, a target that fails every eighth attempt costs as
 /// much as one with twice the latency.
 const FAILURE_WEIGHT: f64 = 8.0;
@@ -19,23 +15,20 @@
 pub struct Candidate {
     /// Key on the board.
     pub key: TargetKey,
-    /// Calls of this node that the target has not finished.
-    pub in_flight: u32,
+    /// Share of the open slots in use; see [`BoardSettings::report_weight`](super::BoardSettings).
+    pub load: f64,
     /// Slots open to this node now; at least 1.
     pub slots: u32,
     /// Moving average of the latency measured here, in microseconds.
     pub latency_us: f64,
     /// Moving average of the share of failed attempts, 0 to 1.
     pub failure_rate: f64,
-    /// Load that the target reports, 0 to 1.
-    pub reported_load: f64,
 }
 
 impl Candidate {
     /// Expected cost of one more call; lower is better.
     pub fn cost(&self) -> f64 {
-        let own = f64::from(self.in_flight + 1) / f64::from(self.slots.max(1));
-        let load = own + REPORT_WEIGHT * self.reported_load;
+        let load = self.load + 1.0 / f64::from(self.slots.max(1));
         self.latency_us.max(1.0) * load * (1.0 + FAILURE_WEIGHT * self.failure_rate)
     }
 }
--- a/crates/calls/tests/admission.rs
+++ b/crates/calls/tests/admission.rs
@@ -27,6 +27,7 @@
     CallTicket {
         call: call.into(),
         tenant,
+        priority: 0,
         deadline: Instant::from_millis(1_000),
     }
 }
--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -401,6 +401,7 @@
                 let ticket = CallTicket {
                     call: self.next_id.into(),
                     tenant: TENANTS[call.tenant],
+                    priority: 0,
                     deadline: call.deadline,
                 };
                 let target = &mut self.targets[tried.target];
--- a/crates/calls/tests/retry.rs
+++ b/crates/calls/tests/retry.rs
@@ -13,6 +13,7 @@
     RetryQuestion {
         outcome,
         attempts: 1,
+        arrivals: 1,
         idempotent: true,
         replayable: true,
         owns_retries: true,
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -147,7 +147,7 @@
         (target.key, load)
     });
     for (key, load) in loads.collect::<Vec<_>>() {
-        bench.board.note_load(key, load);
+        bench.board.note_load(key, load, Instant::default());
     }
     for _ in 0..5 {
         let picked = bench.pick();
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -507,6 +507,30 @@
         self.change_own(MemberStatus::Left, now)
     }
 
+    /// Announces which service the target beside this node takes calls for, the calls that it runs at
+    /// the same time, and whether it is still slow after its start. An empty service says that it
+    /// takes none.
+    pub fn set_target(
+        &mut self,
+        service: &str,
+        slots: u32,
+        warming: bool,
+        now: Instant,
+    ) -> Vec<MemberEffect> {
+        let mut effects = Vec::new();
+        if self.own.service == service && self.own.slots == slots && self.own.warming == warming {
+            return effects;
+        }
+        service.clone_into(&mut self.own.service);
+        self.own.slots = slots;
+        self.own.warming = warming;
+        // Entries of one incarnation differ only in their status.
+        self.own.incarnation = self.own.incarnation.saturating_add(1);
+        self.publish_own(now, &mut effects);
+        effects.push(MemberEffect::ViewChanged);
+        effects
+    }
+
     fn change_own(&mut self, status: MemberStatus, now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
         if self.own.status < i32::from(status) {
--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -7,7 +7,7 @@
 
 use agatedeck_chart::ChartError;
 use agatedeck_clock::Instant;
-use agatedeck_records::{ConfigSnapshot, SnapshotView, decompress};
+use agatedeck_records::{ConfigSnapshot, SnapshotView, compress, decompress, delta_base};
 use agatedeck_wire::Delta;
 
 use super::stage::{self, StageAction, StageEvent, StageState, StageTable};
@@ -82,6 +82,14 @@
     deadline: Instant,
 }
 
+/// A compressed delta that nodes that are behind may ask for.
+#[derive(Debug)]
+struct KeptDelta {
+    base: u64,
+    version: u64,
+    bytes: Vec<u8>,
+}
+
 /// The version in force and the versions on their way to it.
 ///
 /// Invariants: the version in force never decreases; `candidates` ascend and each is newer than the
@@ -95,8 +103,9 @@
     compressed: OnceCell<Vec<u8>>,
     floor: Option<u64>,
     candidates: VecDeque<CandidateVersion>,
-    ahead: BTreeMap<u64, Vec<u8>>,
-    deltas: VecDeque<(u64, Vec<u8>)>,
+    /// Deltas that arrived before the version they start from, by the version they lead to.
+    ahead: BTreeMap<u64, Delta>,
+    deltas: VecDeque<KeptDelta>,
     refusal: Option<(u64, String)>,
 }
 
@@ -166,37 +175,41 @@
         if version <= tip {
             return (OfferVerdict::Stale, Vec::new());
         }
-        if version > tip + 1 {
-            self.keep_ahead(version, delta);
+        let decoded = match decompress::<Delta>(delta) {
+            Ok(decoded) => decoded,
+            Err(error) => return (self.refused(version, error.to_string()), Vec::new()),
+        };
+        if delta_base(&decoded) != tip {
+            self.keep_ahead(decoded);
             return (OfferVerdict::Behind, vec![VersionEffect::PullFrom(tip)]);
         }
         let mut effects = Vec::new();
-        let verdict = self.take_next(version, delta, now, &mut effects);
+        let verdict = self.take_next(&decoded, now, &mut effects);
         if verdict == OfferVerdict::Held {
             self.take_ahead(now, &mut effects);
         }
         (verdict, effects)
     }
 
-    /// Takes in pulled deltas in ascending order, the last of which leads to version `newest`.
+    /// Takes in pulled deltas in ascending order.
     ///
     /// Versions that arrived by another way since the pull was sent are passed over.
-    pub fn offer_pulled(
-        &mut self,
-        newest: u64,
-        deltas: &[Vec<u8>],
-        now: Instant,
-    ) -> Vec<VersionEffect> {
-        let before_first = newest.saturating_sub(deltas.len() as u64);
+    pub fn offer_pulled(&mut self, deltas: &[Vec<u8>], now: Instant) -> Vec<VersionEffect> {
         let mut effects = Vec::new();
-        for (version, delta) in (before_first + 1..).zip(deltas) {
-            effects.extend(self.offer(version, delta, now).1);
+        for bytes in deltas {
+            match decompress::<Delta>(bytes) {
+                Ok(delta) => effects.extend(self.offer(delta.version, bytes, now).1),
+                Err(error) => {
+                    let version = self.tip().version() + 1;
+                    self.refuse(version, &error.to_string());
+                }
+            }
         }
         effects
     }
 
-    fn keep_ahead(&mut self, version: u64, delta: &[u8]) {
-        self.ahead.insert(version, delta.to_vec());
+    fn keep_ahead(&mut self, delta: Delta) {
+        self.ahead.insert(delta.version, delta);
         while self.ahead.len() > self.settings.kept_ahead {
             // The farthest version is the one most likely to be pulled again anyway.
             self.ahead.pop_last();
@@ -204,12 +217,18 @@
     }
 
     fn take_ahead(&mut self, now: Instant, effects: &mut Vec<VersionEffect>) {
-        let next = self.tip().version() + 1;
-        self.ahead = self.ahead.split_off(&next);
-        while let Some(delta) = self.ahead.remove(&(self.tip().version() + 1)) {
-            let version = self.tip().version() + 1;
-            if self.take_next(version, &delta, now, effects) != OfferVerdict::Held {
-                break;
+        loop {
+            let tip = self.tip().version();
+            self.ahead = self.ahead.split_off(&(tip + 1));
+            let next = self.ahead.values().find(|delta| delta_base(delta) == tip);
+            let Some(version) = next.map(|delta| delta.version) else {
+                return;
+            };
+            let Some(delta) = self.ahead.remove(&version) else {
+                return;
+            };
+            if self.take_next(&delta, now, effects) != OfferVerdict::Held {
+                return;
             }
         }
     }
@@ -217,27 +236,39 @@
     /// Checks the version that follows the tip.
     fn take_next(
         &mut self,
-        version: u64,
-        bytes: &[u8],
+        delta: &Delta,
         now: Instant,
         effects: &mut Vec<VersionEffect>,
     ) -> OfferVerdict {
-        let checked = decompress::<Delta>(bytes).and_then(|delta| self.tip().apply(&delta));
-        let checked = checked.map_err(|error| error.to_string());
+        let checked = self.tip().apply(delta).map_err(|error| error.to_string());
         let checked = checked.and_then(|snapshot| self.readable(snapshot));
         match checked {
             Ok(snapshot) => {
-                self.keep_delta(version, bytes);
+                self.keep_delta(delta);
                 self.stage(snapshot, now, effects);
                 OfferVerdict::Held
             }
-            Err(reason) => {
-                self.refuse(version, &reason);
-                OfferVerdict::Refused(reason)
-            }
+            Err(reason) => self.refused(delta.version, reason),
         }
     }
 
+    /// Takes in a whole version that was read from where versions come from. Returns the compressed
+    /// delta that leads to it, for the nodes that hold what this node held; `None` if it is not
+    /// newer.
+    pub fn offer_source(
+        &mut self,
+        snapshot: &ConfigSnapshot,
+        now: Instant,
+    ) -> (Option<Vec<u8>>, Vec<VersionEffect>) {
+        if snapshot.version() <= self.tip().version() {
+            return (None, Vec::new());
+        }
+        let bytes = compress(&self.tip().delta_to(snapshot));
+        let (verdict, effects) = self.offer(snapshot.version(), &bytes, now);
+        let delta = (verdict == OfferVerdict::Held).then_some(bytes);
+        (delta, effects)
+    }
+
     fn readable(&self, snapshot: ConfigSnapshot) -> Result<ConfigSnapshot, String> {
         let unreadable = SnapshotView::new(&snapshot, self.settings.reads_schema).unreadable();
         if unreadable.is_empty() {
@@ -251,6 +282,11 @@
         ))
     }
 
+    fn refused(&mut self, version: u64, reason: String) -> OfferVerdict {
+        self.refuse(version, &reason);
+        OfferVerdict::Refused(reason)
+    }
+
     fn refuse(&mut self, version: u64, reason: &str) {
         let mut state = self.chart.initial();
         let actions = self.chart.advance(&mut state, StageEvent::CheckFailed);
@@ -259,8 +295,12 @@
         }
     }
 
-    fn keep_delta(&mut self, version: u64, bytes: &[u8]) {
-        self.deltas.push_back((version, bytes.to_vec()));
+    fn keep_delta(&mut self, delta: &Delta) {
+        self.deltas.push_back(KeptDelta {
+            base: delta_base(delta),
+            version: delta.version,
+            bytes: compress(delta),
+        });
         while self.deltas.len() > self.settings.kept_deltas {
             self.deltas.pop_front();
         }
@@ -375,18 +415,26 @@
         if held >= current {
             return PullReply::Deltas(Vec::new());
         }
-        let wanted = self
-            .deltas
-            .iter()
-            .filter(|(version, _)| *version > held && *version <= current);
-        let wanted: Vec<Vec<u8>> = wanted.map(|(_, bytes)| bytes.clone()).collect();
-        let complete = wanted.len() as u64 == current - held;
-        let delta_bytes: usize = wanted.iter().map(Vec::len).sum();
+        let chain = self.chain(held, current);
         let snapshot = self.compressed.get_or_init(|| self.current.compressed());
-        if complete && delta_bytes <= snapshot.len() {
-            PullReply::Deltas(wanted)
-        } else {
-            PullReply::Snapshot(snapshot.clone())
+        match chain {
+            Some(deltas) if deltas.iter().map(Vec::len).sum::<usize>() <= snapshot.len() => {
+                PullReply::Deltas(deltas)
+            }
+            _ => PullReply::Snapshot(snapshot.clone()),
+        }
+    }
+
+    /// The kept deltas that lead from `held` to `current`, if there is one for each step.
+    fn chain(&self, held: u64, current: u64) -> Option<Vec<Vec<u8>>> {
+        let mut reached = held;
+        let mut chain = Vec::new();
+        for delta in &self.deltas {
+            if delta.base == reached && delta.version <= current {
+                reached = delta.version;
+                chain.push(delta.bytes.clone());
+            }
         }
+        (reached == current).then_some(chain)
     }
 }
--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -589,7 +589,7 @@
         if answer.snapshot.is_empty() {
             let now = self.now;
             let holder = &mut self.process(host).unwrap().holder;
-            let effects = holder.offer_pulled(answer.version, &answer.deltas, now);
+            let effects = holder.offer_pulled(&answer.deltas, now);
             self.carry_out(host, effects);
         } else {
             let now = self.now;
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -173,7 +173,7 @@
     assert_eq!(finished.status, ExitStatus::BadInput);
     let [good, bad, again, missing, empty] = files;
     for expected in [
-        format!("{bad}:4:10: `schema` must be a whole number from 1 to 2"),
+        format!("{bad}:4:10: `schema` must be a whole number from 1 to 3"),
         format!("{bad}:5:1: unknown key `slot`"),
         format!("{again}:2:8: policy `p` is stated before, at {good}:2:8"),
         format!("{missing}:1:1: the file cannot be read: "),
--- /dev/null
+++ b/crates/node/src/announcer.rs
@@ -0,0 +1,88 @@
+//! The way in for what the target beside the node announces of itself.
+
+use std::time::Duration;
+
+use agatedeck_calls::{NoticeError, NoticeState};
+use derive_more::{Display, Error};
+use kameo::actor::ActorRef;
+
+use crate::calls::{AnnounceTarget, SlotKeeper, WithdrawTarget};
+
+/// An announcement as it is handed in.
+#[derive(Clone, Debug)]
+pub struct Announcement {
+    /// Identity of the target; a request may state which one it expects.
+    pub id: String,
+    /// Service that the target answers for.
+    pub service: String,
+    /// Address at which it takes calls, as IP number and port.
+    pub address: String,
+    /// Unix time of its start in milliseconds, by its own clock.
+    pub born_unix_ms: u64,
+    /// Number of the announcement within one start.
+    pub sequence: u64,
+    /// Whether it takes calls.
+    pub state: NoticeState,
+    /// Calls that it runs at the same time.
+    pub slots: u32,
+    /// Time for which it is still slow after its start.
+    pub warm_up_left: Duration,
+}
+
+/// Why an announcement was not taken in.
+#[derive(Clone, Copy, Debug, Display, Error)]
+pub enum AnnounceError {
+    /// It changes nothing; the reason.
+    #[display("{_0}")]
+    Passed(NoticeError),
+    /// The node has no target that announces itself, or is stopping.
+    #[display("this node takes no announcements")]
+    Closed,
+}
+
+/// Takes in what the target beside the node announces.
+#[derive(Clone, Debug)]
+pub struct TargetAnnouncer {
+    slots: Option<ActorRef<SlotKeeper>>,
+}
+
+impl TargetAnnouncer {
+    pub(crate) fn new(slots: Option<ActorRef<SlotKeeper>>) -> Self {
+        Self { slots }
+    }
+
+    /// Takes in an announcement. Once this returns, calls are admitted by it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the announcement changes nothing, with the reason.
+    pub async fn announce(&self, announcement: Announcement) -> Result<(), AnnounceError> {
+        let slots = self.slots.as_ref().ok_or(AnnounceError::Closed)?;
+        let announced = AnnounceTarget {
+            id: announcement.id,
+            service: announcement.service,
+            address: announcement.address,
+            born_unix_ms: announcement.born_unix_ms,
+            sequence: announcement.sequence,
+            state: announcement.state,
+            slots: announcement.slots,
+            warm_up_left: announcement.warm_up_left,
+        };
+        match slots.ask(announced).await {
+            Ok(()) => Ok(()),
+            Err(kameo::error::SendError::HandlerError(error)) => Err(AnnounceError::Passed(error)),
+            Err(_) => Err(AnnounceError::Closed),
+        }
+    }
+
+    /// Takes in that the target `id` leaves. Once this returns, no call is sent to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node takes no announcements.
+    pub async fn withdraw(&self, id: &str) -> Result<(), AnnounceError> {
+        let slots = self.slots.as_ref().ok_or(AnnounceError::Closed)?;
+        let withdrawn = slots.ask(WithdrawTarget(id.to_owned())).await;
+        withdrawn.map_err(|_| AnnounceError::Closed)
+    }
+}
--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a call: from the caller's node to the node of a target.
 
+use std::time::Duration;
+
 use agatedeck_calls::CallOutcome;
 use axum::body::Body;
 use axum::http::Request;
@@ -10,7 +12,7 @@
 use hyper_util::client::legacy::connect::capture_connection;
 use tokio::time::{Instant, timeout_at};
 
-use super::headers::{OUTCOME, REASON, text};
+use super::headers::{OUTCOME, REASON, ROOM, number, text};
 use super::http_client::CallClient;
 use super::reason::StopReason;
 
@@ -19,8 +21,8 @@
 pub(super) enum AttemptEnd {
     /// No connection could be opened, so that no byte was sent.
     NotSent,
-    /// The target's node says that the call was not run.
-    Refused(StopReason),
+    /// The target's node says that the call was not run, and when it expects to have room.
+    Refused(StopReason, Option<Duration>),
     /// The call was sent and no answer came.
     Lost(StopReason),
     /// The answer broke off before anything of it was passed on.
@@ -63,7 +65,8 @@
     match outcome {
         Some(CallOutcome::Answered) => {}
         Some(CallOutcome::NotRun) => {
-            return AttemptEnd::Refused(reason.unwrap_or(StopReason::Unreachable));
+            let room = number(&parts.headers, &ROOM).map(Duration::from_millis);
+            return AttemptEnd::Refused(reason.unwrap_or(StopReason::Unreachable), room);
         }
         // Without the header, the answer is not from a node, and nothing is certain.
         Some(CallOutcome::Unknown) | None => {
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -7,6 +7,7 @@
 use agatedeck_calls::{
     AttemptEvent, AttemptResult, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms,
     ClaimAnswer, ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
+    ReturnQuestion, ReturnSettings, return_after,
 };
 use agatedeck_clock::Instant;
 use axum::body::Body;
@@ -26,14 +27,15 @@
 use super::drain_body::after_request;
 use super::gateway::GatewayContext;
 use super::headers::{
-    ATTEMPT, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, number,
-    outcome_value, refusal, strip_hop_headers,
+    ATTEMPT, CALLER, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, SERVICE,
+    TENANT, node_response, number, strip_hop_headers,
 };
 use super::latency_keeper::RecordCall;
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::request_body::RequestBody;
 use super::router::{DecideRetry, PickTarget, TargetLease};
+use crate::borders::{CallDialect, NodeAnswer};
 
 /// The request of a call, as it is sent with each attempt.
 #[derive(Debug)]
@@ -77,6 +79,10 @@
     server_error: bool,
     /// Why the last attempt has no answer.
     reason: StopReason,
+    /// Shortest time after which a target that refused the call expects to have room.
+    room_after: Option<Duration>,
+    /// Node of the last target that was tried.
+    last_target: String,
     started_at: Instant,
     recorded: bool,
     /// Counts the call as open until the task is dropped.
@@ -110,6 +116,8 @@
             load: None,
             server_error: false,
             reason: StopReason::Cancelled,
+            room_after: None,
+            last_target: String::new(),
             recorded: false,
             _open: open,
         }
@@ -156,7 +164,7 @@
                             response
                         }
                         _ => {
-                            let response = refusal(outcome, self.reason);
+                            let response = self.node_answer(outcome);
                             after_request(response, request.body.unread().await).await
                         }
                     };
@@ -165,7 +173,22 @@
             }
         }
         // The chart tells the caller in every case; this keeps an unsound one from hanging.
-        refusal(self.life.outcome(), self.reason)
+        self.node_answer(self.life.outcome())
+    }
+
+    /// The answer of this node to a call that no target answered.
+    fn node_answer(&self, outcome: CallOutcome) -> Response {
+        let question = ReturnQuestion {
+            priority: self.plan.priority,
+            room_after: self.room_after,
+        };
+        let settings = ReturnSettings::default();
+        let answer = NodeAnswer {
+            outcome,
+            reason: self.reason,
+            retry_after: Some(return_after(&question, &settings, &mut rand::rng())),
+        };
+        node_response(&*self.shared.context.dialect, &answer)
     }
 
     /// Carries out effects that do not wait.
@@ -210,13 +233,15 @@
                 self.claim = Some(lease);
                 (CallEvent::ClaimGranted, StopReason::Cancelled)
             }
-            ClaimReply::Decided(ClaimVerdict::Stored(stored)) => match stored_answer(stored) {
-                Some(response) => {
-                    *answer = Some(ReadyAnswer::Whole(response));
-                    (CallEvent::ClaimReplayed, StopReason::Cancelled)
+            ClaimReply::Decided(ClaimVerdict::Stored(stored)) => {
+                match stored_answer(&*self.shared.context.dialect, stored) {
+                    Some(response) => {
+                        *answer = Some(ReadyAnswer::Whole(response));
+                        (CallEvent::ClaimReplayed, StopReason::Cancelled)
+                    }
+                    None => (CallEvent::ClaimUnknown, StopReason::AnswerNotKept),
                 }
-                None => (CallEvent::ClaimUnknown, StopReason::AnswerNotKept),
-            },
+            }
             ClaimReply::Decided(ClaimVerdict::InProgress) => {
                 (CallEvent::ClaimUnknown, StopReason::InProgress)
             }
@@ -247,6 +272,7 @@
             return self.raise(CallEvent::NoTarget);
         };
         let target = lease.target;
+        self.last_target = lease.authority.to_string();
         self.target = Some(lease);
         self.raise(CallEvent::TargetPicked(target))
     }
@@ -278,9 +304,10 @@
                 self.raise_attempt(AttemptEvent::RequestSent);
                 return self.expire();
             }
-            AttemptEnd::Refused(reason) => {
+            AttemptEnd::Refused(reason, room) => {
                 self.reason = reason;
-                AttemptEvent::Refused
+                self.room_after = self.room_after.into_iter().chain(room).min();
+                reason.attempt_event()
             }
             AttemptEnd::Lost(reason) => {
                 self.reason = reason;
@@ -292,7 +319,12 @@
             }
             AttemptEnd::Whole(parts, body) => {
                 self.note_answer(&parts, Some(&body));
-                *answer = Some(ReadyAnswer::Whole(response(parts, Body::from(body))));
+                let dialect = &*self.shared.context.dialect;
+                *answer = Some(ReadyAnswer::Whole(response(
+                    dialect,
+                    parts,
+                    Body::from(body),
+                )));
                 let mut effects = self.raise_attempt(AttemptEvent::RequestSent);
                 effects.extend(self.raise_attempt(AttemptEvent::AnswerStarted));
                 effects.extend(self.raise_attempt(AttemptEvent::AnswerEnded));
@@ -328,6 +360,10 @@
         headers.insert(DEADLINE, millis_rounded_up(remaining).into());
         headers.insert(DEPTH, (self.plan.depth + 1).into());
         headers.insert(ATTEMPT, self.life.attempts().into());
+        headers.insert(PRIORITY, self.plan.priority.into());
+        headers.insert(SERVICE, HeaderValue::from_str(&self.plan.service).ok()?);
+        let caller = self.shared.context.settings.service_name();
+        headers.insert(CALLER, HeaderValue::from_str(caller).ok()?);
         headers.insert(TENANT, HeaderValue::from_str(&self.plan.tenant).ok()?);
         if let Ok(class) = HeaderValue::from_str(&self.plan.class) {
             headers.insert(CLASS, class);
@@ -356,6 +392,7 @@
     async fn ask_retry(&mut self, question: RetryQuestion) -> Vec<CallEffect> {
         let ask = DecideRetry {
             question,
+            service: self.plan.service.clone(),
             max_attempts: self.plan.max_attempts,
         };
         let decision = self.shared.router.ask(ask).await;
@@ -381,8 +418,9 @@
     /// Hands the call over to the body of its answer.
     fn pass_on(self, parts: Parts, head: Bytes, rest: Incoming) -> Response {
         let deadline = self.deadline();
+        let dialect = Arc::clone(&self.shared.context.dialect);
         let body = AnswerBody::new(head, rest, deadline, self);
-        response(parts, Body::new(body))
+        response(&*dialect, parts, Body::new(body))
     }
 
     fn settle_claim(&mut self, outcome: CallOutcome) {
@@ -413,6 +451,8 @@
         let record = RecordCall {
             tenant: std::mem::take(&mut self.plan.tenant),
             class: std::mem::take(&mut self.plan.class),
+            request_id: std::mem::take(&mut self.plan.request_id),
+            target: std::mem::take(&mut self.last_target),
             outcome,
             attempts: self.life.attempts(),
             reason: (!answered).then_some(self.reason),
@@ -464,19 +504,17 @@
 }
 
 /// An answer of a target as its caller receives it.
-fn response(mut parts: Parts, body: Body) -> Response {
+fn response(dialect: &dyn CallDialect, mut parts: Parts, body: Body) -> Response {
     strip_hop_headers(&mut parts.headers);
-    for name in [LOAD, REASON, FINGERPRINT] {
+    for name in [LOAD, REASON, FINGERPRINT, OUTCOME] {
         parts.headers.remove(name);
     }
-    parts
-        .headers
-        .insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    dialect.complete_answer(&mut parts.headers);
     Response::from_parts(parts, body)
 }
 
 /// The stored answer of an earlier call with the same key; `None` if its body was not kept.
-fn stored_answer(stored: ClaimAnswer) -> Option<Response> {
+fn stored_answer(dialect: &dyn CallDialect, stored: ClaimAnswer) -> Option<Response> {
     let mut response = Response::new(Body::from(stored.body?));
     *response.status_mut() = StatusCode::from_u16(stored.status).ok()?;
     let headers = response.headers_mut();
@@ -485,6 +523,6 @@
     {
         headers.insert(header::CONTENT_TYPE, content_type);
     }
-    headers.insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    dialect.complete_answer(headers);
     Some(response)
 }
--- a/crates/node/src/calls/claim_keeper.rs
+++ b/crates/node/src/calls/claim_keeper.rs
@@ -9,7 +9,7 @@
 };
 use agatedeck_chart::ChartError;
 use agatedeck_clock::Instant;
-use agatedeck_platform::{
+use agatedeck_store::{
     RowCondition, RowWrite, StoreError, StoreTransaction, StoredRow, TransactionOutcome,
 };
 use bytes::Bytes;
--- a/crates/node/src/calls/crash_keeper.rs
+++ b/crates/node/src/calls/crash_keeper.rs
@@ -104,7 +104,8 @@
         };
         let order = SpreadOrder {
             salt: rand::rng().random(),
-            reach: SpreadReach::Region,
+            // A caller may send the request again at any node.
+            reach: SpreadReach::Everywhere,
         };
         // The relay is gone only when the node is stopping.
         let _ = self.relay.tell(StartSpread { order, payload }).await;
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -2,9 +2,14 @@
 
 use std::sync::Arc;
 
-use agatedeck_calls::{CallOutcome, Fingerprint, RequestIdentity, RequestView};
+use agatedeck_calls::{
+    CallOutcome, Fingerprint, RequestIdentity, RequestView, ReturnQuestion, ReturnSettings,
+    return_after,
+};
 use axum::Router;
 use axum::extract::{Request, State};
+use axum::http::HeaderValue;
+use axum::http::header::CONNECTION;
 use axum::http::request::Parts;
 use axum::response::Response;
 use kameo::actor::ActorRef;
@@ -15,13 +20,14 @@
 use super::claim_keeper::ClaimKeeper;
 use super::crash_keeper::{CrashKeeper, CrashView};
 use super::drain_body::after_request;
-use super::headers::{IDEMPOTENCY_KEY, refusal, text};
+use super::headers::{IDEMPOTENCY_KEY, node_response, text};
 use super::http_client::CallClient;
 use super::latency_keeper::{LatencyKeeper, RecordCall};
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::request_body::RequestBody;
 use super::router::CallRouter;
+use crate::borders::NodeAnswer;
 use crate::context::NodeContext;
 
 /// What the tasks of calls work with.
@@ -50,7 +56,9 @@
     let (parts, body) = request.into_parts();
     let draining = *shared.draining.borrow();
     if draining {
-        let response = refuse(&shared, None, StopReason::Draining);
+        let mut response = refuse(&shared, None, StopReason::Draining);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
         return after_request(response, Some(body)).await;
     }
     let plan = match CallPlan::of(&shared.context, &parts) {
@@ -98,10 +106,27 @@
 
 /// Answers a call of which nothing was sent.
 fn refuse(shared: &GatewayContext, plan: Option<CallPlan>, reason: StopReason) -> Response {
-    let (tenant, class) = plan.map_or_else(Default::default, |plan| (plan.tenant, plan.class));
+    let question = ReturnQuestion {
+        priority: plan.as_ref().map_or(0, |plan| plan.priority),
+        room_after: None,
+    };
+    let answer = NodeAnswer {
+        outcome: CallOutcome::NotRun,
+        reason,
+        retry_after: Some(return_after(
+            &question,
+            &ReturnSettings::default(),
+            &mut rand::rng(),
+        )),
+    };
+    let (tenant, class, request_id) = plan.map_or_else(Default::default, |plan| {
+        (plan.tenant, plan.class, plan.request_id)
+    });
     let record = RecordCall {
         tenant,
         class,
+        request_id,
+        target: String::new(),
         outcome: CallOutcome::NotRun,
         attempts: 0,
         reason: Some(reason),
@@ -109,7 +134,7 @@
     };
     // The keeper is gone only when the node is stopping.
     let _ = shared.latency.tell(record).try_send();
-    refusal(CallOutcome::NotRun, reason)
+    node_response(&*shared.context.dialect, &answer)
 }
 
 /// Digest of what makes a request the same request: method, path, and the body as far as it is kept.
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -7,7 +7,9 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::response::Response;
 
+use super::own_dialect::OwnDialect;
 use super::reason::StopReason;
+use crate::borders::{CallDialect, NodeAnswer};
 
 /// What became of a call: `answered`, `not-run` or `unknown`.
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("agatedeck-outcome");
@@ -37,6 +39,20 @@
 /// Load of the target in thousandths of its slots. Sent between nodes only.
 pub(super) const LOAD: HeaderName = HeaderName::from_static("agatedeck-load");
 
+/// Service beside which the call began. Sent between nodes only.
+pub(super) const CALLER: HeaderName = HeaderName::from_static("agatedeck-caller");
+
+/// Rank of the call; 0 is the most urgent. Sent between nodes only.
+pub(super) const PRIORITY: HeaderName = HeaderName::from_static("agatedeck-priority");
+
+/// Service that the call is for. Addresses are used again, so the target's node compares it. Sent
+/// between nodes only.
+pub(super) const SERVICE: HeaderName = HeaderName::from_static("agatedeck-service");
+
+/// Milliseconds after which the target's node expects to have room again. Sent with refusals
+/// between nodes only.
+pub(super) const ROOM: HeaderName = HeaderName::from_static("agatedeck-room-ms");
+
 /// Key under which a call runs at most once.
 pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -82,18 +98,25 @@
     }
 }
 
-/// An answer that the node gives itself.
-pub(super) fn refusal(outcome: CallOutcome, reason: StopReason) -> Response {
-    let mut response = Response::new(Body::from(format!("{}\n", reason.text())));
-    *response.status_mut() = reason.status();
-    let headers = response.headers_mut();
-    headers.insert(OUTCOME, outcome_value(outcome));
-    if let Ok(reason) = HeaderValue::from_str(&reason.to_string()) {
-        headers.insert(REASON, reason);
-    }
+/// An answer that a node gives itself, as `dialect` states it.
+pub(super) fn node_response(dialect: &dyn CallDialect, answer: &NodeAnswer) -> Response {
+    let (status, headers) = dialect.node_answer(answer);
+    let mut response = Response::new(Body::from(format!("{}\n", answer.reason.text())));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
     response
 }
 
+/// An answer that a node gives to another node.
+pub(super) fn peer_refusal(outcome: CallOutcome, reason: StopReason) -> Response {
+    let answer = NodeAnswer {
+        outcome,
+        reason,
+        retry_after: None,
+    };
+    node_response(&OwnDialect, &answer)
+}
+
 /// Value of the header [`OUTCOME`].
 pub(super) fn outcome_value(outcome: CallOutcome) -> HeaderValue {
     HeaderValue::from_static(outcome.header_text())
--- a/crates/node/src/calls/http_client.rs
+++ b/crates/node/src/calls/http_client.rs
@@ -14,19 +14,30 @@
 /// Client for calls to nodes and to the local target.
 pub(super) type CallClient = Client<HttpConnector, Body>;
 
-/// Time for which an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Limits of a client for calls.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClientLimits {
+    /// Time allowed for opening a connection.
+    pub(super) connect_timeout: Duration,
+    /// Time without an acknowledgement after which a connection is given up.
+    pub(super) user_timeout: Duration,
+    /// Idle connections kept to each address.
+    pub(super) idle_connections: usize,
+    /// Time for which an idle connection is kept.
+    pub(super) idle_timeout: Duration,
+}
 
-/// A client that keeps up to `idle_connections` open for each address.
-pub(super) fn call_client(connect_timeout: Duration, idle_connections: usize) -> CallClient {
+/// A client within these limits.
+pub(super) fn call_client(limits: &ClientLimits) -> CallClient {
     let mut connector = HttpConnector::new();
     // Without it, the last packet of a small request waits for an acknowledgement of up to 40 ms.
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_connect_timeout(Some(limits.connect_timeout));
+    connector.set_tcp_user_timeout(Some(limits.user_timeout));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .pool_max_idle_per_host(idle_connections)
+        .pool_idle_timeout(limits.idle_timeout)
+        .pool_max_idle_per_host(limits.idle_connections)
         .build(connector)
 }
 
--- a/crates/node/src/calls/latency_keeper.rs
+++ b/crates/node/src/calls/latency_keeper.rs
@@ -21,6 +21,37 @@
 pub(crate) struct LatencyKeeper {
     table: LatencyTable,
     metrics: StatsdClient,
+    lines: LineBudget,
+}
+
+/// Lines on calls that may be written in each second. A line costs as much processor time as a
+/// tenth of a call, and under overload most calls are worth one.
+const LINES_PER_SECOND: u32 = 20;
+
+/// Bounds the lines of a process and counts those that are left out.
+#[derive(Debug, Default)]
+struct LineBudget {
+    left: u32,
+    left_out: u32,
+}
+
+impl LineBudget {
+    fn take(&mut self) -> bool {
+        let Some(left) = self.left.checked_sub(1) else {
+            self.left_out += 1;
+            return false;
+        };
+        self.left = left;
+        true
+    }
+
+    fn refill(&mut self) {
+        self.left = LINES_PER_SECOND;
+        let left_out = std::mem::take(&mut self.left_out);
+        if left_out > 0 {
+            log::warn!(event = "lines-left-out", lines = left_out; "{left_out} lines on calls were left out");
+        }
+    }
 }
 
 impl LatencyKeeper {
@@ -28,9 +59,33 @@
         Ok(Self {
             table: LatencyTable::new(LatencySettings::default())?,
             metrics: metrics_client(metrics),
+            lines: LineBudget::default(),
         })
     }
 
+    /// Writes a line for a call that was not answered at the first attempt, within the budget of
+    /// lines.
+    fn log(&mut self, call: &RecordCall) {
+        let first_try = call.outcome == CallOutcome::Answered && call.attempts <= 1;
+        if first_try || !self.lines.take() {
+            return;
+        }
+        let reason = call.reason.map(|reason| reason.to_string());
+        log::info!(
+            event = "call",
+            request:% = call.request_id,
+            outcome:% = call.outcome,
+            reason:% = reason.as_deref().unwrap_or("none"),
+            class:% = call.class,
+            attempts = call.attempts,
+            target:% = call.target,
+            took_ms = call.latency.as_secs_f64() * 1e3;
+            "call {}: {}",
+            call.request_id,
+            call.outcome
+        );
+    }
+
     fn count(&self, name: &str) {
         // Metrics are sent without an answer, and one that is lost changes no call.
         let _ = self.metrics.count(name, 1_u64);
@@ -41,6 +96,10 @@
 pub(super) struct RecordCall {
     pub(super) tenant: String,
     pub(super) class: String,
+    /// Identity of the request; empty if it states none.
+    pub(super) request_id: String,
+    /// Peer address of the node of the last target tried; empty if none was.
+    pub(super) target: String,
     pub(super) outcome: CallOutcome,
     pub(super) attempts: u32,
     /// Why the call has no answer.
@@ -61,6 +120,7 @@
         if let Some(reason) = call.reason {
             self.count(&format!("calls.stopped.{reason}"));
         }
+        self.log(&call);
         let retries = u64::from(call.attempts.saturating_sub(1));
         if retries > 0 {
             let _ = self.metrics.count("calls.retries", retries);
@@ -96,6 +156,7 @@
 
     async fn handle(&mut self, FlushMetrics: FlushMetrics, ctx: &mut Context<Self, ()>) {
         let _ = self.metrics.flush();
+        self.lines.refill();
         ctx.actor_ref()
             .tell(FlushMetrics)
             .send_after(FLUSH_INTERVAL);
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -20,6 +20,7 @@
 mod headers;
 mod http_client;
 mod latency_keeper;
+mod own_dialect;
 mod plan;
 mod reason;
 mod request_body;
@@ -32,5 +33,8 @@
 
 pub(crate) use crash_keeper::{CrashKeeper, MergeCrashes, ReadRefused, RefusedList};
 pub(crate) use latency_keeper::{LatencyKeeper, LatencyList, ReadLatencies};
+pub use own_dialect::OwnDialect;
+pub use reason::StopReason;
+pub(crate) use slot_keeper::{AnnounceTarget, SlotKeeper, WithdrawTarget};
 pub use system::CallSystemError;
 pub(crate) use system::{CallDrain, CallSystem};
--- a/crates/node/src/calls/plan.rs
+++ b/crates/node/src/calls/plan.rs
@@ -4,11 +4,12 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_records::SnapshotView;
-use agatedeck_wire::RepeatRule;
+use agatedeck_wire::{PolicyForm, RepeatRule, RouteForm, RouteLimits, WeightedService};
 use axum::http::request::Parts;
-use axum::http::{HeaderMap, Method, header};
+use axum::http::{Method, header};
+use rand::Rng;
 
-use super::headers::{ATTEMPT, DEPTH, IDEMPOTENCY_KEY, TENANT, number, stated_timeout, text};
+use super::headers::text;
 use super::reason::StopReason;
 use crate::context::NodeContext;
 
@@ -31,13 +32,46 @@
     /// Key under which the call runs at most once, if it must.
     pub(super) claim_key: Option<String>,
     pub(super) max_attempts: u32,
+    /// Rank under load; 0 is the most urgent.
+    pub(super) priority: u32,
+    /// Identity of the request, for log lines.
+    pub(super) request_id: String,
+}
+
+/// Limits of a call, from its route or else from the policy of its service.
+fn limits_of(route: &RouteForm, policy: &PolicyForm) -> RouteLimits {
+    route.limits.unwrap_or(RouteLimits {
+        repeat: policy.repeat,
+        timeout_ms: policy.timeout_ms,
+        max_attempts: policy.max_attempts,
+        ..RouteLimits::default()
+    })
+}
+
+/// The service of a call on `route`: drawn by weight where several share its calls.
+fn service_of(route: &RouteForm) -> &str {
+    let weight = |part: &WeightedService| u64::from(part.weight);
+    let total: u64 = route.split.iter().map(weight).sum();
+    if total == 0 {
+        let first = route.split.first();
+        return first.map_or(&route.service, |part| &part.service);
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    for part in &route.split {
+        if drawn < weight(part) {
+            return &part.service;
+        }
+        drawn -= weight(part);
+    }
+    &route.service
 }
 
 impl CallPlan {
     /// Finds the route of a call and the rules for it.
     pub(super) fn of(context: &NodeContext, parts: &Parts) -> Result<Self, StopReason> {
         let served = context.config.borrow();
-        if !served.may_serve {
+        // Version 0 precedes the first change and holds no route, so it says nothing about a call.
+        if !served.may_serve || served.snapshot.version() == 0 {
             return Err(StopReason::NotServing);
         }
         let view = SnapshotView::new(&served.snapshot, context.own.reads_schema);
@@ -45,32 +79,41 @@
         let route = view
             .route_for(host_name(parts), parts.uri.path())
             .ok_or(StopReason::NoRoute)?;
-        let policy = view
-            .policy_of(&route.form.service)
-            .ok_or(StopReason::NoPolicy)?;
-        let depth = depth(headers);
+        let service = service_of(route.form);
+        let policy = view.policy_of(service).ok_or(StopReason::NoPolicy)?;
+        let terms = context.dialect.caller_terms(headers);
+        let depth = terms.depth;
         if depth >= MAX_DEPTH {
             return Err(StopReason::TooDeep);
         }
-        let policy_timeout = Duration::from_millis(policy.form.timeout_ms.into());
-        let timeout = stated_timeout(headers).unwrap_or(policy_timeout);
+        let limits = limits_of(route.form, policy.form);
+        let limit = Duration::from_millis(limits.timeout_ms.into());
+        // The limit of a route is the longest that its operators let a caller wait; that of a policy
+        // only stands in for a caller that states none.
+        let timeout = match terms.timeout {
+            Some(timeout) if route.form.limits.is_some() => timeout.min(limit),
+            Some(timeout) => timeout,
+            None => limit,
+        };
         let timeout = timeout.min(context.settings.calls.max_timeout);
-        let (idempotent, claimed) = repetition(policy.form.repeat(), &parts.method);
+        let (idempotent, claimed) = repetition(limits.repeat(), &parts.method);
         let claim_key = if claimed {
-            let key = text(headers, &IDEMPOTENCY_KEY).ok_or(StopReason::MissingKey)?;
+            let key = terms.idempotency_key.ok_or(StopReason::MissingKey)?;
             Some(key.to_owned())
         } else {
             None
         };
         Ok(Self {
-            service: route.form.service.clone(),
-            tenant: text(headers, &TENANT).unwrap_or(DEFAULT_TENANT).to_owned(),
+            service: service.to_owned(),
+            tenant: terms.tenant.unwrap_or(DEFAULT_TENANT).to_owned(),
             class: route.form.class.clone(),
             deadline: context.clock.now().after(timeout),
             depth,
             idempotent,
             claim_key,
-            max_attempts: policy.form.max_attempts.max(1),
+            max_attempts: limits.max_attempts.max(1),
+            priority: limits.priority,
+            request_id: terms.request_id.unwrap_or_default().to_owned(),
         })
     }
 }
@@ -81,17 +124,10 @@
         RepeatRule::Always => (true, false),
         RepeatRule::SafeMethods => (method.is_idempotent(), false),
         RepeatRule::Once => (method.is_safe(), !method.is_safe()),
+        RepeatRule::Never => (false, false),
     }
 }
 
-/// Hops behind the call. A call that carries the number of an attempt is an inner call even if its
-/// target did not pass the depth on.
-fn depth(headers: &HeaderMap) -> u32 {
-    let stated = number(headers, &DEPTH).unwrap_or_default();
-    let stated = u32::try_from(stated).unwrap_or(u32::MAX);
-    stated.max(u32::from(headers.contains_key(&ATTEMPT)))
-}
-
 fn host_name(parts: &Parts) -> &str {
     let host = text(&parts.headers, &header::HOST).or_else(|| parts.uri.host());
     let host = host.unwrap_or_default();
--- a/crates/node/src/calls/reason.rs
+++ b/crates/node/src/calls/reason.rs
@@ -1,6 +1,6 @@
 //! Why a call was not answered by a target.
 
-use agatedeck_calls::{ClaimRefusal, RefusalReason};
+use agatedeck_calls::{AttemptEvent, ClaimRefusal, RefusalReason};
 use axum::http::StatusCode;
 use derive_more::{Display, FromStr};
 
@@ -9,38 +9,70 @@
 #[derive(Clone, Copy, Debug, Display, Eq, FromStr, PartialEq)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
-pub(super) enum StopReason {
+pub enum StopReason {
+    /// The node does not know yet which version it may serve.
     NotServing,
+    /// The node or its target takes no new calls.
     Draining,
+    /// No route matches.
     NoRoute,
+    /// The service has no policy.
     NoPolicy,
+    /// No target of the service takes calls.
     NoTarget,
+    /// The call chain is too deep.
     TooDeep,
+    /// Requests like this one crashed targets.
     CrashedTargets,
+    /// The call needs an idempotency key.
     MissingKey,
+    /// The body is too large to be kept.
     BodyTooLarge,
+    /// The body of the request broke off.
     BodyIncomplete,
+    /// The queue of the target is full.
     QueueFull,
+    /// The tenant holds its share of the target.
     TenantShare,
+    /// The call cannot be answered by its deadline.
     Deadline,
+    /// The target cannot be reached.
     Unreachable,
+    /// The target said that it did not run the call.
+    Declined,
+    /// Another target than the one meant listens at the address.
+    Displaced,
+    /// The store did not confirm the claim in time.
     StoreAway,
+    /// The idempotency key was used with another request.
     KeyReused,
+    /// Other claims on the same key are being made.
     ClaimContended,
+    /// Too many claims are in progress.
     TooManyClaims,
+    /// The idempotency key is not valid.
     InvalidKey,
+    /// A call with the same idempotency key is in progress.
     InProgress,
+    /// An earlier call with the same idempotency key may have run.
     UnknownEarlier,
+    /// The call ran, and its answer was too large to be kept.
     AnswerNotKept,
+    /// The call was sent and no answer came.
     NoAnswer,
+    /// The answer broke off.
     AnswerTruncated,
+    /// The end of the answer is not certain.
     AnswerUnbounded,
+    /// The answer does not belong to the call.
+    AnswerUnusable,
+    /// The caller cancelled the call.
     Cancelled,
 }
 
 impl StopReason {
     /// The status that the caller receives.
-    pub(super) fn status(self) -> StatusCode {
+    pub fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::MissingKey | Self::InvalidKey | Self::BodyIncomplete | Self::Cancelled => {
@@ -52,13 +84,29 @@
             Self::InProgress | Self::AnswerNotKept => StatusCode::CONFLICT,
             Self::TenantShare => StatusCode::TOO_MANY_REQUESTS,
             Self::Deadline | Self::NoAnswer | Self::UnknownEarlier => StatusCode::GATEWAY_TIMEOUT,
-            Self::AnswerTruncated | Self::AnswerUnbounded => StatusCode::BAD_GATEWAY,
+            Self::AnswerTruncated | Self::AnswerUnbounded | Self::AnswerUnusable => {
+                StatusCode::BAD_GATEWAY
+            }
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// What a refusal for this reason means for the attempt that received it. A node that has no room
+    /// or no target is avoided for a moment; the other reasons concern the call alone.
+    pub(super) fn attempt_event(self) -> AttemptEvent {
+        match self {
+            Self::Declined | Self::Displaced => AttemptEvent::Declined,
+            Self::QueueFull
+            | Self::Deadline
+            | Self::Draining
+            | Self::NoTarget
+            | Self::Unreachable => AttemptEvent::TargetFull,
+            _ => AttemptEvent::Refused,
+        }
+    }
+
     /// The sentence that the caller reads.
-    pub(super) fn text(self) -> &'static str {
+    pub fn text(self) -> &'static str {
         match self {
             Self::NotServing => "the node does not know yet which version it may serve",
             Self::Draining => "the node is draining",
@@ -74,6 +122,8 @@
             Self::TenantShare => "the tenant holds its share of the target",
             Self::Deadline => "the call cannot be answered by its deadline",
             Self::Unreachable => "the target cannot be reached",
+            Self::Declined => "the target said that it did not run the call",
+            Self::Displaced => "another target than the one meant listens at the address",
             Self::StoreAway => "the store did not confirm the claim in time",
             Self::KeyReused => "the idempotency key was used with another request",
             Self::ClaimContended => "other claims on the same key are being made",
@@ -85,6 +135,7 @@
             Self::NoAnswer => "the call was sent and no answer came",
             Self::AnswerTruncated => "the answer broke off",
             Self::AnswerUnbounded => "the answer states no length, so that its end is not certain",
+            Self::AnswerUnusable => "the answer does not belong to the call",
             Self::Cancelled => "the caller cancelled the call",
         }
     }
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -28,7 +28,8 @@
 pub(super) struct CallRouter {
     context: NodeContext,
     board: TargetBoard,
-    budget: RetryBudget,
+    /// Budgets by service, so that the failures of one do not use up the retries of another.
+    budgets: HashMap<String, RetryBudget>,
     settings: RetrySettings,
     services: HashSet<String>,
     /// Whether targets are being worked out.
@@ -43,14 +44,24 @@
 impl CallRouter {
     pub(super) fn new(context: NodeContext) -> Self {
         let own = place_of(&context.own);
-        let settings = RetrySettings::default();
+        let calls = &context.settings.calls;
+        let settings = RetrySettings {
+            budget_percent: calls.retry_percent,
+            refused_attempts: calls.refused_attempts,
+            ..Default::default()
+        };
+        let board = BoardSettings {
+            spill_percent: calls.spill_percent,
+            report_weight: f64::from(calls.report_percent) / 100.0,
+            ..Default::default()
+        };
         let policy: Box<dyn BalancePolicy> = match context.settings.calls.balance {
             BalanceChoice::TwoChoices => Box::new(TwoChoices),
             BalanceChoice::RoundRobin => Box::new(RoundRobin),
         };
         Self {
-            board: TargetBoard::new(&own, BoardSettings::default(), policy),
-            budget: RetryBudget::new(&settings),
+            board: TargetBoard::new(&own, board, policy),
+            budgets: HashMap::new(),
             settings,
             services: HashSet::new(),
             planning: false,
@@ -61,6 +72,29 @@
         }
     }
 
+    /// The retry budget of a service. Its reserve is this node's share of what all nodes together
+    /// may spend.
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        if !self.budgets.contains_key(service) {
+            let reserve = match self.context.settings.calls.retry_slack {
+                Some(slack) => {
+                    let nodes = self.context.table().live().count().max(1);
+                    slack / u32::try_from(nodes).unwrap_or(u32::MAX)
+                }
+                None => self.settings.budget_reserve,
+            };
+            let settings = RetrySettings {
+                budget_reserve: reserve.max(1),
+                ..self.settings
+            };
+            let budget = RetryBudget::new(&settings);
+            self.budgets.insert(service.to_owned(), budget);
+        }
+        self.budgets
+            .get_mut(service)
+            .unwrap_or_else(|| unreachable!("the budget was inserted above"))
+    }
+
     /// Puts the targets of a service on the board.
     fn apply(&mut self, plan: &TargetPlan) {
         let (chosen, draining) = (plan.chosen(), plan.draining());
@@ -159,7 +193,7 @@
             self.services.insert(pick.service.clone());
         }
         if pick.first {
-            self.budget.note_call();
+            self.budget(&pick.service).note_call();
         }
         let request = PickRequest {
             service: &pick.service,
@@ -195,7 +229,7 @@
     async fn handle(&mut self, finish: FinishAttempt, _: &mut Context<Self, ()>) {
         let now = self.context.clock.now();
         if let Some(load) = finish.load {
-            self.board.note_load(finish.key, load);
+            self.board.note_load(finish.key, load, now);
         }
         self.board
             .finish(finish.key, finish.picked_at, finish.result, now);
@@ -205,6 +239,7 @@
 /// Asks whether a call is tried again.
 pub(super) struct DecideRetry {
     pub(super) question: RetryQuestion,
+    pub(super) service: String,
     pub(super) max_attempts: u32,
 }
 
@@ -219,6 +254,7 @@
         &mut self,
         DecideRetry {
             question,
+            service,
             max_attempts,
         }: DecideRetry,
         _: &mut Context<Self, RetryReply>,
@@ -228,8 +264,9 @@
             ..self.settings
         };
         let now = self.context.clock.now();
-        let (budget, rng) = (&mut self.budget, &mut self.rng);
-        RetryReply(decide_retry(&question, &settings, budget, now, rng))
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        let budget = self.budget(&service);
+        RetryReply(decide_retry(&question, &settings, budget, now, &mut rng))
     }
 }
 
--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -6,19 +6,23 @@
 use std::time::Duration;
 
 use agatedeck_calls::{
-    AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, CrashSettings,
-    Fingerprint, FlightTable, RefusalReason,
+    AdmissionEffect, AdmissionQueue, AdmissionSettings, AnnouncedState, CallId, CallTicket,
+    CrashSettings, Fingerprint, FlightTable, NoticeError, NoticeState, RegisterEffect,
+    RegisterSettings, TargetNotice, TargetRegister,
 };
 use agatedeck_clock::Instant;
 use agatedeck_records::SnapshotView;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
+use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 
 use super::crash_keeper::{CrashKeeper, NoteCrashes};
 use super::reason::StopReason;
 use crate::context::NodeContext;
+use crate::member::{MemberKeeper, SetTarget};
 
 /// Time before its deadline at which a queued call is refused, so that the refusal reaches its
 /// caller's node before that stops waiting. The call would otherwise be told as unknown, and its
@@ -26,6 +30,9 @@
 /// of the request, so the margin covers the way of both messages, 12 ms each between regions.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(30);
 
+/// Time allowed for the connection that shows whether the target still listens.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The way to a slot of the local target.
 #[derive(Clone)]
 pub(super) struct SlotGate {
@@ -46,18 +53,19 @@
     /// `remaining` is the time until the deadline of the call.
     pub(super) async fn admit(
         &self,
-        tenant: &str,
+        request: &SlotRequest<'_>,
         now: Instant,
         remaining: Duration,
-        fingerprint: Fingerprint,
-    ) -> Result<SlotLease, StopReason> {
+    ) -> Result<SlotLease, SlotRefusal> {
         let margin = REFUSAL_MARGIN.min(remaining / 8);
         let deadline = now.after(remaining.saturating_sub(margin));
+        let fingerprint = request.fingerprint;
         let call = CallId::from(self.last_call.fetch_add(1, Ordering::Relaxed));
         let (reply, granted) = oneshot::channel();
         let admit = AdmitCall {
             call,
-            tenant: tenant.to_owned(),
+            tenant: request.tenant.to_owned(),
+            priority: request.priority,
             deadline,
             fingerprint,
             reply,
@@ -65,26 +73,52 @@
         let mut lease = SlotLease {
             call,
             load: 0.0,
+            target_id: Arc::default(),
             keeper: self.keeper.clone(),
             ended: false,
         };
+        let stopping = SlotRefusal {
+            reason: StopReason::Draining,
+            room_after: Duration::ZERO,
+        };
         if self.keeper.tell(admit).try_send().is_err() {
-            return Err(StopReason::Draining);
+            return Err(stopping);
         }
         match granted.await {
-            Ok(Ok(load)) => {
-                lease.load = load;
+            Ok(Ok(grant)) => {
+                lease.load = grant.load;
+                lease.target_id = grant.target_id;
                 Ok(lease)
             }
-            Ok(Err(reason)) => {
+            Ok(Err(refusal)) => {
                 lease.ended = true;
-                Err(reason.into())
+                Err(refusal)
             }
-            Err(_) => Err(StopReason::Draining),
+            Err(_) => Err(stopping),
         }
     }
 }
 
+/// A call that asks for a slot.
+pub(super) struct SlotRequest<'a> {
+    pub(super) tenant: &'a str,
+    pub(super) priority: u32,
+    pub(super) fingerprint: Fingerprint,
+}
+
+/// What a call that gets a slot is told.
+struct SlotGrant {
+    load: f64,
+    target_id: Arc<str>,
+}
+
+/// Why a call gets no slot, and when there is expected to be room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotRefusal {
+    pub(super) reason: StopReason,
+    pub(super) room_after: Duration,
+}
+
 /// How a call at the target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunEnd {
@@ -104,6 +138,8 @@
     call: CallId,
     /// Load of the target when the slot was granted.
     pub(super) load: f64,
+    /// Identity that the target has announced; empty if it announced none.
+    pub(super) target_id: Arc<str>,
     keeper: ActorRef<SlotKeeper>,
     ended: bool,
 }
@@ -134,7 +170,8 @@
 
 struct WaitingCall {
     fingerprint: Fingerprint,
-    reply: oneshot::Sender<Result<f64, RefusalReason>>,
+    priority: u32,
+    reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
 }
 
 #[derive(Clone, Copy)]
@@ -147,13 +184,19 @@
 
 /// Owns the admission queue and the flight table of the local target.
 #[derive(Actor)]
-pub(super) struct SlotKeeper {
+pub(crate) struct SlotKeeper {
     context: NodeContext,
     queue: AdmissionQueue,
     flight: FlightTable,
     waiting: HashMap<CallId, WaitingCall>,
     running: HashMap<CallId, RunningCall>,
     crashes: u64,
+    /// Lost connections for which it is not known yet whether the target crashed.
+    unchecked: u32,
+    /// What the target announced, if it announces itself.
+    register: Option<TargetRegister>,
+    target_id: Arc<str>,
+    members: ActorRef<MemberKeeper>,
     /// Whether the policy of the service was known once.
     policy_known: bool,
     slots: u32,
@@ -167,19 +210,31 @@
 impl SlotKeeper {
     pub(super) fn new(
         context: NodeContext,
+        members: ActorRef<MemberKeeper>,
         crash_keeper: ActorRef<CrashKeeper>,
         drained: watch::Sender<bool>,
     ) -> Self {
         let own = &context.own;
-        let flight = FlightTable::new(&own.node, own.incarnation, &own.service);
-        let queue = AdmissionQueue::new(AdmissionSettings::default(), context.clock.now());
+        let service = context.settings.service_name();
+        let flight = FlightTable::new(&own.node, own.incarnation, service);
+        let now = context.clock.now();
+        let mut queue = AdmissionQueue::new(AdmissionSettings::default(), now);
+        let register = register_of(&context);
+        if register.is_some() {
+            // Nothing waits in a new queue.
+            queue.close(now);
+        }
         Self {
+            register,
+            target_id: Arc::default(),
+            members,
             context,
             queue,
             flight,
             waiting: HashMap::new(),
             running: HashMap::new(),
             crashes: 0,
+            unchecked: 0,
             policy_known: false,
             slots: AdmissionSettings::default().slots,
             reported_load: 0.0,
@@ -204,12 +259,21 @@
                         crashes,
                     };
                     self.running.insert(call, running);
+                    let grant = SlotGrant {
+                        load: self.load(),
+                        target_id: Arc::clone(&self.target_id),
+                    };
                     // A caller that has gone drops its lease, which ends the call here.
-                    let _ = waiting.reply.send(Ok(self.load()));
+                    let _ = waiting.reply.send(Ok(grant));
                 }
                 AdmissionEffect::Refuse(call, reason) => {
                     if let Some(waiting) = self.waiting.remove(&call) {
-                        let _ = waiting.reply.send(Err(reason));
+                        let now = self.context.clock.now();
+                        let refusal = SlotRefusal {
+                            reason: reason.into(),
+                            room_after: self.queue.expected_start(waiting.priority, now),
+                        };
+                        let _ = waiting.reply.send(Err(refusal));
                     }
                 }
                 // The lease of the call was dropped, and with it the connection to the target.
@@ -246,7 +310,7 @@
             .running
             .values()
             .any(|running| running.crashes == self.crashes);
-        if !in_flight {
+        if !in_flight && self.unchecked == 0 {
             return;
         }
         self.crashes += 1;
@@ -260,12 +324,10 @@
         self.queue.restart_warm_up(self.context.clock.now());
     }
 
-    fn end_running(&mut self, call: CallId, running: RunningCall, end: RunEnd) {
+    fn end_running(&mut self, running: RunningCall, end: RunEnd, keeper: &ActorRef<Self>) {
         let current = running.crashes == self.crashes;
         if current && end == RunEnd::ConnectionLost {
-            self.running.insert(call, running);
-            self.note_crash();
-            self.running.remove(&call);
+            self.check_crash(running, keeper);
         } else if current {
             self.flight.ended(running.fingerprint);
         }
@@ -273,18 +335,113 @@
             self.note_crash();
         }
     }
+
+    /// Looks whether a target that announces itself still listens. A lost connection alone is no
+    /// crash there: targets and links also lose single ones, and each would blame every request in
+    /// flight. A target that does not announce itself may be back before it is looked at, so that a
+    /// lost connection is all there is to go by.
+    fn check_crash(&mut self, running: RunningCall, keeper: &ActorRef<Self>) {
+        self.unchecked += 1;
+        if self.register.is_none() {
+            self.note_crash();
+            self.unchecked -= 1;
+            return;
+        }
+        let Some(target) = self.context.settings.target.as_ref() else {
+            return;
+        };
+        let (address, keeper) = (target.address, keeper.clone());
+        tokio::spawn(async move {
+            let dialed = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+            let refused = matches!(dialed, Ok(Err(_)));
+            // The keeper is gone only when the node is stopping.
+            let _ = keeper.tell(CrashChecked { running, refused }).await;
+        });
+    }
+
+    /// Carries out what an announcement of the target led to.
+    async fn carry_out_register(&mut self, effects: Vec<RegisterEffect>, keeper: &ActorRef<Self>) {
+        let now = self.context.clock.now();
+        for effect in effects {
+            match effect {
+                RegisterEffect::Open => {
+                    self.apply_settings(now);
+                    self.queue.reopen();
+                }
+                RegisterEffect::Close => {
+                    let effects = self.queue.close(now);
+                    self.carry_out(effects, keeper);
+                }
+                RegisterEffect::Publish => self.publish_target(now).await,
+            }
+        }
+    }
+
+    async fn publish_target(&self, now: Instant) {
+        let Some(register) = &self.register else {
+            return;
+        };
+        let (state, id, slots) = (register.state(), register.id(), register.slots());
+        log::info!(
+            event = "target", target:% = id, state:% = state, slots;
+            "the target `{id}` is {state}"
+        );
+        let ready = state == AnnouncedState::Ready;
+        let target = SetTarget {
+            service: if ready {
+                self.context.settings.service_name().to_owned()
+            } else {
+                String::new()
+            },
+            slots,
+            warming: !register.warm_at().is_past(now),
+        };
+        // The keeper is gone only when the node is stopping.
+        let _ = self.members.tell(target).await;
+    }
+
+    fn apply_settings(&mut self, now: Instant) -> Vec<AdmissionEffect> {
+        let announced = self.register.as_ref().map_or(0, TargetRegister::slots);
+        let Some(settings) = admission_settings(&self.context, announced) else {
+            return Vec::new();
+        };
+        self.slots = settings.slots;
+        let mut effects = self.queue.set_settings(settings, now);
+        if !std::mem::replace(&mut self.policy_known, true) {
+            // The warm-up of the policy was not known when the target started.
+            self.queue.restart_warm_up(now);
+            effects.extend(self.queue.tick(now));
+        }
+        effects
+    }
+}
+
+/// The register of a target that announces itself.
+fn register_of(context: &NodeContext) -> Option<TargetRegister> {
+    let target = context.settings.target.as_ref()?;
+    let lapse_ms = u64::try_from(target.lapse.as_millis()).unwrap_or(u64::MAX);
+    target.announces.then(|| {
+        TargetRegister::new(RegisterSettings {
+            service: target.service.clone(),
+            address: target.address.to_string(),
+            lapse_ms,
+        })
+    })
 }
 
 /// Limits of the local target from the policy of its service.
-fn admission_settings(context: &NodeContext) -> Option<AdmissionSettings> {
+///
+/// `announced` is the number of slots that the target announced, 0 if it announced none.
+fn admission_settings(context: &NodeContext, announced: u32) -> Option<AdmissionSettings> {
     let served = context.served();
     let view = SnapshotView::new(&served.snapshot, context.own.reads_schema);
     let connections = context.settings.calls.target_connections;
-    let form = view.policy_of(&context.own.service)?.form;
+    let form = view.policy_of(context.settings.service_name())?.form;
     let connections = connections.min(form.connections.max(2));
+    let slots = if announced > 0 { announced } else { form.slots };
     Some(AdmissionSettings {
         // Half of the connections carry calls; the idle ones and the probe take the other half.
-        slots: form.slots.min(connections / 2).max(1),
+        slots: slots.min(connections / 2).max(1),
         queue: form.queue,
         tenant_share_percent: form.tenant_share_percent,
         warm_up_ms: form.warm_up_ms,
@@ -294,9 +451,10 @@
 struct AdmitCall {
     call: CallId,
     tenant: String,
+    priority: u32,
     deadline: Instant,
     fingerprint: Fingerprint,
-    reply: oneshot::Sender<Result<f64, RefusalReason>>,
+    reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
 }
 
 impl Message<AdmitCall> for SlotKeeper {
@@ -305,12 +463,14 @@
     async fn handle(&mut self, admit: AdmitCall, ctx: &mut Context<Self, ()>) {
         let waiting = WaitingCall {
             fingerprint: admit.fingerprint,
+            priority: admit.priority,
             reply: admit.reply,
         };
         self.waiting.insert(admit.call, waiting);
         let ticket = CallTicket {
             call: admit.call,
             tenant: &admit.tenant,
+            priority: admit.priority,
             deadline: admit.deadline,
         };
         let effects = self.queue.admit(&ticket, self.context.clock.now());
@@ -329,7 +489,13 @@
     async fn handle(&mut self, EndCall { call, end }: EndCall, ctx: &mut Context<Self, ()>) {
         let now = self.context.clock.now();
         let effects = if let Some(running) = self.running.remove(&call) {
-            self.end_running(call, running, end);
+            self.end_running(running, end, ctx.actor_ref());
+            if end == RunEnd::NotSent
+                && let Some(register) = &mut self.register
+            {
+                let effects = register.unreachable();
+                self.carry_out_register(effects, ctx.actor_ref()).await;
+            }
             if end == RunEnd::Answered {
                 self.queue.release(call, now)
             } else {
@@ -362,18 +528,113 @@
     type Reply = ();
 
     async fn handle(&mut self, PolicyChanged: PolicyChanged, ctx: &mut Context<Self, ()>) {
-        let Some(settings) = admission_settings(&self.context) else {
-            return;
+        let now = self.context.clock.now();
+        let effects = self.apply_settings(now);
+        self.carry_out(effects, ctx.actor_ref());
+    }
+}
+
+/// Whether the target still listened after a connection to it was lost.
+struct CrashChecked {
+    running: RunningCall,
+    refused: bool,
+}
+
+impl Message<CrashChecked> for SlotKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, checked: CrashChecked, ctx: &mut Context<Self, ()>) {
+        if checked.running.crashes == self.crashes {
+            if checked.refused {
+                self.note_crash();
+            } else {
+                self.flight.ended(checked.running.fingerprint);
+            }
+        }
+        self.unchecked = self.unchecked.saturating_sub(1);
+        if checked.refused
+            && let Some(register) = &mut self.register
+        {
+            let effects = register.unreachable();
+            self.carry_out_register(effects, ctx.actor_ref()).await;
+        }
+    }
+}
+
+/// An announcement of the target.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnounceTarget {
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) address: String,
+    pub(crate) born_unix_ms: u64,
+    pub(crate) sequence: u64,
+    pub(crate) state: NoticeState,
+    pub(crate) slots: u32,
+    pub(crate) warm_up_left: Duration,
+}
+
+impl Message<AnnounceTarget> for SlotKeeper {
+    type Reply = Result<(), NoticeError>;
+
+    async fn handle(
+        &mut self,
+        announced: AnnounceTarget,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.context.clock.now();
+        let Some(register) = &mut self.register else {
+            return Err(NoticeError::Foreign);
         };
-        self.slots = settings.slots;
+        let notice = TargetNotice {
+            id: &announced.id,
+            service: &announced.service,
+            address: &announced.address,
+            born_unix_ms: announced.born_unix_ms,
+            sequence: announced.sequence,
+            state: announced.state,
+            slots: announced.slots,
+            warm_up_left: announced.warm_up_left,
+        };
+        let effects = register.announce(&notice, now)?;
+        if *self.target_id != *register.id() {
+            self.target_id = Arc::from(register.id());
+        }
+        if let Some(deadline) = register.next_deadline() {
+            let wait = deadline.since(now);
+            ctx.actor_ref().tell(CheckLapse).send_after(wait);
+        }
+        self.carry_out_register(effects, ctx.actor_ref()).await;
+        Ok(())
+    }
+}
+
+/// The target says that it leaves.
+pub(crate) struct WithdrawTarget(pub(crate) String);
+
+impl Message<WithdrawTarget> for SlotKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, WithdrawTarget(id): WithdrawTarget, ctx: &mut Context<Self, ()>) {
+        if let Some(register) = &mut self.register {
+            let effects = register.withdraw(&id);
+            self.carry_out_register(effects, ctx.actor_ref()).await;
+        }
+    }
+}
+
+/// Time to look whether the announcements have stopped.
+struct CheckLapse;
+
+impl Message<CheckLapse> for SlotKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, CheckLapse: CheckLapse, ctx: &mut Context<Self, ()>) {
         let now = self.context.clock.now();
-        let mut effects = self.queue.set_settings(settings, now);
-        if !std::mem::replace(&mut self.policy_known, true) {
-            // The warm-up of the policy was not known when the target started.
-            self.queue.restart_warm_up(now);
-            effects.extend(self.queue.tick(now));
+        if let Some(register) = &mut self.register {
+            let effects = register.tick(now);
+            self.carry_out_register(effects, ctx.actor_ref()).await;
         }
-        self.carry_out(effects, ctx.actor_ref());
     }
 }
 
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -17,18 +17,22 @@
 use super::claim_keeper::{ClaimKeeper, CountOpenClaims};
 use super::crash_keeper::{CrashKeeper, SweepReports};
 use super::gateway::{GatewayContext, gateway_router};
-use super::http_client::call_client;
+use super::http_client::{ClientLimits, call_client};
 use super::latency_keeper::{FlushMetrics, LatencyKeeper};
 use super::router::{CallRouter, ViewChanged};
 use super::slot_keeper::{DrainSlots, PolicyChanged, SlotGate, SlotKeeper};
 use super::target_side::{TargetContext, target_router};
 use super::target_watch::{ProbeTarget, TargetWatch};
 use crate::context::NodeContext;
+use crate::member::MemberKeeper;
 use crate::spread::SpreadRelay;
 
 /// Shortest time between two refreshes of the board, so that a burst of member updates costs one.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time for which an idle connection to another node is kept.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Time between two looks at the open claims of a node that drains.
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -48,6 +52,8 @@
 pub(crate) struct CallSystem {
     pub(crate) crash_keeper: ActorRef<CrashKeeper>,
     pub(crate) latency: ActorRef<LatencyKeeper>,
+    /// Owner of the slots of the local target, if there is one.
+    pub(crate) slots: Option<ActorRef<SlotKeeper>>,
     /// Takes calls of local callers.
     pub(crate) gateway: Router,
     /// Takes calls of other nodes.
@@ -70,17 +76,28 @@
     pub(crate) fn start(
         context: &NodeContext,
         relay: ActorRef<SpreadRelay>,
+        members: ActorRef<MemberKeeper>,
     ) -> Result<Self, CallSystemError> {
         let settings = &context.settings.calls;
         let (published_crashes, crashes) = watch::channel(Arc::default());
         let (draining, drain_seen) = watch::channel(false);
         let (drained, slots_drained) = watch::channel(false);
         let open = TaskTracker::new();
-        let peers = call_client(settings.connect_timeout, settings.idle_connections);
+        let limits = ClientLimits {
+            connect_timeout: settings.connect_timeout,
+            user_timeout: settings.user_timeout,
+            idle_connections: settings.idle_connections,
+            idle_timeout: PEER_IDLE_TIMEOUT,
+        };
+        let peers = call_client(&limits);
         // See `admission_settings`: half of the connections is for calls, one for the probe.
         let idle = settings.target_connections / 2 - 1;
         let idle = usize::try_from(idle).unwrap_or(usize::MAX);
-        let local = call_client(settings.connect_timeout, idle);
+        let local = call_client(&ClientLimits {
+            idle_connections: idle,
+            idle_timeout: settings.target_idle,
+            ..limits
+        });
 
         let latency = LatencyKeeper::new(context.settings.metrics)?;
         let latency = LatencyKeeper::spawn_with_mailbox(latency, mailbox::unbounded());
@@ -91,7 +108,7 @@
         let router = CallRouter::new(context.clone());
         let router = CallRouter::spawn_with_mailbox(router, mailbox::unbounded());
         let slots = context.settings.target.as_ref().map(|_| {
-            let keeper = SlotKeeper::new(context.clone(), crash_keeper.clone(), drained);
+            let keeper = SlotKeeper::new(context.clone(), members, crash_keeper.clone(), drained);
             SlotKeeper::spawn_with_mailbox(keeper, mailbox::unbounded())
         });
         let mut tasks = vec![
@@ -104,6 +121,10 @@
             target = authority
                 .ok()
                 .map(|authority| (authority, SlotGate::new(slots.clone())));
+        }
+        let probed = context.settings.target.as_ref();
+        let probed = probed.filter(|settings| !settings.announces);
+        if let (Some(settings), Some(slots)) = (probed, &slots) {
             let watch = TargetWatch::spawn(TargetWatch {
                 context: context.clone(),
                 client: local.clone(),
@@ -138,6 +159,7 @@
         Ok(Self {
             crash_keeper,
             latency,
+            slots: slots.clone(),
             gateway: gateway_router(Arc::new(call_context)),
             target_side: target_router(Arc::new(target_context)),
             drain: CallDrain {
@@ -191,13 +213,18 @@
     /// Refuses new calls and waits until those that are queued or running have ended, at most until
     /// `deadline`. Returns whether all have ended.
     pub(crate) async fn finish(&self, deadline: Instant) -> bool {
+        self.refuse_peers().await;
         self.draining.send_replace(true);
+        self.open.close();
+        timeout_at(deadline, self.wait()).await.is_ok()
+    }
+
+    /// Refuses new calls of other nodes from now on.
+    pub(crate) async fn refuse_peers(&self) {
         if let Some((slots, _)) = &self.slots {
             // A keeper that is gone runs no calls.
             let _ = slots.tell(DrainSlots).await;
         }
-        self.open.close();
-        timeout_at(deadline, self.wait()).await.is_ok()
     }
 
     async fn wait(&self) {
--- a/crates/node/src/calls/target_plan.rs
+++ b/crates/node/src/calls/target_plan.rs
@@ -85,8 +85,16 @@
             // restart. A restarted target is warmed up by the slots that its own node opens step
             // by step.
             generation: 0,
-            slots: self.slots,
-            warm: age_ms > u64::from(self.warm_up_ms),
+            slots: if member.slots > 0 {
+                member.slots
+            } else {
+                self.slots
+            },
+            warm: if member.slots > 0 {
+                !member.warming
+            } else {
+                age_ms > u64::from(self.warm_up_ms)
+            },
             status,
         })
     }
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -23,18 +23,22 @@
 use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
 use super::drain_body::{BodyReturn, after_request, lend};
 use super::headers::{
-    DEADLINE, FINGERPRINT, LOAD, OUTCOME, REASON, TENANT, outcome_value, refusal, stated_timeout,
-    strip_hop_headers, text,
+    CALLER, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, ROOM, SERVICE, TENANT, number,
+    outcome_value, peer_refusal, stated_timeout, strip_hop_headers, text,
 };
 use super::http_client::{CallClient, connection_held};
 use super::latency_keeper::{CountEvent, LatencyKeeper};
 use super::reason::StopReason;
-use super::slot_keeper::{RunEnd, SlotGate, SlotLease};
+use super::slot_keeper::{RunEnd, SlotGate, SlotLease, SlotRefusal, SlotRequest};
+use crate::borders::{TargetTerms, TargetVerdict};
 use crate::context::NodeContext;
 
 /// Time for a call from a node that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest load that is reported: calls at the target over its slots.
+const MAX_LOAD: f64 = 8.0;
+
 /// What the handler works with.
 pub(super) struct TargetContext {
     pub(super) context: NodeContext,
@@ -65,8 +69,10 @@
             };
             run(request, watch, admitted.deadline).await
         }
-        Err(reason) => {
-            let response = refuse(&shared, reason);
+        Err(SlotRefusal { reason, room_after }) => {
+            let mut response = refuse(&shared, reason);
+            let room = u64::try_from(room_after.as_millis()).unwrap_or(u64::MAX);
+            response.headers_mut().insert(ROOM, room.into());
             after_request(response, Some(request.into_body())).await
         }
     }
@@ -79,8 +85,17 @@
     deadline: Instant,
 }
 
-async fn admit(shared: &TargetContext, headers: &HeaderMap) -> Result<AdmittedCall, StopReason> {
-    let (_, gate) = shared.target.as_ref().ok_or(StopReason::NoTarget)?;
+async fn admit(shared: &TargetContext, headers: &HeaderMap) -> Result<AdmittedCall, SlotRefusal> {
+    let refusal = |reason| SlotRefusal {
+        reason,
+        room_after: Duration::ZERO,
+    };
+    let gate = shared.target.as_ref().map(|(_, gate)| gate);
+    let gate = gate.ok_or_else(|| refusal(StopReason::NoTarget))?;
+    let own = shared.context.settings.service_name();
+    if text(headers, &SERVICE).is_some_and(|service| service != own) {
+        return Err(refusal(StopReason::Displaced));
+    }
     let clock = shared.context.clock;
     let timeout = stated_timeout(headers).unwrap_or(DEFAULT_TIMEOUT);
     let timeout = timeout.min(shared.context.settings.calls.max_timeout);
@@ -88,10 +103,15 @@
     let deadline = now.after(timeout);
     let fingerprint = stated_fingerprint(headers);
     if shared.crashes.borrow().refuses(fingerprint, now) {
-        return Err(StopReason::CrashedTargets);
+        return Err(refusal(StopReason::CrashedTargets));
     }
-    let tenant = text(headers, &TENANT).unwrap_or_default();
-    let lease = gate.admit(tenant, now, timeout, fingerprint).await?;
+    let priority = number(headers, &PRIORITY).unwrap_or_default();
+    let request = SlotRequest {
+        tenant: text(headers, &TENANT).unwrap_or_default(),
+        priority: u32::try_from(priority).unwrap_or(u32::MAX),
+        fingerprint,
+    };
+    let lease = gate.admit(&request, now, timeout).await?;
     Ok(AdmittedCall {
         lease,
         fingerprint,
@@ -104,8 +124,22 @@
     let shared = Arc::clone(&watch.shared);
     let until = shared.context.clock.runtime_instant(deadline);
     let load = watch.lease.as_ref().map_or(0.0, |lease| lease.load);
-    let remaining = deadline.since(shared.context.clock.now());
-    let Some((request, back)) = to_target(request, &shared, remaining) else {
+    let dialect = Arc::clone(&shared.context.dialect);
+    let request_id = dialect.caller_terms(request.headers()).request_id;
+    let request_id = request_id.map(str::to_owned);
+    let target_id = watch
+        .lease
+        .as_ref()
+        .map(|lease| Arc::clone(&lease.target_id));
+    let caller = text(request.headers(), &CALLER)
+        .unwrap_or_default()
+        .to_owned();
+    let terms = TargetTerms {
+        remaining: deadline.since(shared.context.clock.now()),
+        target_id: target_id.as_deref().unwrap_or_default(),
+        caller_service: &caller,
+    };
+    let Some((request, back)) = to_target(request, &shared, &terms) else {
         return refuse(&shared, StopReason::Unreachable);
     };
     let answer = match timeout_at(until, shared.client.request(request)).await {
@@ -125,18 +159,33 @@
             } else {
                 RunEnd::ConnectionLost
             });
-            return refusal(CallOutcome::Unknown, StopReason::NoAnswer);
+            return peer_refusal(CallOutcome::Unknown, StopReason::NoAnswer);
         }
         // Dropping the request closes its connection, which cancels the call at the target.
         Err(_) => {
             watch.end(RunEnd::Stopped);
-            return refusal(CallOutcome::Unknown, StopReason::Deadline);
+            return peer_refusal(CallOutcome::Unknown, StopReason::Deadline);
         }
     };
     let (mut parts, body) = answer.into_parts();
-    if !ends_for_certain(&parts.headers, &body) {
+    match dialect.target_verdict(request_id.as_deref(), parts.status, &parts.headers) {
+        TargetVerdict::Answered => {}
+        TargetVerdict::Declined => {
+            watch.end(RunEnd::Stopped);
+            return refuse(&shared, StopReason::Declined);
+        }
+        TargetVerdict::Displaced => {
+            watch.end(RunEnd::Stopped);
+            return refuse(&shared, StopReason::Displaced);
+        }
+        TargetVerdict::Unusable => {
+            watch.end(RunEnd::Stopped);
+            return peer_refusal(CallOutcome::Unknown, StopReason::AnswerUnusable);
+        }
+    }
+    if !dialect.ends_with_connection() && !ends_for_certain(&parts.headers, &body) {
         watch.end(RunEnd::Stopped);
-        return refusal(CallOutcome::Unknown, StopReason::AnswerUnbounded);
+        return peer_refusal(CallOutcome::Unknown, StopReason::AnswerUnbounded);
     }
     let headers = &mut parts.headers;
     strip_hop_headers(headers);
@@ -160,17 +209,17 @@
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    reason = "the value is clamped to 0 to 1000"
+    reason = "the value is clamped to 0 to 8000"
 )]
 fn thousandths(load: f64) -> u16 {
-    (load.clamp(0.0, 1.0) * 1000.0) as u16
+    (load.clamp(0.0, MAX_LOAD) * 1000.0) as u16
 }
 
 /// The request as the target receives it, and the way back of a large body.
 fn to_target(
     request: Request,
     shared: &TargetContext,
-    remaining: Duration,
+    terms: &TargetTerms<'_>,
 ) -> Option<(Request, Option<BodyReturn>)> {
     let (authority, _) = shared.target.as_ref()?;
     let (mut parts, body) = request.into_parts();
@@ -189,9 +238,8 @@
     target.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
     parts.uri = Uri::from_parts(target).ok()?;
     strip_hop_headers(&mut parts.headers);
-    parts.headers.remove(FINGERPRINT);
-    let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-    parts.headers.insert(DEADLINE, remaining.max(1).into());
+    let dialect = &shared.context.dialect;
+    dialect.complete_request(&mut parts.headers, terms);
     Some((Request::from_parts(parts, body), back))
 }
 
@@ -207,7 +255,7 @@
     let count = CountEvent::TargetRefused(reason);
     // The keeper is gone only when the node is stopping.
     let _ = shared.latency.tell(count).try_send();
-    refusal(CallOutcome::NotRun, reason)
+    peer_refusal(CallOutcome::NotRun, reason)
 }
 
 /// Holds the slot of a call until its answer has ended. Dropped before, the caller's node has gone,
--- a/crates/node/src/config/keeper.rs
+++ b/crates/node/src/config/keeper.rs
@@ -141,9 +141,7 @@
     fn take_pulled(&mut self, pulled: &PullAnswer, keeper: &ActorRef<Self>) {
         let now = self.context.clock.now();
         if pulled.snapshot.is_empty() {
-            let effects = self
-                .holder
-                .offer_pulled(pulled.version, &pulled.deltas, now);
+            let effects = self.holder.offer_pulled(&pulled.deltas, now);
             self.carry_out(effects, keeper);
         } else {
             let (_, effects) = self
@@ -227,6 +225,28 @@
     }
 }
 
+/// A whole version read from where versions come from.
+pub(crate) struct OfferSource(pub(crate) ConfigSnapshot);
+
+/// The compressed delta that leads to the version, if it is newer than what this node held.
+#[derive(Debug, Default, kameo::Reply)]
+pub(crate) struct SourceDelta(pub(crate) Option<Vec<u8>>);
+
+impl Message<OfferSource> for ConfigKeeper {
+    type Reply = SourceDelta;
+
+    async fn handle(
+        &mut self,
+        OfferSource(snapshot): OfferSource,
+        context: &mut Context<Self, SourceDelta>,
+    ) -> SourceDelta {
+        let now = self.context.clock.now();
+        let (delta, effects) = self.holder.offer_source(&snapshot, now);
+        self.carry_out(effects, context.actor_ref());
+        SourceDelta(delta)
+    }
+}
+
 /// A whole snapshot from the store.
 pub(crate) struct OfferSnapshot {
     pub(crate) bytes: Vec<u8>,
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -3,6 +3,6 @@
 mod keeper;
 
 pub(crate) use keeper::{
-    ConfigKeeper, NoteAhead, OfferSnapshot, OfferVersion, PullNow, PullVersions, RaiseFloor,
-    ReadHeld,
+    ConfigKeeper, NoteAhead, OfferSnapshot, OfferSource, OfferVersion, PullNow, PullVersions,
+    RaiseFloor, ReadHeld, SourceDelta,
 };
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use agatedeck_control::{JoinState, MemberTable, SpreadPolicy};
-use agatedeck_platform::PlatformStore;
 use agatedeck_records::ConfigSnapshot;
+use agatedeck_store::PlatformStore;
 use agatedeck_wire::Member;
 use tokio::sync::watch;
 
+use crate::borders::{CallDialect, ConfigFeed};
 use crate::clock::ProcessClock;
 use crate::peer::PeerTransport;
 use crate::settings::NodeSettings;
@@ -27,6 +28,8 @@
     pub(crate) own: Arc<Member>,
     pub(crate) clock: ProcessClock,
     pub(crate) store: Arc<dyn PlatformStore>,
+    pub(crate) feed: Option<Arc<dyn ConfigFeed>>,
+    pub(crate) dialect: Arc<dyn CallDialect>,
     pub(crate) transport: Arc<dyn PeerTransport>,
     pub(crate) policy: Arc<dyn SpreadPolicy>,
     pub(crate) config: watch::Receiver<ServedConfig>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,9 @@
 //! value over a watch channel.
 
 mod admin;
+mod announcer;
 mod answer;
+mod borders;
 mod calls;
 mod clock;
 mod config;
@@ -19,10 +21,15 @@
 mod spread;
 mod store;
 
-pub use calls::CallSystemError;
+pub use announcer::{AnnounceError, Announcement, TargetAnnouncer};
+pub use borders::{
+    CallDialect, CallerTerms, ConfigFeed, NodeAnswer, NodeBorders, TargetLoad, TargetTerms,
+    TargetVerdict,
+};
+pub use calls::{CallSystemError, OwnDialect, StopReason};
 pub use logging::{LogError, start_logging};
 pub use peer::link_chart;
-pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError};
+pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError, NodeReadiness};
 pub use settings::{
     BalanceChoice, CallSettings, EmulationSettings, ListenSettings, LogLevel, NodeSettings,
     SpreadChoice, StoreSettings, TargetSettings,
--- a/crates/node/src/member/bootstrap.rs
+++ b/crates/node/src/member/bootstrap.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use agatedeck_control::rank_by;
-use agatedeck_platform::{RowCondition, RowWrite, StoreError, StoreTransaction};
+use agatedeck_store::{RowCondition, RowWrite, StoreError, StoreTransaction};
 use agatedeck_wire::{Member, MemberStatus};
 use kameo::actor::ActorRef;
 use rand::Rng;
@@ -34,7 +34,10 @@
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 /// Pause between two looks at the row of the own failure domain by its first-ranked node.
-const REFRESH_PAUSE: Duration = Duration::from_secs(10);
+const REFRESH_PAUSE: Duration = Duration::from_secs(20);
+
+/// Time over which nodes that start together look for others.
+const START_SPREAD: Duration = Duration::from_millis(400);
 
 /// Salt of the ranks that select the nodes named in a row.
 const ROW_SALT: u64 = 0x626f_6f74;
@@ -45,7 +48,14 @@
     join: ActorRef<JoinKeeper>,
     members: ActorRef<MemberKeeper>,
 ) {
-    find_others(&context, &join).await;
+    // The store is asked for the floor at once. Other nodes are looked for a little later: those that
+    // start together spread out, so that most find a row that names another.
+    if join.ask(AddContacts(Vec::new())).await.is_err() {
+        return;
+    }
+    let pause = rand::rng().random_range(Duration::ZERO..=START_SPREAD);
+    sleep(pause).await;
+    find_others(&context, &join, &members).await;
     let mut written = BTreeSet::new();
     loop {
         sleep(jittered(REFRESH_PAUSE)).await;
@@ -86,13 +96,25 @@
 }
 
 /// Looks for other nodes until one has taken this node in, or there is no other.
-async fn find_others(context: &NodeContext, join: &ActorRef<JoinKeeper>) {
+async fn find_others(
+    context: &NodeContext,
+    join: &ActorRef<JoinKeeper>,
+    members: &ActorRef<MemberKeeper>,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
         let rows = read_rows(context).await;
-        let named = rows.as_ref().map_or(Vec::new(), |rows| {
+        let mut named: Vec<String> = rows.as_ref().map_or(Vec::new(), |rows| {
             rows.iter().map(ToString::to_string).collect()
         });
+        if rows.is_ok() {
+            // The keeper is gone only when the node is stopping.
+            let _ = members.tell(SetContacts(named.clone())).await;
+        }
+        // Nodes that remember this host may have got in touch by themselves.
+        let table = context.table();
+        let others = table.live().filter(|other| other.node != context.own.node);
+        named.extend(others.map(|other| other.control_address.clone()));
         let Ok(ContactState { adopted }) = join.ask(AddContacts(named)).await else {
             return;
         };
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -15,14 +15,18 @@
 use tokio::sync::watch;
 
 use super::keeper::{AdoptMembers, MemberKeeper};
-use crate::config::{ConfigKeeper, PullNow, RaiseFloor};
+use crate::borders::ConfigFeed;
+use crate::config::{ConfigKeeper, OfferSource, PullNow, RaiseFloor, ReadHeld};
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
-use crate::store::{catch_up, read_head};
+use crate::store::{CatchUpError, catch_up, read_head};
 
 /// Time allowed for a node to answer a join.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait between two looks for a floor where versions come from outside, in milliseconds.
+const SOURCE_BACKOFF_MS: u64 = 1_000;
+
 /// Pause between two looks at the deadlines of the join.
 const TICK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,7 +60,12 @@
             .map(ToString::to_string)
             .collect();
         let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
-        let process = JoinProcess::new(&context.own, &seeds, &JoinSettings::default());
+        let mut settings = JoinSettings::default();
+        if context.feed.is_some() {
+            // The first version may be written after the nodes have started.
+            settings.backoff_limit_ms = SOURCE_BACKOFF_MS;
+        }
+        let process = JoinProcess::new(&context.own, &seeds, &settings);
         Self {
             context,
             process,
@@ -98,9 +107,14 @@
 
     fn read_head(&self, keeper: &ActorRef<Self>) {
         let (context, keeper) = (self.context.clone(), keeper.clone());
+        let config = self.config.clone();
         tokio::spawn(async move {
-            let head = match read_head(&context).await {
-                Ok((head, _)) => Some(head),
+            let head = match &context.feed {
+                Some(feed) => read_source(&context, &**feed, &config).await,
+                None => read_head(&context).await.map(|(head, _)| Some(head)),
+            };
+            let head = match head {
+                Ok(head) => head,
                 Err(error) => {
                     log::warn!(event = "floor-unread"; "the floor could not be read from the store: {error}");
                     None
@@ -152,6 +166,10 @@
         let (config, head) = (self.config.clone(), self.head.clone());
         let mut version = self.held;
         tokio::spawn(async move {
+            // What was read from the source may be on its way into force already.
+            if let Ok(newest) = config.ask(ReadHeld).await {
+                version = newest.tip.version().max(version);
+            }
             if version < floor {
                 version = config
                     .ask(PullNow(Pull { version }))
@@ -159,6 +177,7 @@
                     .unwrap_or(version);
             }
             if version < floor
+                && context.feed.is_none()
                 && let Some(head) = head
             {
                 match catch_up(&context, &config, &head).await {
@@ -173,6 +192,25 @@
     }
 }
 
+/// Reads the newest version from its source and offers it to the keeper. `None` if there is none
+/// yet.
+async fn read_source(
+    context: &NodeContext,
+    feed: &dyn ConfigFeed,
+    config: &ActorRef<ConfigKeeper>,
+) -> Result<Option<Head>, CatchUpError> {
+    let Some(snapshot) = feed.newest(context.store_deadline()).await? else {
+        return Ok(None);
+    };
+    let version = snapshot.version();
+    let offered = config.ask(OfferSource(snapshot)).await;
+    offered.map_err(|_| CatchUpError::Stopping)?;
+    Ok(Some(Head {
+        version,
+        ..Head::default()
+    }))
+}
+
 struct HeadRead(Option<Head>);
 
 impl Message<HeadRead> for JoinKeeper {
--- a/crates/node/src/member/keeper.rs
+++ b/crates/node/src/member/keeper.rs
@@ -419,6 +419,26 @@
     }
 }
 
+/// What the target beside this node takes calls for; an empty service says that it takes none.
+pub(crate) struct SetTarget {
+    pub(crate) service: String,
+    pub(crate) slots: u32,
+    pub(crate) warming: bool,
+}
+
+impl Message<SetTarget> for MemberKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, target: SetTarget, context: &mut Context<Self, ()>) {
+        let keeper = context.actor_ref().clone();
+        let now = self.now();
+        let effects = self
+            .detector
+            .set_target(&target.service, target.slots, target.warming, now);
+        self.carry_out(effects, &keeper).await;
+    }
+}
+
 /// The node takes no new work, or is stopping: tell the others.
 pub(crate) struct Leave(pub(crate) MemberStatus);
 
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -8,5 +8,5 @@
 pub(crate) use join::{JoinKeeper, StartDrain, VersionHeld, WorkDrained, run_join};
 pub(crate) use keeper::{
     AnswerJoin, AnswerProbe, AnswerSync, Leave, MemberKeeper, MergeMembers, PROBE_TIMEOUT,
-    RecordFloor, VersionInForce, run_detector,
+    RecordFloor, SetTarget, VersionInForce, run_detector,
 };
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -7,8 +7,8 @@
 
 use agatedeck_chart::ChartError;
 use agatedeck_control::{JoinState, MemberTable, PollSpread, SpreadPolicy, TreeSpread};
-use agatedeck_platform::{HttpStore, HttpStoreSettings, PlatformStore, StoreError};
 use agatedeck_records::NEWEST_SCHEMA;
+use agatedeck_store::{HttpStore, HttpStoreSettings, StoreError};
 use agatedeck_wire::{ByteMeter, Member, MemberStatus};
 use axum::Router;
 use axum::serve::ListenerExt;
@@ -20,7 +20,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::admin::{AdminState, admin_router};
-use crate::calls::{CallDrain, CallSystem, CallSystemError};
+use crate::announcer::TargetAnnouncer;
+use crate::borders::NodeBorders;
+use crate::calls::{CallDrain, CallSystem, CallSystemError, OwnDialect};
 use crate::clock::{ProcessClock, unix_ms};
 use crate::config::ConfigKeeper;
 use crate::context::{NodeContext, ServedConfig};
@@ -34,7 +36,7 @@
 };
 use crate::settings::{EmulationSettings, NodeSettings, SpreadChoice};
 use crate::spread::SpreadRelay;
-use crate::store::{ChangeAcceptor, StoreReader, run_reader};
+use crate::store::{ChangeAcceptor, FeedFollower, StoreReader, run_feed, run_reader};
 
 /// Time that the last messages of a node are given to reach the others.
 const LEAVE_PAUSE: Duration = Duration::from_millis(300);
@@ -88,6 +90,10 @@
     pub cross_region: u64,
 }
 
+/// Readers of a feed in each region. A reader that is cut off from the source notices it only after
+/// seconds, so that others have to cover it.
+const FEED_READERS: usize = 2;
+
 fn served_version(served: &ServedConfig) -> Option<u64> {
     served.may_serve.then(|| served.snapshot.version())
 }
@@ -100,8 +106,11 @@
     meters: LinkMeters,
     members: ActorRef<MemberKeeper>,
     join: ActorRef<JoinKeeper>,
+    announcer: TargetAnnouncer,
+    leaving: watch::Sender<bool>,
     drain: CallDrain,
     drain_limit: Duration,
+    drain_notice: Duration,
     stop: watch::Sender<bool>,
     servers: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
@@ -148,25 +157,32 @@
         status: MemberStatus::Alive.into(),
         domain: settings.domain.clone(),
         region: settings.region.clone(),
-        service: settings
-            .target
-            .as_ref()
-            .map_or(String::new(), |target| target.service.clone()),
+        // A target that announces itself takes no calls before it has done so.
+        service: match &settings.target {
+            Some(target) if !target.announces => target.service.clone(),
+            _ => String::new(),
+        },
         control_address: addresses.control.to_string(),
         peer_address: addresses.peer.to_string(),
         reads_schema: NEWEST_SCHEMA,
         version: 0,
+        slots: 0,
+        warming: false,
     }
 }
 
-fn spread_policy(settings: &NodeSettings) -> Arc<dyn SpreadPolicy> {
+fn spread_policy(settings: &NodeSettings, follows_feed: bool) -> Arc<dyn SpreadPolicy> {
     match settings.spread {
         SpreadChoice::Tree => {
             let store_region = settings.store.region.clone();
-            Arc::new(TreeSpread {
+            let mut tree = TreeSpread {
                 store_region,
                 ..Default::default()
-            })
+            };
+            if follows_feed {
+                (tree.home_readers, tree.remote_readers) = (FEED_READERS, FEED_READERS);
+            }
+            Arc::new(tree)
         }
         SpreadChoice::Poll => Arc::new(PollSpread::default()),
     }
@@ -216,7 +232,7 @@
 fn context(
     settings: NodeSettings,
     addresses: &NodeAddresses,
-    store: Arc<dyn PlatformStore>,
+    borders: NodeBorders,
     meters: &LinkMeters,
 ) -> (PublishedState, NodeContext) {
     let (published_config, config) = watch::channel(ServedConfig::default());
@@ -225,9 +241,11 @@
     let context = NodeContext {
         own: Arc::new(own_member(&settings, addresses)),
         clock: ProcessClock::start(),
-        store,
+        policy: spread_policy(&settings, borders.feed.is_some()),
+        store: borders.store,
+        feed: borders.feed,
+        dialect: borders.dialect,
         transport: transport(&settings, meters),
-        policy: spread_policy(&settings),
         settings: Arc::new(settings),
         config,
         members,
@@ -283,12 +301,34 @@
 }
 
 impl Node {
-    /// Starts a node. It returns once every listener is open; joining the mesh goes on after that.
+    /// Starts a node that speaks this project's own protocols to its platform, callers and targets.
+    /// It returns once every listener is open; joining the mesh goes on after that.
     ///
     /// # Errors
     ///
     /// Fails if an address cannot be bound or a client cannot be set up.
     pub async fn start(settings: NodeSettings) -> Result<Self, NodeError> {
+        let store = HttpStore::new(&HttpStoreSettings {
+            base_url: settings.store.url.clone(),
+            ..Default::default()
+        })?;
+        let borders = NodeBorders {
+            store: Arc::new(store),
+            feed: None,
+            dialect: Arc::new(OwnDialect),
+        };
+        Self::start_with(settings, borders).await
+    }
+
+    /// Starts a node with the given implementations of its borders.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or a state chart is not sound.
+    pub async fn start_with(
+        settings: NodeSettings,
+        borders: NodeBorders,
+    ) -> Result<Self, NodeError> {
         let listeners = Listeners::bind(&settings).await?;
         let unbound = |source| NodeError::Listen {
             address: settings.listen.calls,
@@ -296,12 +336,7 @@
         };
         let addresses = listeners.addresses().map_err(unbound)?;
         let meters = LinkMeters::default();
-        let base_url = settings.store.url.clone();
-        let store = HttpStore::new(&HttpStoreSettings {
-            base_url,
-            ..Default::default()
-        })?;
-        let (published, context) = context(settings, &addresses, Arc::new(store), &meters);
+        let (published, context) = context(settings, &addresses, borders, &meters);
         let ControlActors {
             config,
             relay,
@@ -309,7 +344,7 @@
             acceptor,
             join,
         } = ControlActors::spawn(&context, published)?;
-        let calls = CallSystem::start(&context, relay.clone())?;
+        let calls = CallSystem::start(&context, relay.clone(), members.clone())?;
         let server = ControlServer {
             context: context.clone(),
             config: config.clone(),
@@ -334,13 +369,9 @@
         let mut tasks = vec![tokio::spawn(serve_control(listeners.control, server))];
         tasks.extend(calls.tasks);
         let drain_limit = context.settings.calls.drain_limit;
-        let reader = StoreReader {
-            context: context.clone(),
-            config,
-            relay,
-        };
+        let drain_notice = context.settings.calls.drain_notice;
+        tasks.push(spawn_reader(&context, config, relay));
         tasks.extend([
-            tokio::spawn(run_reader(reader)),
             tokio::spawn(run_gauges(context.clone(), meters.clone())),
             tokio::spawn(run_detector(context.clone(), members.clone())),
             tokio::spawn(run_join(join.clone())),
@@ -373,8 +404,11 @@
             meters,
             members,
             join,
+            announcer: TargetAnnouncer::new(calls.slots),
+            leaving: watch::channel(false).0,
             drain: calls.drain,
             drain_limit,
+            drain_notice,
             stop,
             servers,
             tasks,
@@ -408,13 +442,36 @@
         }
     }
 
+    /// The way in for what the target beside the node announces.
+    pub fn announcer(&self) -> TargetAnnouncer {
+        self.announcer.clone()
+    }
+
+    /// Tells whether the node takes calls.
+    pub fn readiness(&self) -> NodeReadiness {
+        NodeReadiness {
+            config: self.config.clone(),
+            leaving: self.leaving.subscribe(),
+        }
+    }
+
     /// Announces that the node drains, refuses new calls, waits for the calls that are queued or
     /// running, then leaves the mesh and stops.
+    ///
+    /// For the time of the setting `drain_notice_ms`, calls of local callers are still taken, while
+    /// [`NodeReadiness`] says that the node takes none.
     pub async fn shutdown(self) {
-        let deadline = Instant::now() + self.drain_limit;
+        log::info!(event = "stopping"; "stopping");
+        let start = Instant::now();
+        let deadline = start + self.drain_limit;
+        self.leaving.send_replace(true);
         // The actors run until they are dropped below.
         let _ = self.join.ask(StartDrain).await;
         let _ = self.members.ask(Leave(MemberStatus::Draining)).await;
+        if !self.drain_notice.is_zero() {
+            self.drain.refuse_peers().await;
+            tokio::time::sleep_until(start + self.drain_notice).await;
+        }
         if !self.drain.finish(deadline).await {
             log::warn!(event = "drain-limit"; "calls are cut off, because they did not end within the drain limit");
         }
@@ -435,6 +492,43 @@
     }
 }
 
+/// Whether the node takes calls of local callers.
+#[derive(Clone, Debug)]
+pub struct NodeReadiness {
+    config: watch::Receiver<ServedConfig>,
+    leaving: watch::Receiver<bool>,
+}
+
+impl NodeReadiness {
+    /// Whether the node serves by a version and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        let serves = served_version(&self.config.borrow()).is_some_and(|version| version > 0);
+        serves && !*self.leaving.borrow()
+    }
+}
+
+/// Starts the task that reads versions where they come from.
+fn spawn_reader(
+    context: &NodeContext,
+    config: ActorRef<ConfigKeeper>,
+    relay: ActorRef<SpreadRelay>,
+) -> JoinHandle<()> {
+    let context = context.clone();
+    match context.feed.clone() {
+        Some(feed) => tokio::spawn(run_feed(FeedFollower {
+            context,
+            feed,
+            config,
+            relay,
+        })),
+        None => tokio::spawn(run_reader(StoreReader {
+            context,
+            config,
+            relay,
+        })),
+    }
+}
+
 /// Tells the actors that depend on it which version is in force.
 async fn follow_config(
     mut config: watch::Receiver<ServedConfig>,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,8 @@
 const WORKERS: RangeInclusive<u64> = 1..=64;
 const MICROSECONDS: RangeInclusive<u64> = 0..=1_000_000;
 const KEPT_BYTES: RangeInclusive<u64> = 0..=16 * 1024 * 1024;
+const PERCENT: RangeInclusive<u64> = 0..=200;
+const ATTEMPTS: RangeInclusive<u64> = 0..=10;
 const CONNECTIONS: RangeInclusive<u64> = 4..=10_000;
 
 /// Settings of a node.
@@ -76,7 +78,8 @@
 pub struct StoreSettings {
     /// Base address, as `http://IP:PORT`.
     pub url: String,
-    /// Region in which the store stands.
+    /// Region in which the store stands; empty if it is not known. Nodes there read the store more
+    /// often.
     pub region: String,
     /// Time allowed for one request.
     pub timeout: Duration,
@@ -99,8 +102,28 @@
     pub service: String,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Key `announces`: whether the target announces itself to this node. It then gets calls only
+    /// while it says that it takes them, and is not probed. False by default.
+    pub announces: bool,
+    /// Key `lapse_ms`: time without an announcement after which a target that announces itself
+    /// counts as gone, in milliseconds; 6000 by default, four periods of 1.5 s.
+    pub lapse: Duration,
 }
 
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            service: String::new(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announces: false,
+            lapse: DEFAULT_LAPSE,
+        }
+    }
+}
+
+/// Time without an announcement after which a target counts as gone, if none is set.
+const DEFAULT_LAPSE: Duration = Duration::from_secs(6);
+
 /// Limits of calls, from the table `calls`.
 #[derive(Clone, Debug)]
 pub struct CallSettings {
@@ -131,6 +154,31 @@
     pub target_connections: u32,
     /// Key `idle_connections`: idle connections kept to each other node; 32 by default.
     pub idle_connections: usize,
+    /// Key `retry_percent`: attempts beyond the first that reach a target, in percent of the calls to
+    /// its service; 10 by default.
+    pub retry_percent: u32,
+    /// Key `retry_slack`: such attempts that all nodes together may make beyond that share within a
+    /// few seconds, divided among the nodes that are known. If not set, each node has 20.
+    pub retry_slack: Option<u32>,
+    /// Key `refused_attempts`: further nodes that a call is sent to when nodes refuse it before their
+    /// targets see it; 0 by default.
+    pub refused_attempts: u32,
+    /// Key `spill_percent`: load of a target, in percent of its slots, from which calls go to the next
+    /// failure domain; 80 by default.
+    pub spill_percent: u32,
+    /// Key `report_percent`: weight of the load that the node of a target reports, in percent; 25 by
+    /// default. 100 where targets are reached only through their nodes.
+    pub report_percent: u32,
+    /// Key `drain_notice_ms`: time for which a node that is stopped still takes calls of local
+    /// callers, so that they hear that it is no longer ready, in milliseconds; 0 by default.
+    pub drain_notice: Duration,
+    /// Key `target_idle_ms`: time for which an idle connection to the local target is kept, in
+    /// milliseconds; 60000 by default. Shorter than the time after which the target closes it.
+    pub target_idle: Duration,
+    /// Key `user_timeout_ms`: time without an acknowledgement after which a connection for calls is
+    /// given up, in milliseconds; 1500 by default. A connection that has gone silent otherwise holds
+    /// each call on it until its deadline.
+    pub user_timeout: Duration,
     /// Key `balance`: how a target is chosen among those of the nearest place.
     pub balance: BalanceChoice,
 }
@@ -157,6 +205,14 @@
             drain_limit: Duration::from_secs(30),
             target_connections: 130,
             idle_connections: 32,
+            retry_percent: 10,
+            retry_slack: None,
+            refused_attempts: 0,
+            spill_percent: 80,
+            report_percent: 25,
+            drain_notice: Duration::ZERO,
+            target_idle: Duration::from_mins(1),
+            user_timeout: Duration::from_millis(1_500),
             balance: BalanceChoice::default(),
         }
     }
@@ -182,6 +238,12 @@
 }
 
 impl NodeSettings {
+    /// Service of the target beside the node; empty if there is none.
+    pub fn service_name(&self) -> &str {
+        let target = self.target.as_ref();
+        target.map_or("", |target| &target.service)
+    }
+
     /// Reads settings from the text of a file; `file` is its name in findings.
     ///
     /// # Errors
@@ -295,7 +357,7 @@
             url.clone_into(&mut self.url);
         }
         table
-            .required_text("region")
+            .text("region")
             .unwrap_or_default()
             .clone_into(&mut self.region);
         if let Some(millis) = table.integer("timeout_ms", MILLISECONDS) {
@@ -324,6 +386,18 @@
         time("max_timeout_ms", &mut self.max_timeout);
         time("probe_interval_ms", &mut self.probe_interval);
         time("drain_limit_ms", &mut self.drain_limit);
+        time("drain_notice_ms", &mut self.drain_notice);
+        time("target_idle_ms", &mut self.target_idle);
+        time("user_timeout_ms", &mut self.user_timeout);
+        let mut count = |key: &str, range: RangeInclusive<u64>| {
+            let number = table.integer(key, range);
+            number.and_then(|number| u32::try_from(number).ok())
+        };
+        self.retry_slack = count("retry_slack", CONNECTIONS);
+        self.retry_percent = count("retry_percent", PERCENT).unwrap_or(self.retry_percent);
+        self.refused_attempts = count("refused_attempts", ATTEMPTS).unwrap_or_default();
+        self.spill_percent = count("spill_percent", PERCENT).unwrap_or(self.spill_percent);
+        self.report_percent = count("report_percent", PERCENT).unwrap_or(self.report_percent);
         if let Some(count) = table.integer("target_connections", CONNECTIONS) {
             self.target_connections = u32::try_from(count).unwrap_or(u32::MAX);
         }
@@ -355,9 +429,14 @@
         table.missing("address");
     }
     let address = table.parsed("address", "an IP number and port");
+    let announces = table.boolean("announces").unwrap_or_default();
+    let lapse = table.integer("lapse_ms", MILLISECONDS);
+    let lapse = lapse.map_or(DEFAULT_LAPSE, Duration::from_millis);
     table.finish();
     Some(TargetSettings {
         service: service?,
         address: address?,
+        announces,
+        lapse,
     })
 }
--- a/crates/node/src/store/acceptor.rs
+++ b/crates/node/src/store/acceptor.rs
@@ -6,10 +6,8 @@
     AcceptAction, AcceptEvent, AcceptOutcome, AcceptProcess, HEAD_KEY, SNAPSHOT_INTERVAL,
     SpreadOrder, SpreadReach, change_key, delta_key, snapshot_key, unreadable_nodes,
 };
-use agatedeck_platform::{
-    RowCondition, RowWrite, StoreError, StoreTransaction, TransactionOutcome,
-};
 use agatedeck_records::{PlannedChange, compress, plan_change};
+use agatedeck_store::{RowCondition, RowWrite, StoreError, StoreTransaction, TransactionOutcome};
 use agatedeck_wire::{Change, Head, Offer, SpreadScope};
 use kameo::Actor;
 use kameo::actor::ActorRef;
--- a/crates/node/src/store/fetch.rs
+++ b/crates/node/src/store/fetch.rs
@@ -1,7 +1,7 @@
 //! Brings the configuration held up to the head of the store.
 
 use agatedeck_control::{DELTA_PREFIX, HEAD_KEY, delta_key, snapshot_key};
-use agatedeck_platform::{StoreError, StoredRow};
+use agatedeck_store::{StoreError, StoredRow};
 use agatedeck_wire::{Head, Offer, OfferOutcome, SpreadScope};
 use derive_more::{Display, Error, From};
 use kameo::actor::ActorRef;
--- a/crates/node/tests/cold_start.rs
+++ b/crates/node/tests/cold_start.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use agatedeck_node::{Node, NodeSettings, StoreSettings};
-use agatedeck_platform::{HttpStore, HttpStoreSettings, PlatformStore, RowWrite, StoreTransaction};
 use agatedeck_standin::PlatformServer;
+use agatedeck_store::{HttpStore, HttpStoreSettings, PlatformStore, RowWrite, StoreTransaction};
 use futures::future::join_all;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -171,6 +171,7 @@
                 target: Some(TargetSettings {
                     service: (*service).to_owned(),
                     address: target.address(),
+                    ..Default::default()
                 }),
                 metrics: mesh.metrics.local_addr().ok(),
                 calls: CallSettings {
--- a/crates/records/src/change.rs
+++ b/crates/records/src/change.rs
@@ -105,6 +105,7 @@
         operator: change.operator.clone(),
         accepted_unix_ms,
         digest: snapshot.digest().as_bytes().to_vec(),
+        base: None,
     };
     Ok(PlannedChange { snapshot, delta })
 }
--- a/crates/records/src/check.rs
+++ b/crates/records/src/check.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use agatedeck_wire::record_form::Body;
-use agatedeck_wire::{Record, RecordForm, RecordKind};
+use agatedeck_wire::{Record, RecordForm, RecordKind, RouteForm};
 use derive_more::Display;
 
 use crate::key::RecordKey;
@@ -81,9 +81,18 @@
     record.forms.iter().flat_map(form_references)
 }
 
+/// Names of the services that a route sends calls to.
+pub(crate) fn route_services(route: &RouteForm) -> impl Iterator<Item = &str> {
+    let whole = route.split.is_empty().then_some(route.service.as_str());
+    let parts = route.split.iter().map(|part| part.service.as_str());
+    whole.into_iter().chain(parts)
+}
+
 fn form_references(form: &RecordForm) -> Vec<RecordKey> {
     match &form.body {
-        Some(Body::Route(route)) => vec![RecordKey::new(RecordKind::Service, &route.service)],
+        Some(Body::Route(route)) => route_services(route)
+            .map(|name| RecordKey::new(RecordKind::Service, name))
+            .collect(),
         Some(Body::Service(service)) => {
             let policy = RecordKey::new(RecordKind::Policy, &service.policy);
             let services = service.depends_on.iter();
--- a/crates/records/src/file.rs
+++ b/crates/records/src/file.rs
@@ -5,7 +5,8 @@
 use agatedeck_findings::{FindingList, TableReader, TomlDocument};
 use agatedeck_wire::record_form::Body;
 use agatedeck_wire::{
-    PolicyForm, RecordForm, RecordKind, RecordName, RecordWrite, RepeatRule, RouteForm, ServiceForm,
+    PolicyForm, RecordForm, RecordKind, RecordName, RecordWrite, RepeatRule, RouteForm,
+    RouteLimits, ServiceForm, WeightedService,
 };
 
 use crate::key::{RecordKey, kind_name};
@@ -27,6 +28,8 @@
 const QUEUE_RANGE: RangeInclusive<u64> = 0..=10_000;
 const ATTEMPT_RANGE: RangeInclusive<u64> = 1..=10;
 const SHARE_RANGE: RangeInclusive<u64> = 1..=100;
+const WEIGHT_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+const PRIORITY_RANGE: RangeInclusive<u64> = 0..=100;
 const WARM_UP_RANGE_MS: RangeInclusive<u64> = 0..=600_000;
 
 /// A record as a file states it.
@@ -148,6 +151,9 @@
 /// Keys that came with schema version 2.
 const SCHEMA_2_KEYS: [&str; 4] = ["host", "load_path", "tenant_share_percent", "warm_up_ms"];
 
+/// Keys that came with schema version 3.
+const SCHEMA_3_KEYS: [&str; 2] = ["split", "limits"];
+
 fn check_schema_keys(table: &TableReader<'_>, schema: u32) {
     for key in SCHEMA_2_KEYS
         .iter()
@@ -155,6 +161,12 @@
     {
         table.note(key, format!("`{key}` needs schema 2 or later"));
     }
+    for key in SCHEMA_3_KEYS
+        .iter()
+        .filter(|key| schema < 3 && table.has(key))
+    {
+        table.note(key, format!("`{key}` needs schema 3 or later"));
+    }
 }
 
 fn required(table: &mut TableReader<'_>, key: &str) -> String {
@@ -175,14 +187,54 @@
 fn read_route(table: &mut TableReader<'_>) -> RouteForm {
     let prefix = required(table, "prefix");
     let prefix = path(table, "prefix", prefix);
-    let service = required(table, "service");
+    let split: Vec<WeightedService> = table.tables("split").into_iter().map(read_part).collect();
+    let service = if split.is_empty() {
+        required(table, "service")
+    } else {
+        optional(table, "service")
+    };
+    if !split.is_empty() && !service.is_empty() {
+        table.note("service", "`service` and `split` exclude each other");
+    }
     let class = table.text("class").unwrap_or("default").to_owned();
     let host = optional(table, "host");
+    let limits = table.table("limits").map(read_limits);
     RouteForm {
         prefix,
         service,
         class,
         host,
+        split,
+        limits,
+    }
+}
+
+fn read_part(mut table: TableReader<'_>) -> WeightedService {
+    let service = required(&mut table, "service");
+    let weight = number(&mut table, "weight", WEIGHT_RANGE, 1);
+    table.finish();
+    WeightedService { service, weight }
+}
+
+fn read_limits(mut table: TableReader<'_>) -> RouteLimits {
+    let repeat = read_repeat(&mut table).into();
+    let timeout_ms = number(
+        &mut table,
+        "timeout_ms",
+        TIMEOUT_RANGE_MS,
+        DEFAULT_TIMEOUT_MS,
+    );
+    let max_attempts = number(&mut table, "max_attempts", ATTEMPT_RANGE, DEFAULT_ATTEMPTS);
+    let priority = number(&mut table, "priority", PRIORITY_RANGE, 0);
+    let latency = 0..=*TIMEOUT_RANGE_MS.end();
+    let target_latency_ms = number(&mut table, "target_latency_ms", latency, 0);
+    table.finish();
+    RouteLimits {
+        repeat,
+        timeout_ms,
+        max_attempts,
+        priority,
+        target_latency_ms,
     }
 }
 
@@ -211,6 +263,7 @@
         RepeatRule::SafeMethods => "safe-methods",
         RepeatRule::Always => "always",
         RepeatRule::Once => "once",
+        RepeatRule::Never => "never",
     }
 }
 
@@ -219,6 +272,7 @@
         RepeatRule::SafeMethods,
         RepeatRule::Always,
         RepeatRule::Once,
+        RepeatRule::Never,
     ];
     let Some(name) = table.text("repeat") else {
         return RepeatRule::SafeMethods;
@@ -227,7 +281,7 @@
     if rule.is_none() {
         table.note(
             "repeat",
-            "`repeat` must be `safe-methods`, `always` or `once`",
+            "`repeat` must be `safe-methods`, `always`, `once` or `never`",
         );
     }
     rule.unwrap_or_default()
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -16,11 +16,11 @@
 pub use file::{FileRecord, read_record_file};
 pub use key::{RecordKey, kind_from_name, kind_name};
 pub use render::{FieldDifference, field_differences, render_record};
-pub use snapshot::{ApplyError, ConfigSnapshot, SnapshotDigest, compress, decompress};
+pub use snapshot::{ApplyError, ConfigSnapshot, SnapshotDigest, compress, decompress, delta_base};
 pub use view::{PolicyView, RouteView, ServiceView, SnapshotView};
 
 /// Oldest schema version of any record.
 pub const OLDEST_SCHEMA: u32 = 1;
 
 /// Newest schema version that this release reads and writes.
-pub const NEWEST_SCHEMA: u32 = 2;
+pub const NEWEST_SCHEMA: u32 = 3;
--- a/crates/records/src/render.rs
+++ b/crates/records/src/render.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use agatedeck_wire::record_form::Body;
-use agatedeck_wire::{Record, RecordForm};
+use agatedeck_wire::{Record, RecordForm, RouteLimits, WeightedService};
 use serde::Serialize;
 use toml::{Table, Value};
 
@@ -66,6 +66,25 @@
     fields.collect()
 }
 
+fn part_value(part: &WeightedService) -> Value {
+    let mut table = Table::new();
+    table.insert("service".to_owned(), Value::from(part.service.as_str()));
+    table.insert("weight".to_owned(), Value::from(part.weight));
+    Value::Table(table)
+}
+
+fn limits_table(limits: &RouteLimits) -> Table {
+    let fields = [
+        ("repeat", Value::from(repeat_name(limits.repeat()))),
+        ("timeout_ms", Value::from(limits.timeout_ms)),
+        ("max_attempts", Value::from(limits.max_attempts)),
+        ("priority", Value::from(limits.priority)),
+        ("target_latency_ms", Value::from(limits.target_latency_ms)),
+    ];
+    let fields = fields.into_iter();
+    fields.map(|(key, value)| (key.to_owned(), value)).collect()
+}
+
 fn form_table(form: &RecordForm) -> Table {
     let mut table = Table::new();
     let mut put = |key: &str, value: Value| table.insert(key.to_owned(), value);
@@ -73,7 +92,15 @@
     match &form.body {
         Some(Body::Route(route)) => {
             put("prefix", Value::from(route.prefix.as_str()));
-            put("service", Value::from(route.service.as_str()));
+            if route.split.is_empty() {
+                put("service", Value::from(route.service.as_str()));
+            } else {
+                let parts: Vec<Value> = route.split.iter().map(part_value).collect();
+                put("split", Value::Array(parts));
+            }
+            if let Some(limits) = &route.limits {
+                put("limits", Value::Table(limits_table(limits)));
+            }
             put("class", Value::from(route.class.as_str()));
             if !route.host.is_empty() {
                 put("host", Value::from(route.host.as_str()));
--- a/crates/records/src/snapshot.rs
+++ b/crates/records/src/snapshot.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use agatedeck_wire::{Delta, Record, RecordKind, Snapshot};
+use agatedeck_wire::{Delta, Record, RecordKind, RecordName, Snapshot};
 use derive_more::{Display, Error};
 use prost::Message;
 
@@ -97,6 +97,11 @@
         .join("; ")
 }
 
+/// Version that `delta` starts from.
+pub fn delta_base(delta: &Delta) -> u64 {
+    delta.base.unwrap_or(delta.version.saturating_sub(1))
+}
+
 /// All records of one version.
 ///
 /// Invariant: `digest` is the digest of the canonical encoding of `version` and `records`, and the
@@ -163,7 +168,7 @@
     /// Fails if the delta does not follow this version, breaks a rule, or leads to another digest
     /// than it states. This snapshot is unchanged in any case.
     pub fn apply(&self, delta: &Delta) -> Result<Self, ApplyError> {
-        if delta.version != self.version + 1 {
+        if delta_base(delta) != self.version || delta.version <= self.version {
             return Err(ApplyError::NotNext {
                 held: self.version,
                 delta: delta.version,
@@ -182,6 +187,44 @@
         Self::checked(delta.version, records, &delta.digest)
     }
 
+    /// A version whose records come from outside, such as a configuration that the platform's
+    /// operators write whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the records break a rule.
+    pub fn from_source(version: u64, records: Vec<Record>) -> Result<Self, ApplyError> {
+        let records = records
+            .into_iter()
+            .map(|record| (RecordKey::of(&record), Arc::new(record)))
+            .collect();
+        let faults = record_faults(&records);
+        if !faults.is_empty() {
+            return Err(ApplyError::Faulty { version, faults });
+        }
+        Ok(Self::from_records(version, records))
+    }
+
+    /// The difference that leads from this version to `next`.
+    pub fn delta_to(&self, next: &Self) -> Delta {
+        let changed = next
+            .records
+            .iter()
+            .filter(|(key, record)| self.records.get(*key) != Some(*record));
+        let retired = self
+            .records
+            .keys()
+            .filter(|key| !next.records.contains_key(*key));
+        Delta {
+            version: next.version,
+            puts: changed.map(|(_, record)| record.as_ref().clone()).collect(),
+            retired: retired.map(RecordName::from).collect(),
+            digest: next.digest.as_bytes().to_vec(),
+            base: Some(self.version),
+            ..Delta::default()
+        }
+    }
+
     /// Reads a compressed snapshot and compares it with the digest expected.
     ///
     /// # Errors
--- a/crates/standin/tests/http_store.rs
+++ b/crates/standin/tests/http_store.rs
@@ -3,11 +3,11 @@
 use std::io::Read as _;
 use std::time::Duration;
 
-use agatedeck_platform::{
+use agatedeck_standin::{PlatformFaults, PlatformServer};
+use agatedeck_store::{
     HttpStore, HttpStoreSettings, PlatformStore, RowCondition, RowWrite, StoreError,
     StoreTransaction, TransactionOutcome,
 };
-use agatedeck_standin::{PlatformFaults, PlatformServer};
 use tokio::time::Instant;
 
 async fn start() -> (PlatformServer, HttpStore) {
--- a/examples/quickstart/mesh.rs
+++ b/examples/quickstart/mesh.rs
@@ -97,6 +97,7 @@
                     target: Some(TargetSettings {
                         service: service.to_owned(),
                         address: target.address(),
+                        ..Default::default()
                     }),
                     ..Default::default()
                 };
--- a/tests/trace_replay.rs
+++ b/tests/trace_replay.rs
@@ -580,11 +580,11 @@
         let now = self.now;
         let held = self.holder(node).tip().version();
         let source = self.holder(from);
-        let (newest, digest) = (source.current().version(), source.current().digest());
+        let digest = source.current().digest();
         match source.pull(held) {
             PullReply::Deltas(deltas) => {
                 same(format!("deltas {}", deltas.len()).as_str(), stated, place);
-                let effects = self.holder(node).offer_pulled(newest, &deltas, now);
+                let effects = self.holder(node).offer_pulled(&deltas, now);
                 self.note(node, &effects);
             }
             PullReply::Snapshot(bytes) => {
