Let only calls wait that can still be of full use

Ruled out: last come, first served (starves the older calls of a short burst), and refusing by queue length (the right length differs by class and by speed).

Change: a route's target latency travels with the call. A call waits at the target's node only as long as it can still be in time by the service time of its class, and at least a quarter of the mean; otherwise it is refused at once and tried elsewhere. Calls of one rank run by when they are due.

--- a/crates/bench/src/slopes/call_decisions.rs
+++ b/crates/bench/src/slopes/call_decisions.rs
@@ -170,6 +170,8 @@
                 call,
                 tenant,
                 priority: 0,
+                class: "",
+                useful_until: None,
                 deadline,
             },
             now,
--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Admission of calls at the node of their target.
 
+mod class_time;
 mod queue;
 mod service_time;
 mod tenant;
--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -6,12 +6,16 @@
 use agatedeck_clock::Instant;
 use derive_more::{Display, From, Into};
 
-use super::service_time::ServiceTime;
+use super::class_time::{ClassKey, ClassTable};
 use super::tenant::{TenantKey, TenantRing};
 
 /// Steps in which a warming target opens its slots.
 const WARM_UP_STEPS: u32 = 8;
 
+/// Part of the service time, as a divisor, for which a call may wait whose answer comes late in any
+/// case. Short gaps between calls that can be in time are filled with those that cannot.
+const LATE_WAIT_SHARE: u32 = 4;
+
 /// Number of a call at this node, given by its caller.
 #[derive(Clone, Copy, Debug, Display, Eq, From, Hash, Into, Ord, PartialEq, PartialOrd)]
 pub struct CallId(u64);
@@ -51,8 +55,13 @@
     /// Rank of the call; 0 is the most urgent. More urgent calls run first, and tenants share the
     /// slots among the calls of one rank.
     pub priority: u32,
+    /// Class that the service time of the call is measured under.
+    pub class: &'a str,
     /// Deadline of the call.
     pub deadline: Instant,
+    /// Until when an answer is of full use to the caller, if that is stated. A call that cannot be
+    /// answered by then hardly waits: it would take the place of one that can.
+    pub useful_until: Option<Instant>,
 }
 
 /// Why a call is refused as `not-run`.
@@ -100,7 +109,10 @@
 struct CallEntry {
     priority: u32,
     tenant: TenantKey,
+    class: Option<ClassKey>,
     deadline: Instant,
+    /// When the call is refused if it still waits.
+    leaves_at: Instant,
     /// When the call was sent to the target; `None` while it is queued.
     started_at: Option<Instant>,
 }
@@ -117,10 +129,10 @@
     /// Tenants with calls here, by the rank of the calls.
     rings: BTreeMap<u32, TenantRing>,
     weights: HashMap<String, u32>,
-    /// Queued calls by deadline.
+    /// Queued calls by the time at which they are refused.
     deadlines: BTreeSet<(Instant, CallId)>,
     running: u32,
-    service_time: ServiceTime,
+    classes: ClassTable,
     warm_at: Instant,
     draining: bool,
     told_drained: bool,
@@ -139,7 +151,7 @@
             weights: HashMap::new(),
             deadlines: BTreeSet::new(),
             running: 0,
-            service_time: ServiceTime::default(),
+            classes: ClassTable::default(),
             draining: false,
             told_drained: false,
             closed: false,
@@ -167,7 +179,9 @@
     /// Runs, queues or refuses a call. A queued call has no effect until it is run or refused.
     pub fn admit(&mut self, ticket: &CallTicket<'_>, now: Instant) -> Vec<AdmissionEffect> {
         let mut effects = self.tick(now);
-        if let Some(reason) = self.refusal(ticket, now) {
+        let class = self.classes.enter(ticket.class);
+        let leaves_at = self.leaves_at(ticket, class, now);
+        if let Some(reason) = self.refusal(ticket, leaves_at, now) {
             effects.push(AdmissionEffect::Refuse(ticket.call, reason));
             return effects;
         }
@@ -184,21 +198,25 @@
         let entry = CallEntry {
             priority,
             tenant,
+            class,
             deadline: ticket.deadline,
+            leaves_at,
             started_at: None,
         };
         self.calls.insert(ticket.call, entry);
-        self.ring_mut(priority).push(tenant, ticket.call);
-        self.deadlines.insert((ticket.deadline, ticket.call));
+        let rank = ticket.useful_until.unwrap_or(now);
+        self.ring_mut(priority).push(tenant, rank, ticket.call);
+        self.deadlines.insert((leaves_at, ticket.call));
         self.fill_slots(now, &mut effects);
         effects
     }
 
     /// Frees the slot of a call that has ended at the target.
     pub fn release(&mut self, call: CallId, now: Instant) -> Vec<AdmissionEffect> {
-        let running = self.calls.get(&call).and_then(|entry| entry.started_at);
-        if let Some(started_at) = running {
-            self.service_time.note(now.since(started_at));
+        let entry = self.calls.get(&call);
+        let running = entry.and_then(|entry| Some((entry.class, entry.started_at?)));
+        if let Some((class, started_at)) = running {
+            self.classes.note(class, now.since(started_at));
             self.free_slot(call);
         }
         self.tick(now)
@@ -256,7 +274,7 @@
         }
         let ahead = self.queued_up_to(priority) + 1;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.service_time.mean().saturating_mul(ahead) / slots
+        self.classes.all().mean().saturating_mul(ahead) / slots
     }
 
     /// Warms the target up again after it has restarted.
@@ -322,10 +340,33 @@
         (slots * steps / WARM_UP_STEPS).max(1)
     }
 
-    fn refusal(&self, ticket: &CallTicket<'_>, now: Instant) -> Option<RefusalReason> {
+    /// Until when a call that arrives now waits for a slot: so long that it can still be answered
+    /// while the answer is of full use, but at least a part of the service time, and never past its
+    /// deadline.
+    fn leaves_at(&self, ticket: &CallTicket<'_>, class: Option<ClassKey>, now: Instant) -> Instant {
+        let Some(useful_until) = ticket.useful_until else {
+            return ticket.deadline;
+        };
+        let time = self.classes.of(class);
+        let longest = useful_until.since(now).saturating_sub(time.cautious());
+        let least = self.classes.all().mean() / LATE_WAIT_SHARE;
+        ticket.deadline.min(now.after(longest.max(least)))
+    }
+
+    fn refusal(
+        &self,
+        ticket: &CallTicket<'_>,
+        leaves_at: Instant,
+        now: Instant,
+    ) -> Option<RefusalReason> {
         if self.draining || self.closed {
             return Some(RefusalReason::Draining);
         }
+        let must_wait = self.running >= self.open_slots(now);
+        let starts_at = now.after(self.expected_start(ticket.priority, now));
+        if must_wait && ticket.useful_until.is_some() && starts_at > leaves_at {
+            return Some(RefusalReason::QueueFull);
+        }
         let done_at = now.after(self.expected_wait(ticket, now));
         let misses = ticket.deadline.is_past(now) || ticket.deadline < done_at;
         misses.then_some(RefusalReason::Deadline)
@@ -342,7 +383,7 @@
             return Duration::ZERO;
         }
         if self.running < slots {
-            return self.service_time.shortest();
+            return self.classes.all().shortest();
         }
         // Each call of the tenant before it waits for one turn of the ring, but never for more
         // calls than are queued.
@@ -353,8 +394,9 @@
         let urgent = self.queued_up_to(ticket.priority) + 1 - peers;
         let ahead = (own * waiting).min(peers) + urgent;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let wait = self.service_time.mean().saturating_mul(ahead) / slots;
-        wait.saturating_add(self.service_time.cautious())
+        let time = self.classes.all();
+        let wait = time.mean().saturating_mul(ahead) / slots;
+        wait.saturating_add(time.cautious())
     }
 
     /// Calls in the queue that run before a call of this rank that arrives now.
@@ -434,10 +476,11 @@
                 continue;
             };
             let (priority, tenant, deadline) = (entry.priority, entry.tenant, entry.deadline);
-            self.deadlines.remove(&(deadline, call));
+            self.deadlines.remove(&(entry.leaves_at, call));
             // While other calls wait, a slot is not spent on a call that will miss its deadline.
             let others_wait = !self.deadlines.is_empty();
-            let late = others_wait && deadline < now.after(self.service_time.cautious());
+            let time = self.classes.of(entry.class);
+            let late = others_wait && deadline < now.after(time.cautious());
             if late || deadline.is_past(now) {
                 self.calls.remove(&call);
                 self.leave_if_idle(priority, tenant);
@@ -473,7 +516,7 @@
             return;
         }
         if let Some(entry) = self.calls.remove(&call) {
-            self.deadlines.remove(&(entry.deadline, call));
+            self.deadlines.remove(&(entry.leaves_at, call));
             let ring = self.ring_mut(entry.priority);
             ring.remove(entry.tenant, call);
             ring.leave_if_idle(entry.tenant);
--- a/crates/calls/src/admission/tenant.rs
+++ b/crates/calls/src/admission/tenant.rs
@@ -1,7 +1,8 @@
 //! Fair order over tenants.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
+use agatedeck_clock::Instant;
 use slotmap::{SlotMap, new_key_type};
 
 use super::queue::CallId;
@@ -13,7 +14,8 @@
 #[derive(Debug)]
 pub(crate) struct TenantEntry {
     name: String,
-    pub(crate) queued: VecDeque<CallId>,
+    /// Queued calls, the one to run first at the front.
+    pub(crate) queued: BTreeSet<(Instant, CallId)>,
     pub(crate) running: u32,
     weight: u32,
     /// Calls that the tenant may still start in its turn.
@@ -46,7 +48,7 @@
         }
         let key = self.tenants.insert(TenantEntry {
             name: name.to_owned(),
-            queued: VecDeque::new(),
+            queued: BTreeSet::new(),
             running: 0,
             weight: self.weights.get(name).copied().unwrap_or(1),
             deficit: 0,
@@ -97,18 +99,19 @@
         self.turns.len() > own
     }
 
-    pub(crate) fn push(&mut self, key: TenantKey, call: CallId) {
+    /// Queues a call. Calls of one tenant run in the order of `rank`.
+    pub(crate) fn push(&mut self, key: TenantKey, rank: Instant, call: CallId) {
         let entry = &mut self.tenants[key];
         if entry.queued.is_empty() {
             entry.deficit = 0;
             self.turns.push_back(key);
         }
-        entry.queued.push_back(call);
+        entry.queued.insert((rank, call));
     }
 
     pub(crate) fn remove(&mut self, key: TenantKey, call: CallId) {
         let entry = &mut self.tenants[key];
-        entry.queued.retain(|queued| *queued != call);
+        entry.queued.retain(|(_, queued)| *queued != call);
         self.leave_turns_if_empty(key);
     }
 
@@ -136,7 +139,7 @@
             entry.deficit = entry.weight;
         }
         entry.deficit -= 1;
-        let call = entry.queued.pop_front()?;
+        let (_, call) = entry.queued.pop_first()?;
         if entry.queued.is_empty() {
             self.turns.remove(position);
         } else if entry.deficit == 0 {
@@ -146,16 +149,15 @@
         Some(call)
     }
 
-    /// The newest queued call of the tenant with the longest queue, if that queue is longer than
-    /// `share`.
+    /// The queued call that would run last of the tenant with the longest queue, if that queue is
+    /// longer than `share`.
     pub(crate) fn newest_over(&self, share: usize) -> Option<CallId> {
         let longest = self
             .turns
             .iter()
             .map(|&key| &self.tenants[key].queued)
             .max_by_key(|queued| queued.len())?;
-        (longest.len() > share)
-            .then(|| longest.back().copied())
-            .flatten()
+        let last = longest.last().filter(|_| longest.len() > share);
+        last.map(|(_, call)| *call)
     }
 }
--- a/crates/calls/src/announce/register.rs
+++ b/crates/calls/src/announce/register.rs
@@ -163,6 +163,11 @@
             return Ok(known);
         }
         let same_start = notice.born_unix_ms == self.born_unix_ms && notice.id == self.id;
+        // The time of day may have stepped back between two starts. Where the later one is known to
+        // be gone without having said so, another may take its place.
+        if known && !same_start && self.state == AnnouncedState::Absent {
+            return Ok(true);
+        }
         if known && (!same_start || notice.sequence <= self.sequence) {
             return Err(NoticeError::Stale);
         }
--- a/crates/calls/tests/admission.rs
+++ b/crates/calls/tests/admission.rs
@@ -28,6 +28,8 @@
         call: call.into(),
         tenant,
         priority: 0,
+        class: "",
+        useful_until: None,
         deadline: Instant::from_millis(1_000),
     }
 }
--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -402,6 +402,8 @@
                     call: self.next_id.into(),
                     tenant: TENANTS[call.tenant],
                     priority: 0,
+                    class: "",
+                    useful_until: None,
                     deadline: call.deadline,
                 };
                 let target = &mut self.targets[tried.target];
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -28,7 +28,7 @@
 use super::gateway::GatewayContext;
 use super::headers::{
     ATTEMPT, CALLER, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, SERVICE,
-    TENANT, node_response, number, strip_hop_headers,
+    TENANT, USEFUL, node_response, number, strip_hop_headers,
 };
 use super::latency_keeper::RecordCall;
 use super::plan::CallPlan;
@@ -361,6 +361,9 @@
         headers.insert(DEPTH, (self.plan.depth + 1).into());
         headers.insert(ATTEMPT, self.life.attempts().into());
         headers.insert(PRIORITY, self.plan.priority.into());
+        if let Some(useful_until) = self.plan.useful_until {
+            headers.insert(USEFUL, whole_millis(useful_until.since(now)).into());
+        }
         headers.insert(SERVICE, HeaderValue::from_str(&self.plan.service).ok()?);
         let caller = self.shared.context.settings.service_name();
         headers.insert(CALLER, HeaderValue::from_str(caller).ok()?);
@@ -498,6 +501,10 @@
     matches!(answer, ReadyAnswer::Long(..))
 }
 
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Whole milliseconds, rounded up so that a call that is still open never reads as expired.
 fn millis_rounded_up(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -45,6 +45,9 @@
 /// Rank of the call; 0 is the most urgent. Sent between nodes only.
 pub(super) const PRIORITY: HeaderName = HeaderName::from_static("agatedeck-priority");
 
+/// Milliseconds for which an answer is still of full use to the caller. Sent between nodes only.
+pub(super) const USEFUL: HeaderName = HeaderName::from_static("agatedeck-useful-ms");
+
 /// Service that the call is for. Addresses are used again, so the target's node compares it. Sent
 /// between nodes only.
 pub(super) const SERVICE: HeaderName = HeaderName::from_static("agatedeck-service");
--- a/crates/node/src/calls/latency_keeper.rs
+++ b/crates/node/src/calls/latency_keeper.rs
@@ -67,7 +67,9 @@
     /// lines.
     fn log(&mut self, call: &RecordCall) {
         let first_try = call.outcome == CallOutcome::Answered && call.attempts <= 1;
-        if first_try || !self.lines.take() {
+        // A caller that goes away decides that itself.
+        let cancelled = call.reason == Some(StopReason::Cancelled);
+        if first_try || cancelled || !self.lines.take() {
             return;
         }
         let reason = call.reason.map(|reason| reason.to_string());
--- a/crates/node/src/calls/plan.rs
+++ b/crates/node/src/calls/plan.rs
@@ -34,6 +34,8 @@
     pub(super) max_attempts: u32,
     /// Rank under load; 0 is the most urgent.
     pub(super) priority: u32,
+    /// Until when an answer is of full use to the caller, if the route states that.
+    pub(super) useful_until: Option<Instant>,
     /// Identity of the request, for log lines.
     pub(super) request_id: String,
 }
@@ -103,11 +105,14 @@
         } else {
             None
         };
+        let useful = Duration::from_millis(limits.target_latency_ms.into());
+        let now = context.clock.now();
         Ok(Self {
+            useful_until: (!useful.is_zero()).then(|| now.after(useful)),
             service: service.to_owned(),
             tenant: terms.tenant.unwrap_or(DEFAULT_TENANT).to_owned(),
             class: route.form.class.clone(),
-            deadline: context.clock.now().after(timeout),
+            deadline: now.after(timeout),
             depth,
             idempotent,
             claim_key,
--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -66,6 +66,8 @@
             call,
             tenant: request.tenant.to_owned(),
             priority: request.priority,
+            class: request.class.to_owned(),
+            useful_until: request.useful_until,
             deadline,
             fingerprint,
             reply,
@@ -103,6 +105,9 @@
 pub(super) struct SlotRequest<'a> {
     pub(super) tenant: &'a str,
     pub(super) priority: u32,
+    pub(super) class: &'a str,
+    /// Until when an answer is of full use to the caller, if that is stated.
+    pub(super) useful_until: Option<Instant>,
     pub(super) fingerprint: Fingerprint,
 }
 
@@ -452,6 +457,8 @@
     call: CallId,
     tenant: String,
     priority: u32,
+    class: String,
+    useful_until: Option<Instant>,
     deadline: Instant,
     fingerprint: Fingerprint,
     reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
@@ -471,6 +478,8 @@
             call: admit.call,
             tenant: &admit.tenant,
             priority: admit.priority,
+            class: &admit.class,
+            useful_until: admit.useful_until,
             deadline: admit.deadline,
         };
         let effects = self.queue.admit(&ticket, self.context.clock.now());
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -23,8 +23,8 @@
 use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
 use super::drain_body::{BodyReturn, after_request, lend};
 use super::headers::{
-    CALLER, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, ROOM, SERVICE, TENANT, number,
-    outcome_value, peer_refusal, stated_timeout, strip_hop_headers, text,
+    CALLER, CLASS, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, ROOM, SERVICE, TENANT, USEFUL,
+    number, outcome_value, peer_refusal, stated_timeout, strip_hop_headers, text,
 };
 use super::http_client::{CallClient, connection_held};
 use super::latency_keeper::{CountEvent, LatencyKeeper};
@@ -106,9 +106,12 @@
         return Err(refusal(StopReason::CrashedTargets));
     }
     let priority = number(headers, &PRIORITY).unwrap_or_default();
+    let useful = number(headers, &USEFUL);
     let request = SlotRequest {
         tenant: text(headers, &TENANT).unwrap_or_default(),
         priority: u32::try_from(priority).unwrap_or(u32::MAX),
+        class: text(headers, &CLASS).unwrap_or_default(),
+        useful_until: useful.map(|left| now.after(Duration::from_millis(left))),
         fingerprint,
     };
     let lease = gate.admit(&request, now, timeout).await?;
