Keep admitting calls after a look at the target that comes late

Cause: the first look at a target was told to the actor that owns its slots. Where the target had announced itself before, the look was stale, the handler returned an error, and an actor that is told a message whose handler fails stops. The node then refused every call as draining and every heartbeat. After a power cut of all machines the heartbeat mostly comes first, and nothing was served again.

Ruled out: a panic (none was printed), stale heartbeats (none was passed over), and membership (calls reached the right nodes, which refused them).

Change: the look is asked and its refusal logged. A node notices when an actor that it needs has ended and exits with an error, so that its process starts again.

--- a/crates/node/src/calls/first_look.rs
+++ b/crates/node/src/calls/first_look.rs
@@ -45,8 +45,10 @@
         return;
     }
     if let Some(announced) = announcement(&context, answer.headers()) {
-        // An announcement of the target itself that came meanwhile goes before this one.
-        let _ = slots.tell(announced).await;
+        // Asked, not told: an actor stops when a message that it was told fails.
+        if let Err(error) = slots.ask(announced).await {
+            log::info!(event = "first-look"; "what the target announced itself goes first: {error}");
+        }
     }
 }
 
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -25,7 +25,7 @@
 /// Only services that were called from here are on the board. Their subsets are computed when the
 /// first call comes and, apart from this actor, when members or configuration change.
 #[derive(Actor)]
-pub(super) struct CallRouter {
+pub(crate) struct CallRouter {
     context: NodeContext,
     board: TargetBoard,
     /// Budgets by service, so that the failures of one do not use up the retries of another.
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -53,6 +53,7 @@
 pub(crate) struct CallSystem {
     pub(crate) crash_keeper: ActorRef<CrashKeeper>,
     pub(crate) latency: ActorRef<LatencyKeeper>,
+    pub(crate) router: ActorRef<CallRouter>,
     /// Owner of the slots of the local target, if there is one.
     pub(crate) slots: Option<ActorRef<SlotKeeper>>,
     /// Takes calls of local callers.
@@ -166,6 +167,7 @@
         Ok(Self {
             crash_keeper,
             latency,
+            router: call_context.router.clone(),
             slots: slots.clone(),
             gateway: gateway_router(Arc::new(call_context)),
             target_side: target_router(Arc::new(target_context)),
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -13,6 +13,7 @@
 use axum::Router;
 use axum::serve::ListenerExt;
 use derive_more::{Display, Error, From};
+use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -107,6 +108,7 @@
     members: ActorRef<MemberKeeper>,
     join: ActorRef<JoinKeeper>,
     announcer: TargetAnnouncer,
+    failure: watch::Receiver<bool>,
     leaving: watch::Sender<bool>,
     drain: CallDrain,
     drain_limit: Duration,
@@ -345,6 +347,17 @@
             join,
         } = ControlActors::spawn(&context, published)?;
         let calls = CallSystem::start(&context, relay.clone(), members.clone())?;
+        let (failed, failure) = watch::channel(false);
+        let mut tasks = vec![
+            watch_actor("config keeper", config.clone(), failed.clone()),
+            watch_actor("member keeper", members.clone(), failed.clone()),
+            watch_actor("join keeper", join.clone(), failed.clone()),
+            watch_actor("spread relay", relay.clone(), failed.clone()),
+            watch_actor("call router", calls.router.clone(), failed.clone()),
+        ];
+        if let Some(slots) = &calls.slots {
+            tasks.push(watch_actor("slot keeper", slots.clone(), failed));
+        }
         let server = ControlServer {
             context: context.clone(),
             config: config.clone(),
@@ -366,7 +379,7 @@
             serve(listeners.calls, calls.gateway, stop_seen.clone()),
             serve(listeners.peer, calls.target_side, stop_seen),
         ];
-        let mut tasks = vec![tokio::spawn(serve_control(listeners.control, server))];
+        tasks.push(tokio::spawn(serve_control(listeners.control, server)));
         tasks.extend(calls.tasks);
         let drain_limit = context.settings.calls.drain_limit;
         let drain_notice = context.settings.calls.drain_notice;
@@ -405,6 +418,7 @@
             members,
             join,
             announcer: TargetAnnouncer::new(calls.slots),
+            failure,
             leaving: watch::channel(false).0,
             drain: calls.drain,
             drain_limit,
@@ -442,6 +456,14 @@
         }
     }
 
+    /// Waits until an actor that the node needs has ended although the node was not stopped. What is
+    /// left of the node cannot serve, and its process had better start again.
+    pub async fn failed(&self) {
+        let mut failure = self.failure.clone();
+        // The sender lives as long as the node.
+        let _ = failure.wait_for(|failed| *failed).await;
+    }
+
     /// The way in for what the target beside the node announces.
     pub fn announcer(&self) -> TargetAnnouncer {
         self.announcer.clone()
@@ -508,6 +530,19 @@
     }
 }
 
+/// Notes it if `actor` ends. The task is aborted when the node is stopped.
+fn watch_actor<A: Actor>(
+    name: &'static str,
+    actor: ActorRef<A>,
+    failed: watch::Sender<bool>,
+) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        actor.wait_for_shutdown().await;
+        log::error!(event = "actor-ended", actor = name; "the {name} has ended");
+        failed.send_replace(true);
+    })
+}
+
 /// Starts the task that reads versions where they come from.
 fn spawn_reader(
     context: &NodeContext,
--- a/src/bin/agatedeck-node.rs
+++ b/src/bin/agatedeck-node.rs
@@ -6,7 +6,7 @@
 use agatedeck::{Node, NodeSettings, start_logging};
 use lexopt::prelude::*;
 use log::LevelFilter;
-use miette::{IntoDiagnostic, Result, WrapErr};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -121,6 +121,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = node.failed() => return Err(miette!("a part of the node has ended")),
     }
     node.shutdown().await;
     Ok(())
