--- a/crates/calls/src/retry/decide.rs
+++ b/crates/calls/src/retry/decide.rs
@@ -27,6 +27,31 @@
     pub budget_reserve: u32,
 }
 
+/// Part of a limit that nodes spend. The rest covers what a node cannot see: calls that are retried
+/// because the call that they are made for was, and nodes that have gone with unspent calls.
+const SPENT_SHARE: f64 = 0.6;
+
+impl RetrySettings {
+    /// One node's part of what `nodes` nodes together may spend: a share of its own calls, and its
+    /// part of the slack.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "percents and retries are small; a fleet has far fewer than 2^52 nodes"
+    )]
+    pub fn within(self, ratio: f64, slack: f64, nodes: usize) -> Self {
+        let percent = (ratio * SPENT_SHARE * 100.0).clamp(0.0, 100.0);
+        let reserve = (slack / nodes.max(1) as f64).clamp(1.0, 1_000.0);
+        Self {
+            budget_percent: percent as u32,
+            budget_reserve: reserve as u32,
+            ..self
+        }
+    }
+}
+
 impl Default for RetrySettings {
     fn default() -> Self {
         Self {
--- a/crates/calls/tests/retry.rs
+++ b/crates/calls/tests/retry.rs
@@ -110,3 +110,23 @@
     assert_eq!(text.parse(), Ok(outcome));
     assert!(text.to_uppercase().parse::<CallOutcome>().is_err());
 }
+
+/// Guards against nodes that together spend more retries on a service than they may: the shares of
+/// all nodes, and what each may save up, stay within the limit.
+#[parameterized(few = { 4 }, today = { 24 }, grown = { 73 }, many = { 2_700 })]
+fn nodes_together_keep_to_the_limit(nodes: usize) {
+    let settings = RetrySettings::default().within(0.2, 164.0, nodes);
+    let mut budgets = vec![RetryBudget::new(&settings); nodes];
+    let (mut calls, mut retries) = (0, 0);
+    for round in 0..200 {
+        for budget in &mut budgets {
+            budget.note_call();
+            calls += 1;
+            // A third of the targets fail.
+            retries += usize::from(round % 3 == 0 && budget.try_take());
+        }
+    }
+    let slack = 164.max(nodes);
+    assert!(retries <= calls / 5 + slack, "{retries} of {calls}");
+    assert!(retries >= calls / 10, "{retries} of {calls}");
+}
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -76,16 +76,12 @@
     /// may spend.
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         if !self.budgets.contains_key(service) {
-            let reserve = match self.context.settings.calls.retry_slack {
-                Some(slack) => {
-                    let nodes = self.context.table().live().count().max(1);
-                    slack / u32::try_from(nodes).unwrap_or(u32::MAX)
+            let settings = match self.context.settings.calls.retry_limit {
+                Some(limit) => {
+                    let nodes = self.context.table().live().count();
+                    self.settings.within(limit.ratio, limit.slack, nodes)
                 }
-                None => self.settings.budget_reserve,
-            };
-            let settings = RetrySettings {
-                budget_reserve: reserve.max(1),
-                ..self.settings
+                None => self.settings,
             };
             let budget = RetryBudget::new(&settings);
             self.budgets.insert(service.to_owned(), budget);
--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -30,6 +30,10 @@
 /// of the request, so the margin covers the way of both messages, 12 ms each between regions.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(30);
 
+/// Periods without an announcement after which a target counts as gone. Single announcements are
+/// late by seconds.
+const LAPSE_PERIODS: u32 = 4;
+
 /// Time allowed for the connection that shows whether the target still listens.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -425,7 +429,8 @@
 /// The register of a target that announces itself.
 fn register_of(context: &NodeContext) -> Option<TargetRegister> {
     let target = context.settings.target.as_ref()?;
-    let lapse_ms = u64::try_from(target.lapse.as_millis()).unwrap_or(u64::MAX);
+    let lapse = target.announce_period * LAPSE_PERIODS;
+    let lapse_ms = u64::try_from(lapse.as_millis()).unwrap_or(u64::MAX);
     target.announces.then(|| {
         TargetRegister::new(RegisterSettings {
             service: target.service.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,5 +32,5 @@
 pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError, NodeReadiness};
 pub use settings::{
     BalanceChoice, CallSettings, EmulationSettings, ListenSettings, LogLevel, NodeSettings,
-    SpreadChoice, StoreSettings, TargetSettings,
+    RetryLimit, SpreadChoice, StoreSettings, TargetSettings,
 };
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -381,7 +381,7 @@
         ];
         tasks.push(tokio::spawn(serve_control(listeners.control, server)));
         tasks.extend(calls.tasks);
-        let drain_limit = context.settings.calls.drain_limit;
+        let drain_limit = context.settings.calls.drain_time();
         let drain_notice = context.settings.calls.drain_notice;
         tasks.push(spawn_reader(&context, config, relay));
         tasks.extend([
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -105,9 +105,9 @@
     /// Key `announces`: whether the target announces itself to this node. It then gets calls only
     /// while it says that it takes them, and is not probed. False by default.
     pub announces: bool,
-    /// Key `lapse_ms`: time without an announcement after which a target that announces itself
-    /// counts as gone, in milliseconds; 6000 by default, four periods of 1.5 s.
-    pub lapse: Duration,
+    /// Key `announce_period_ms`: time between two announcements of a target that announces itself,
+    /// in milliseconds; 1500 by default. Without one for four periods, the target counts as gone.
+    pub announce_period: Duration,
 }
 
 impl Default for TargetSettings {
@@ -116,13 +116,13 @@
             service: String::new(),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             announces: false,
-            lapse: DEFAULT_LAPSE,
+            announce_period: DEFAULT_ANNOUNCE_PERIOD,
         }
     }
 }
 
-/// Time without an announcement after which a target counts as gone, if none is set.
-const DEFAULT_LAPSE: Duration = Duration::from_secs(6);
+/// Time between two announcements of a target, if none is set.
+const DEFAULT_ANNOUNCE_PERIOD: Duration = Duration::from_millis(1_500);
 
 /// Limits of calls, from the table `calls`.
 #[derive(Clone, Debug)]
@@ -157,9 +157,13 @@
     /// Key `retry_percent`: attempts beyond the first that reach a target, in percent of the calls to
     /// its service; 10 by default.
     pub retry_percent: u32,
-    /// Key `retry_slack`: such attempts that all nodes together may make beyond that share within a
-    /// few seconds, divided among the nodes that are known. If not set, each node has 20.
-    pub retry_slack: Option<u32>,
+    /// Keys `retry_limit_percent` and `retry_limit_slack`: what all nodes together may spend on such
+    /// attempts at a service within any few seconds. If set, it replaces `retry_percent`, and each
+    /// node keeps to its part.
+    pub retry_limit: Option<RetryLimit>,
+    /// Key `stop_limit_ms`: time after which a process that is asked to stop is killed, in
+    /// milliseconds. If set, draining ends before that, whatever `drain_limit_ms` says.
+    pub stop_limit: Option<Duration>,
     /// Key `refused_attempts`: further nodes that a call is sent to when nodes refuse it before their
     /// targets see it; 0 by default.
     pub refused_attempts: u32,
@@ -183,6 +187,15 @@
     pub balance: BalanceChoice,
 }
 
+/// Attempts beyond the first that all nodes together may send to the targets of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryLimit {
+    /// As a share of the calls to the service.
+    pub ratio: f64,
+    /// In addition to that share.
+    pub slack: f64,
+}
+
 /// How a target is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum BalanceChoice {
@@ -206,7 +219,8 @@
             target_connections: 130,
             idle_connections: 32,
             retry_percent: 10,
-            retry_slack: None,
+            retry_limit: None,
+            stop_limit: None,
             refused_attempts: 0,
             spill_percent: 80,
             report_percent: 25,
@@ -367,7 +381,18 @@
     }
 }
 
+/// Time that is left for closing connections and leaving after the calls have ended.
+const STOP_MARGIN: Duration = Duration::from_millis(800);
+
 impl CallSettings {
+    /// Time that calls are given to end when the node is stopped.
+    pub(crate) fn drain_time(&self) -> Duration {
+        let stop_limit = self
+            .stop_limit
+            .map(|limit| limit.saturating_sub(STOP_MARGIN));
+        stop_limit.unwrap_or(self.drain_limit)
+    }
+
     fn read(&mut self, mut table: TableReader<'_>) {
         let mut bytes = |key: &str, place: &mut usize| {
             if let Some(bytes) = table.integer(key, KEPT_BYTES) {
@@ -387,13 +412,23 @@
         time("probe_interval_ms", &mut self.probe_interval);
         time("drain_limit_ms", &mut self.drain_limit);
         time("drain_notice_ms", &mut self.drain_notice);
+        let mut stop_limit = Duration::ZERO;
+        time("stop_limit_ms", &mut stop_limit);
+        self.stop_limit = (!stop_limit.is_zero()).then_some(stop_limit);
         time("target_idle_ms", &mut self.target_idle);
         time("user_timeout_ms", &mut self.user_timeout);
         let mut count = |key: &str, range: RangeInclusive<u64>| {
             let number = table.integer(key, range);
             number.and_then(|number| u32::try_from(number).ok())
         };
-        self.retry_slack = count("retry_slack", CONNECTIONS);
+        let slack = count("retry_limit_slack", CONNECTIONS);
+        let ratio = count("retry_limit_percent", PERCENT);
+        if slack.is_some() || ratio.is_some() {
+            self.retry_limit = Some(RetryLimit {
+                ratio: f64::from(ratio.unwrap_or_default()) / 100.0,
+                slack: f64::from(slack.unwrap_or_default()),
+            });
+        }
         self.retry_percent = count("retry_percent", PERCENT).unwrap_or(self.retry_percent);
         self.refused_attempts = count("refused_attempts", ATTEMPTS).unwrap_or_default();
         self.spill_percent = count("spill_percent", PERCENT).unwrap_or(self.spill_percent);
@@ -430,13 +465,13 @@
     }
     let address = table.parsed("address", "an IP number and port");
     let announces = table.boolean("announces").unwrap_or_default();
-    let lapse = table.integer("lapse_ms", MILLISECONDS);
-    let lapse = lapse.map_or(DEFAULT_LAPSE, Duration::from_millis);
+    let period = table.integer("announce_period_ms", MILLISECONDS);
+    let announce_period = period.map_or(DEFAULT_ANNOUNCE_PERIOD, Duration::from_millis);
     table.finish();
     Some(TargetSettings {
         service: service?,
         address: address?,
         announces,
-        lapse,
+        announce_period,
     })
 }
