Look for the close of a request that was held up before it runs

Each was sent from one node to another in another failure domain, arrived 0.9 s later, and was cut in the same millisecond: its packets had been lost, and the request and the close of its connection arrived one right after the other.

Ruled out: a close that the node does not see (a test with a request and its close in one packet passes), a node that stands still (both wrote lines meanwhile), and a call that waits in the queue after its caller has left (its lease is dropped).

Change: a request states when its node sent it. The target's node keeps the shortest way of late from each node, and gives one that took 200 ms longer 3 ms for the close to be seen.

--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -4,7 +4,9 @@
 mod queue;
 mod service_time;
 mod tenant;
+mod transit;
 
 pub use queue::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
 };
+pub use transit::TransitTable;
--- /dev/null
+++ b/crates/calls/src/admission/transit.rs
@@ -0,0 +1,63 @@
+//! Which requests were held up on their way from their caller's node.
+//!
+//! A request whose packets were lost arrives with what its caller has sent since, such as the close of
+//! the connection. The target's node then looks for the close before it gives the request to the
+//! target.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+
+/// Time on the way, beyond the shortest that was seen of late, from which a request counts as held up.
+const HELD_UP: Duration = Duration::from_millis(200);
+
+/// Time for which the shortest way is remembered, twice over. The clocks of nodes are not
+/// comparable, and a node that was frozen falls behind for good.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Senders that are remembered; more than a target has callers' nodes.
+const MAX_SENDERS: usize = 4_096;
+
+#[derive(Clone, Copy, Debug)]
+struct SenderEntry {
+    /// Least difference between the clocks in the present and in the last window, in microseconds.
+    least: i64,
+    least_before: i64,
+    window_ends_at: Instant,
+}
+
+/// The shortest ways from other nodes.
+#[derive(Debug, Default)]
+pub struct TransitTable {
+    senders: HashMap<String, SenderEntry>,
+}
+
+impl TransitTable {
+    /// Takes in a request that `sender` sent at `sent_us` by its own clock. Returns whether it was
+    /// held up.
+    pub fn note(&mut self, sender: &str, sent_us: u64, now: Instant) -> bool {
+        let micros = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let difference = micros(now.as_micros()) - micros(sent_us);
+        let Some(entry) = self.senders.get_mut(sender) else {
+            if self.senders.len() < MAX_SENDERS {
+                let entry = SenderEntry {
+                    least: difference,
+                    least_before: difference,
+                    window_ends_at: now.after(WINDOW),
+                };
+                self.senders.insert(sender.to_owned(), entry);
+            }
+            return false;
+        };
+        if entry.window_ends_at.is_past(now) {
+            entry.least_before = entry.least;
+            entry.least = difference;
+            entry.window_ends_at = now.after(WINDOW);
+        }
+        entry.least = entry.least.min(difference);
+        let shortest = entry.least.min(entry.least_before);
+        let held_up = i64::try_from(HELD_UP.as_micros()).unwrap_or(i64::MAX);
+        difference - shortest >= held_up
+    }
+}
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use admission::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
+    TransitTable,
 };
 pub use announce::{
     AnnouncedState, NoticeError, NoticeState, RegisterEffect, RegisterSettings, TargetNotice,
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -27,8 +27,8 @@
 use super::drain_body::after_request;
 use super::gateway::GatewayContext;
 use super::headers::{
-    ATTEMPT, CALLER, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, SERVICE,
-    TENANT, USEFUL, node_response, number, strip_hop_headers,
+    ATTEMPT, CALLER, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, SENT,
+    SERVICE, TENANT, USEFUL, node_response, number, strip_hop_headers,
 };
 use super::latency_keeper::RecordCall;
 use super::plan::CallPlan;
@@ -368,6 +368,8 @@
         headers.insert(DEPTH, (self.plan.depth + 1).into());
         headers.insert(ATTEMPT, self.life.attempts().into());
         headers.insert(PRIORITY, self.plan.priority.into());
+        let sent = format!("{}/{}", self.shared.context.own.node, now.as_micros());
+        headers.insert(SENT, HeaderValue::from_str(&sent).ok()?);
         if let Some(useful_until) = self.plan.useful_until {
             headers.insert(USEFUL, whole_millis(useful_until.since(now)).into());
         }
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -48,6 +48,9 @@
 /// Milliseconds for which an answer is still of full use to the caller. Sent between nodes only.
 pub(super) const USEFUL: HeaderName = HeaderName::from_static("agatedeck-useful-ms");
 
+/// Node that sent a request, and when by its clock, as `NAME/MICROSECONDS`. Sent between nodes only.
+pub(super) const SENT: HeaderName = HeaderName::from_static("agatedeck-sent");
+
 /// Service that the call is for. Addresses are used again, so the target's node compares it. Sent
 /// between nodes only.
 pub(super) const SERVICE: HeaderName = HeaderName::from_static("agatedeck-service");
--- a/crates/node/src/calls/own_dialect.rs
+++ b/crates/node/src/calls/own_dialect.rs
@@ -5,7 +5,7 @@
 
 use super::headers::{
     ATTEMPT, CALLER, DEADLINE, DEPTH, FINGERPRINT, IDEMPOTENCY_KEY, OUTCOME, PRIORITY, REASON,
-    SERVICE, TENANT, USEFUL, number, outcome_value, stated_timeout, text,
+    SENT, SERVICE, TENANT, USEFUL, number, outcome_value, stated_timeout, text,
 };
 use crate::borders::{
     CallDialect, CallerTerms, NodeAnswer, TargetLoad, TargetTerms, TargetVerdict,
@@ -44,7 +44,7 @@
     }
 
     fn complete_request(&self, headers: &mut HeaderMap, terms: &TargetTerms<'_>) {
-        for name in [FINGERPRINT, CALLER, PRIORITY, SERVICE, USEFUL] {
+        for name in [FINGERPRINT, CALLER, PRIORITY, SENT, SERVICE, USEFUL] {
             headers.remove(name);
         }
         let remaining = u64::try_from(terms.remaining.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/calls/slot_keeper.rs
+++ b/crates/node/src/calls/slot_keeper.rs
@@ -8,7 +8,7 @@
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, AnnouncedState, CallId, CallTicket,
     CrashSettings, Fingerprint, FlightTable, NoticeError, NoticeState, RegisterEffect,
-    RegisterSettings, TargetNotice, TargetRegister,
+    RegisterSettings, TargetNotice, TargetRegister, TransitTable,
 };
 use agatedeck_clock::Instant;
 use agatedeck_records::SnapshotView;
@@ -70,6 +70,10 @@
             call,
             tenant: request.tenant.to_owned(),
             priority: request.priority,
+            sent: request.sent.and_then(|(node, sent_us)| {
+                let sent_us = sent_us.parse().ok()?;
+                Some((node.to_owned(), sent_us))
+            }),
             class: request.class.to_owned(),
             useful_until: request.useful_until,
             deadline,
@@ -80,6 +84,7 @@
             call,
             load: 0.0,
             target_id: Arc::default(),
+            held_up: false,
             keeper: self.keeper.clone(),
             ended: false,
         };
@@ -94,6 +99,7 @@
             Ok(Ok(grant)) => {
                 lease.load = grant.load;
                 lease.target_id = grant.target_id;
+                lease.held_up = grant.held_up;
                 Ok(lease)
             }
             Ok(Err(refusal)) => {
@@ -110,6 +116,8 @@
     pub(super) tenant: &'a str,
     pub(super) priority: u32,
     pub(super) class: &'a str,
+    /// Node that sent the call, and when by its clock in microseconds, if it says so.
+    pub(super) sent: Option<(&'a str, &'a str)>,
     /// Until when an answer is of full use to the caller, if that is stated.
     pub(super) useful_until: Option<Instant>,
     pub(super) fingerprint: Fingerprint,
@@ -118,6 +126,7 @@
 /// What a call that gets a slot is told.
 struct SlotGrant {
     load: f64,
+    held_up: bool,
     target_id: Arc<str>,
 }
 
@@ -149,6 +158,8 @@
     pub(super) load: f64,
     /// Identity that the target has announced; empty if it announced none.
     pub(super) target_id: Arc<str>,
+    /// Whether the request was held up on its way from the caller's node.
+    pub(super) held_up: bool,
     keeper: ActorRef<SlotKeeper>,
     ended: bool,
 }
@@ -180,6 +191,7 @@
 struct WaitingCall {
     fingerprint: Fingerprint,
     priority: u32,
+    held_up: bool,
     reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
 }
 
@@ -202,6 +214,7 @@
     crashes: u64,
     /// Lost connections for which it is not known yet whether the target crashed.
     unchecked: u32,
+    transit: TransitTable,
     /// What the target announced, if it announces itself.
     register: Option<TargetRegister>,
     target_id: Arc<str>,
@@ -234,6 +247,7 @@
             queue.close(now);
         }
         Self {
+            transit: TransitTable::default(),
             register,
             target_id: Arc::default(),
             members,
@@ -270,6 +284,7 @@
                     self.running.insert(call, running);
                     let grant = SlotGrant {
                         load: self.load(),
+                        held_up: waiting.held_up,
                         target_id: Arc::clone(&self.target_id),
                     };
                     // A caller that has gone drops its lease, which ends the call here.
@@ -463,6 +478,7 @@
     call: CallId,
     tenant: String,
     priority: u32,
+    sent: Option<(String, u64)>,
     class: String,
     useful_until: Option<Instant>,
     deadline: Instant,
@@ -474,7 +490,12 @@
     type Reply = ();
 
     async fn handle(&mut self, admit: AdmitCall, ctx: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        let held_up = admit
+            .sent
+            .is_some_and(|(node, sent_us)| self.transit.note(&node, sent_us, now));
         let waiting = WaitingCall {
+            held_up,
             fingerprint: admit.fingerprint,
             priority: admit.priority,
             reply: admit.reply,
@@ -488,7 +509,7 @@
             useful_until: admit.useful_until,
             deadline: admit.deadline,
         };
-        let effects = self.queue.admit(&ticket, self.context.clock.now());
+        let effects = self.queue.admit(&ticket, now);
         self.carry_out(effects, ctx.actor_ref());
     }
 }
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as _, Incoming};
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -23,8 +23,8 @@
 use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
 use super::drain_body::{BodyReturn, after_request, lend};
 use super::headers::{
-    CALLER, CLASS, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, ROOM, SERVICE, TENANT, USEFUL,
-    number, outcome_value, peer_refusal, stated_timeout, strip_hop_headers, text,
+    CALLER, CLASS, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, ROOM, SENT, SERVICE, TENANT,
+    USEFUL, number, outcome_value, peer_refusal, stated_timeout, strip_hop_headers, text,
 };
 use super::http_client::{CallClient, connection_held};
 use super::latency_keeper::{CountEvent, LatencyKeeper};
@@ -36,6 +36,9 @@
 /// Time for a call from a node that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time given to the close of a connection whose request was held up on its way.
+const CLOSE_PAUSE: Duration = Duration::from_millis(3);
+
 /// Largest load that is reported: calls at the target over its slots.
 const MAX_LOAD: f64 = 8.0;
 
@@ -111,10 +114,15 @@
         tenant: text(headers, &TENANT).unwrap_or_default(),
         priority: u32::try_from(priority).unwrap_or(u32::MAX),
         class: text(headers, &CLASS).unwrap_or_default(),
+        sent: text(headers, &SENT).and_then(|sent| sent.rsplit_once('/')),
         useful_until: useful.map(|left| now.after(Duration::from_millis(left))),
         fingerprint,
     };
     let lease = gate.admit(&request, now, timeout).await?;
+    if lease.held_up {
+        // If the caller's node has gone, its close is right behind, and ends this task.
+        sleep(CLOSE_PAUSE).await;
+    }
     Ok(AdmittedCall {
         lease,
         fingerprint,
