--- a/src/bin/agatedeck-node.rs
+++ b/src/bin/agatedeck-node.rs
@@ -16,7 +16,7 @@
 Usage: agatedeck-node --config FILE [--check]
 
 Options:
-  --config FILE  settings in TOML; docs/operations.md lists them
+  --config FILE  settings in TOML; docs/OPERATIONS.md lists them
   --check        check the settings and exit
   --help         print this text
   --version      print the version
