Leave room in the retry limit for the repeats that a service inherits

Ruled out: the slack of each node (2 for each of 69 nodes, 138 of the 164 allowed).

Change: each node spends two fifths of the limit on a service, three fifths before.

--- a/crates/calls/src/retry/decide.rs
+++ b/crates/calls/src/retry/decide.rs
@@ -27,9 +27,10 @@
     pub budget_reserve: u32,
 }
 
-/// Part of a limit that nodes spend. The rest covers what a node cannot see: calls that are retried
-/// because the call that they are made for was, and nodes that have gone with unspent calls.
-const SPENT_SHARE: f64 = 0.6;
+/// Part of a limit that nodes spend on a service themselves. A call made by a run that was repeated
+/// counts as repeated at the service that it calls, so that as much again comes from the callers of a
+/// service, and the nodes of the service cannot see it.
+const SPENT_SHARE: f64 = 0.4;
 
 impl RetrySettings {
     /// One node's part of what `nodes` nodes together may spend: a share of its own calls, and its
