Build the address of a probe of the target in one place

Cause: the first look at a target built the same address as its probes, line by line.

Change: it calls probe_uri of the probes. Behaviour is the same.

Checks: formatter, linter, and the tests of the node and of the adapter (44 passed).

--- a/crates/node/src/calls/first_look.rs
+++ b/crates/node/src/calls/first_look.rs
@@ -9,13 +9,13 @@
 use agatedeck_calls::NoticeState;
 use agatedeck_records::SnapshotView;
 use axum::body::Body;
-use axum::http::uri::{Authority, PathAndQuery, Scheme};
-use axum::http::{HeaderMap, Request, StatusCode, Uri, uri};
+use axum::http::{HeaderMap, Request, StatusCode};
 use kameo::actor::ActorRef;
 use tokio::time::timeout;
 
 use super::http_client::CallClient;
 use super::slot_keeper::{AnnounceTarget, SlotKeeper};
+use super::target_watch::probe_uri;
 use crate::context::NodeContext;
 
 /// Time allowed for the answer.
@@ -57,14 +57,8 @@
     let served = context.served();
     let view = SnapshotView::new(&served.snapshot, context.own.reads_schema);
     let path = &view.service(&target.service)?.form.health_path;
-    let authority: Authority = target.address.to_string().parse().ok()?;
-    let path: PathAndQuery = path.parse().ok()?;
-    let mut parts = uri::Parts::default();
-    parts.scheme = Some(Scheme::HTTP);
-    parts.authority = Some(authority);
-    parts.path_and_query = Some(path);
     let mut request = Request::new(Body::empty());
-    *request.uri_mut() = Uri::from_parts(parts).ok()?;
+    *request.uri_mut() = probe_uri(target.address, path)?;
     Some(request)
 }
 
--- a/crates/node/src/calls/target_watch.rs
+++ b/crates/node/src/calls/target_watch.rs
@@ -103,7 +103,8 @@
     }
 }
 
-fn probe_uri(target: SocketAddr, path: &str) -> Option<Uri> {
+/// Where a path of the target is asked for; `None` if the path is not one.
+pub(super) fn probe_uri(target: SocketAddr, path: &str) -> Option<Uri> {
     let authority: Authority = target.to_string().parse().ok()?;
     let path: PathAndQuery = path.parse().ok()?;
     let mut parts = axum::http::uri::Parts::default();
