Let calls of short use wait before those that can wait longer

Cause: calls of one rank run by when they stop being of use, but a call that arrived was measured against all queued calls of its rank. The calls that a target makes while it runs a call are of use for 120 ms; they would have been next and were refused, and the run that needed them failed with 500.

Ruled out: a rank of its own for such calls. Nothing on the wire tells them from others: they come from the address of the other callers of the host.

Change: the wait of a call counts the more urgent ranks and those calls of its own rank that run before it. The call that runs last is refused at once when it loses its place. A call that states no time of use ranks by its deadline. The queue also forecasts how long a call of a class would take.

Test: call_of_short_use_is_next; without the change the short call is refused.

--- a/crates/calls/src/admission/class_time.rs
+++ b/crates/calls/src/admission/class_time.rs
@@ -36,6 +36,11 @@
         Some(key)
     }
 
+    /// The class `name`, if it has been entered.
+    pub(crate) fn find(&self, name: &str) -> Option<ClassKey> {
+        self.by_name.get(name).copied()
+    }
+
     pub(crate) fn note(&mut self, class: Option<ClassKey>, sample: std::time::Duration) {
         self.all.note(sample);
         if let Some(time) = class.and_then(|class| self.times.get_mut(class)) {
--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -64,6 +64,13 @@
     pub useful_until: Option<Instant>,
 }
 
+impl CallTicket<'_> {
+    /// Place among the calls of one tenant and rank: the earlier, the sooner it runs.
+    fn rank(&self) -> Instant {
+        self.useful_until.unwrap_or(self.deadline)
+    }
+}
+
 /// Why a call is refused as `not-run`.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
 pub enum RefusalReason {
@@ -113,6 +120,8 @@
     deadline: Instant,
     /// When the call is refused if it still waits.
     leaves_at: Instant,
+    /// Whether the call says until when it is of use, so that it is refused once it would be late.
+    displaceable: bool,
     /// When the call was sent to the target; `None` while it is queued.
     started_at: Option<Instant>,
 }
@@ -201,13 +210,15 @@
             class,
             deadline: ticket.deadline,
             leaves_at,
+            displaceable: ticket.useful_until.is_some(),
             started_at: None,
         };
         self.calls.insert(ticket.call, entry);
-        let rank = ticket.useful_until.unwrap_or(now);
-        self.ring_mut(priority).push(tenant, rank, ticket.call);
+        self.ring_mut(priority)
+            .push(tenant, ticket.rank(), ticket.call);
         self.deadlines.insert((leaves_at, ticket.call));
         self.fill_slots(now, &mut effects);
+        self.refuse_displaced(now, &mut effects);
         effects
     }
 
@@ -272,9 +283,18 @@
         if self.running < slots {
             return Duration::ZERO;
         }
-        let ahead = self.queued_up_to(priority) + 1;
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.classes.all().mean().saturating_mul(ahead) / slots
+        let rings = self.rings.range(..=priority);
+        self.time_of(rings.map(|(_, ring)| ring.queued()).sum(), now)
+    }
+
+    /// Expected time until a call of this rank and class that arrives now would be answered; `None`
+    /// while the target takes no calls.
+    pub fn forecast(&self, priority: u32, class: &str, now: Instant) -> Option<Duration> {
+        if self.draining || self.closed {
+            return None;
+        }
+        let time = self.classes.of(self.classes.find(class));
+        Some(self.expected_start(priority, now) + time.cautious())
     }
 
     /// Warms the target up again after it has restarted.
@@ -363,7 +383,7 @@
             return Some(RefusalReason::Draining);
         }
         let must_wait = self.running >= self.open_slots(now);
-        let starts_at = now.after(self.expected_start(ticket.priority, now));
+        let starts_at = now.after(self.time_of(self.ahead_of(ticket), now));
         if must_wait && ticket.useful_until.is_some() && starts_at > leaves_at {
             return Some(RefusalReason::QueueFull);
         }
@@ -385,24 +405,43 @@
         if self.running < slots {
             return self.classes.all().shortest();
         }
-        // Each call of the tenant before it waits for one turn of the ring, but never for more
-        // calls than are queued.
+        let wait = self.time_of(self.ahead_of(ticket), now);
+        wait.saturating_add(self.classes.all().cautious())
+    }
+
+    /// Queued calls that run before a call that arrives now: the more urgent ones, and those of its
+    /// rank that are of use for a shorter time.
+    fn ahead_of(&self, ticket: &CallTicket<'_>) -> usize {
+        let more_urgent = self.rings.range(..ticket.priority);
+        let more_urgent: usize = more_urgent.map(|(_, ring)| ring.queued()).sum();
         let ring = self.rings.get(&ticket.priority);
-        let own = ring.map_or(0, |ring| ring.queued_of(ticket.tenant)) + 1;
-        let waiting = ring.map_or(0, TenantRing::waiting) + usize::from(own == 1);
-        let peers = ring.map_or(0, TenantRing::queued) + 1;
-        let urgent = self.queued_up_to(ticket.priority) + 1 - peers;
-        let ahead = (own * waiting).min(peers) + urgent;
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let time = self.classes.all();
-        let wait = time.mean().saturating_mul(ahead) / slots;
-        wait.saturating_add(time.cautious())
-    }
-
-    /// Calls in the queue that run before a call of this rank that arrives now.
-    fn queued_up_to(&self, priority: u32) -> usize {
-        let rings = self.rings.range(..=priority);
-        rings.map(|(_, ring)| ring.queued()).sum()
+        let peers = ring.map_or(0, |ring| ring.queued_before(ticket.tenant, ticket.rank()));
+        more_urgent + peers
+    }
+
+    /// Expected time until a call with `ahead` queued calls before it gets a slot, once none is open.
+    fn time_of(&self, ahead: usize, now: Instant) -> Duration {
+        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        let slots = self.open_slots(now).max(1);
+        self.classes.all().mean().saturating_mul(turns) / slots
+    }
+
+    /// Refuses the call that runs last if it has no place any more: calls that are of use for a
+    /// shorter time have come before it, and it would wait in vain.
+    fn refuse_displaced(&mut self, now: Instant, effects: &mut Vec<AdmissionEffect>) {
+        let mut rings = self.rings.values().rev();
+        let Some(last) = rings.find_map(|ring| ring.newest_over(0)) else {
+            return;
+        };
+        let starts_at = now.after(self.time_of(self.queued() - 1, now));
+        let displaced = self
+            .calls
+            .get(&last)
+            .is_some_and(|entry| entry.displaceable && entry.leaves_at < starts_at);
+        if displaced {
+            self.unqueue(last);
+            effects.push(AdmissionEffect::Refuse(last, RefusalReason::QueueFull));
+        }
     }
 
     fn ring_mut(&mut self, priority: u32) -> &mut TenantRing {
--- a/crates/calls/src/admission/tenant.rs
+++ b/crates/calls/src/admission/tenant.rs
@@ -76,10 +76,17 @@
         &mut self.tenants[key]
     }
 
-    /// Queued calls of the tenant named `name`.
-    pub(crate) fn queued_of(&self, name: &str) -> usize {
+    /// Queued calls that run before a call of the tenant `name` with this rank.
+    ///
+    /// Each earlier call of the tenant itself waits for one turn of the ring.
+    pub(crate) fn queued_before(&self, name: &str, rank: Instant) -> usize {
         let key = self.by_name.get(name);
-        key.map_or(0, |&key| self.tenants[key].queued.len())
+        let own = key.map(|&key| &self.tenants[key].queued);
+        let earlier = own.map_or(0, |own| {
+            own.iter().take_while(|entry| entry.0 <= rank).count()
+        });
+        let turns = self.turns.len() + usize::from(own.is_none_or(BTreeSet::is_empty));
+        ((earlier + 1) * turns - 1).min(self.queued())
     }
 
     /// Queued calls of all tenants.
@@ -88,11 +95,6 @@
         entries.map(|entry| entry.queued.len()).sum()
     }
 
-    /// Tenants with queued calls.
-    pub(crate) fn waiting(&self) -> usize {
-        self.turns.len()
-    }
-
     /// Whether a tenant other than `key` has queued calls.
     pub(crate) fn others_wait(&self, key: TenantKey) -> bool {
         let own = usize::from(!self.tenants[key].queued.is_empty());
--- a/crates/calls/tests/admission.rs
+++ b/crates/calls/tests/admission.rs
@@ -1,6 +1,7 @@
 //! Admission at the target's node: slots, deadlines, fairness, warm-up, draining, overload.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, CallId, CallTicket, RefusalReason,
@@ -272,3 +273,37 @@
     println!("quiet alone {alone}, beside long calls {quiet}");
     assert!(quiet * 100 >= alone * 95, "{quiet} of {alone}");
 }
+
+/// Guards against a large body that is received although its call will not get a slot in time: the
+/// forecast counts the calls ahead and the time of the class.
+#[test]
+fn forecast_counts_the_wait_and_the_run() {
+    let mut admission = queue(1, 8);
+    assert_eq!(admission.forecast(0, "", START), Some(Duration::ZERO));
+    for call in 0..20 {
+        let from = Instant::from_millis(call * 100);
+        let ticket = CallTicket {
+            deadline: from.after(Duration::from_secs(9)),
+            ..ticket(call, "a")
+        };
+        admission.admit(&ticket, from);
+        admission.release(id(call), from.after(Duration::from_millis(100)));
+    }
+    let now = Instant::from_millis(2_000);
+    let idle = admission.forecast(0, "", now).expect("an open queue");
+    assert!(idle >= Duration::from_millis(100), "{idle:?}");
+    for call in 100..103 {
+        let ticket = CallTicket {
+            deadline: now.after(Duration::from_secs(9)),
+            ..ticket(call, "a")
+        };
+        admission.admit(&ticket, now);
+    }
+    let busy = admission.forecast(0, "", now).expect("an open queue");
+    assert!(
+        busy >= idle + Duration::from_millis(290),
+        "{idle:?} {busy:?}"
+    );
+    admission.close(now);
+    assert_eq!(admission.forecast(0, "", now), None);
+}
--- a/crates/calls/tests/urgency.rs
+++ b/crates/calls/tests/urgency.rs
@@ -169,3 +169,26 @@
     let mean = |drawn: &[Duration]| drawn.iter().sum::<Duration>() / 200;
     assert!(mean(&urgent) < mean(&other));
 }
+
+/// Guards against the refusal of calls that targets make while they run a call: they are of use for a
+/// short time, would be next, and were counted behind every call that can wait for longer. The call
+/// that runs last is refused at once when it loses its place.
+#[test]
+fn call_of_short_use_is_next() {
+    const SLOTS: u32 = 4;
+    let (mut queue, now) = measured(SLOTS);
+    let until = |millis| Some(now.after(Duration::from_millis(millis)));
+    for call in 1_000..1_004 {
+        queue.admit(&ticket(call, 0, None), now);
+    }
+    for call in 1_004..1_012 {
+        assert_eq!(queue.admit(&ticket(call, 0, until(320)), now), []);
+    }
+    let effects = queue.admit(&ticket(2_000, 0, until(180)), now);
+    let last = CallId::from(1_011);
+    let displaced = AdmissionEffect::Refuse(last, RefusalReason::QueueFull);
+    assert_eq!(effects, [displaced]);
+    let later = now.after(Duration::from_millis(20));
+    let effects = queue.release(CallId::from(1_000), later);
+    assert_eq!(effects, [AdmissionEffect::Run(CallId::from(2_000))]);
+}
