--- a/crates/calls/src/retry/budget.rs
+++ b/crates/calls/src/retry/budget.rs
@@ -25,6 +25,16 @@
         }
     }
 
+    /// Puts changed settings in force. Tokens are kept as far as the new reserve holds them.
+    pub fn set_limits(&mut self, settings: &RetrySettings) {
+        *self = Self {
+            tokens: self
+                .tokens
+                .min(u64::from(settings.budget_reserve) * RETRY_COST),
+            ..Self::new(settings)
+        };
+    }
+
     /// Counts a call. Called once for each call, not for each attempt.
     pub fn note_call(&mut self) {
         self.tokens = (self.tokens + self.per_call).min(self.most);
--- a/crates/calls/tests/retry.rs
+++ b/crates/calls/tests/retry.rs
@@ -155,3 +155,13 @@
         "{inherited} and {own}, not {allowed}"
     );
 }
+
+/// Guards against a node that keeps the part of the limit that it took when it knew of no other node.
+#[test]
+fn budget_shrinks_with_the_part_of_the_node() {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(&settings.within(0.2, 164.0, 1));
+    budget.set_limits(&settings.within(0.2, 164.0, 82));
+    let taken = (0..164).filter(|_| budget.try_take()).count();
+    assert_eq!(taken, 2);
+}
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -76,14 +76,7 @@
     /// may spend.
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         if !self.budgets.contains_key(service) {
-            let settings = match self.context.settings.calls.retry_limit {
-                Some(limit) => {
-                    let nodes = self.context.table().live().count();
-                    self.settings.within(limit.ratio, limit.slack, nodes)
-                }
-                None => self.settings,
-            };
-            let budget = RetryBudget::new(&settings);
+            let budget = RetryBudget::new(&self.retry_settings());
             self.budgets.insert(service.to_owned(), budget);
         }
         self.budgets
@@ -91,6 +84,17 @@
             .unwrap_or_else(|| unreachable!("the budget was inserted above"))
     }
 
+    /// What this node may spend on retries while as many nodes live as now.
+    fn retry_settings(&self) -> RetrySettings {
+        match self.context.settings.calls.retry_limit {
+            Some(limit) => {
+                let nodes = self.context.table().live().count();
+                self.settings.within(limit.ratio, limit.slack, nodes)
+            }
+            None => self.settings,
+        }
+    }
+
     /// Puts the targets of a service on the board.
     fn apply(&mut self, plan: &TargetPlan) {
         let (chosen, draining) = (plan.chosen(), plan.draining());
@@ -273,6 +277,11 @@
     type Reply = ();
 
     async fn handle(&mut self, ViewChanged: ViewChanged, ctx: &mut Context<Self, ()>) {
+        // A node that has just started knows few others, and its part would be most of the slack.
+        let settings = self.retry_settings();
+        for budget in self.budgets.values_mut() {
+            budget.set_limits(&settings);
+        }
         if self.planning {
             self.changed_since = true;
         } else {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,12 +1,16 @@
 //! Logs as JSON lines on standard output.
 
 use derive_more::{Display, Error};
-use log::LevelFilter;
 use log::kv::{Error as FieldError, Key, Value as FieldValue, VisitSource};
+use log::{Level, LevelFilter};
 use serde_json::{Map, Value};
 
 use crate::clock::unix_us;
 
+/// Start of the names of modules whose lines follow the level of the settings. Of others, warnings and
+/// errors are written.
+const OWN_MODULES: &str = "agatedeck";
+
 /// Logging was already started in this process.
 #[derive(Debug, Display, Error)]
 #[display("logging cannot be started: {_0}")]
@@ -35,8 +39,11 @@
             ]);
             out.finish(format_args!("{}", Value::Object(line)));
         })
-        .level(LevelFilter::Warn)
-        .level_for("agatedeck_node", level)
+        .level(level.max(LevelFilter::Warn))
+        .filter(move |metadata| {
+            let own = metadata.target().starts_with(OWN_MODULES);
+            own && metadata.level() <= level || metadata.level() <= Level::Warn
+        })
         .chain(std::io::stdout())
         .apply()
         .map_err(LogError)
