Split the owner of the slots by what it decides

Both daemons read their settings and set up their runtime with the same code.

Ruled out: an actor of its own for the announcements. They close and reopen the queue, and a call must not be admitted between the two.

Change: crates/node/src/calls/slots with gate, keeper, announcements, crash_check, body_intake and queue_wake; agatedeck_node::read_settings and node_runtime for the daemons. No change of behaviour.

--- a/crates/node/src/calls/first_look.rs
+++ b/crates/node/src/calls/first_look.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::http_client::CallClient;
-use super::slot_keeper::{AnnounceTarget, SlotKeeper};
+use super::slots::{AnnounceTarget, SlotKeeper};
 use super::target_watch::probe_uri;
 use crate::context::NodeContext;
 
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -14,7 +14,6 @@
 mod answer_body;
 mod ask_first;
 mod attempt;
-mod body_intake;
 mod call_task;
 mod claim_keeper;
 mod crash_keeper;
@@ -26,11 +25,10 @@
 mod latency_keeper;
 mod own_dialect;
 mod plan;
-mod queue_wake;
 mod reason;
 mod request_body;
 mod router;
-mod slot_keeper;
+mod slots;
 mod system;
 mod target_plan;
 mod target_side;
@@ -40,6 +38,6 @@
 pub(crate) use latency_keeper::{LatencyKeeper, LatencyList, ReadLatencies};
 pub use own_dialect::OwnDialect;
 pub use reason::StopReason;
-pub(crate) use slot_keeper::{AnnounceTarget, SlotKeeper, WithdrawTarget};
+pub(crate) use slots::{AnnounceTarget, SlotKeeper, WithdrawTarget};
 pub use system::CallSystemError;
 pub(crate) use system::{CallDrain, CallSystem};
--- /dev/null
+++ b/crates/node/src/calls/slots/announcements.rs
@@ -0,0 +1,159 @@
+//! What the local target says of itself.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_calls::{
+    AnnouncedState, NoticeError, NoticeState, RegisterEffect, RegisterSettings, TargetNotice,
+    TargetRegister,
+};
+use agatedeck_clock::Instant;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+
+use super::keeper::SlotKeeper;
+use crate::context::NodeContext;
+use crate::member::SetTarget;
+
+/// Periods without an announcement after which a target counts as gone. Single announcements are
+/// late by seconds.
+const LAPSE_PERIODS: u32 = 4;
+
+impl SlotKeeper {
+    /// Carries out what an announcement of the target led to.
+    pub(super) async fn carry_out_register(
+        &mut self,
+        effects: Vec<RegisterEffect>,
+        keeper: &ActorRef<Self>,
+    ) {
+        let now = self.context.clock.now();
+        for effect in effects {
+            match effect {
+                RegisterEffect::Open => {
+                    self.queue.reopen();
+                    let effects = self.apply_settings(now);
+                    self.carry_out(effects, keeper);
+                }
+                RegisterEffect::Close => {
+                    let effects = self.queue.close(now);
+                    self.carry_out(effects, keeper);
+                }
+                RegisterEffect::Publish => self.publish_target(now).await,
+            }
+        }
+    }
+
+    async fn publish_target(&self, now: Instant) {
+        let Some(register) = &self.register else {
+            return;
+        };
+        let (state, id, slots) = (register.state(), register.id(), register.slots());
+        log::info!(
+            event = "target", target:% = id, state:% = state, slots;
+            "the target `{id}` is {state}"
+        );
+        let ready = state == AnnouncedState::Ready;
+        let target = SetTarget {
+            service: if ready {
+                self.context.settings.service_name().to_owned()
+            } else {
+                String::new()
+            },
+            slots,
+            warming: !register.warm_at().is_past(now),
+        };
+        // The keeper is gone only when the node is stopping.
+        let _ = self.members.tell(target).await;
+    }
+}
+
+/// The register of a target that announces itself.
+pub(super) fn register_of(context: &NodeContext) -> Option<TargetRegister> {
+    let target = context.settings.target.as_ref()?;
+    let lapse = target.announce_period * LAPSE_PERIODS;
+    let lapse_ms = u64::try_from(lapse.as_millis()).unwrap_or(u64::MAX);
+    target.announces.then(|| {
+        TargetRegister::new(RegisterSettings {
+            service: target.service.clone(),
+            address: target.address.to_string(),
+            lapse_ms,
+        })
+    })
+}
+
+/// An announcement of the target.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnounceTarget {
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) address: String,
+    pub(crate) born_unix_ms: u64,
+    pub(crate) sequence: u64,
+    pub(crate) state: NoticeState,
+    pub(crate) slots: u32,
+    pub(crate) warm_up_left: Duration,
+}
+
+impl Message<AnnounceTarget> for SlotKeeper {
+    type Reply = Result<(), NoticeError>;
+
+    async fn handle(
+        &mut self,
+        announced: AnnounceTarget,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.context.clock.now();
+        let Some(register) = &mut self.register else {
+            return Err(NoticeError::Foreign);
+        };
+        let notice = TargetNotice {
+            id: &announced.id,
+            service: &announced.service,
+            address: &announced.address,
+            born_unix_ms: announced.born_unix_ms,
+            sequence: announced.sequence,
+            state: announced.state,
+            slots: announced.slots,
+            warm_up_left: announced.warm_up_left,
+        };
+        let effects = register.announce(&notice, now)?;
+        if *self.target_id != *register.id() {
+            self.target_id = Arc::from(register.id());
+        }
+        if let Some(deadline) = register.next_deadline() {
+            let wait = deadline.since(now);
+            ctx.actor_ref().tell(CheckLapse).send_after(wait);
+        }
+        self.carry_out_register(effects, ctx.actor_ref()).await;
+        Ok(())
+    }
+}
+
+/// The target says that it leaves.
+pub(crate) struct WithdrawTarget(pub(crate) String);
+
+impl Message<WithdrawTarget> for SlotKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, WithdrawTarget(id): WithdrawTarget, ctx: &mut Context<Self, ()>) {
+        if let Some(register) = &mut self.register {
+            let effects = register.withdraw(&id);
+            self.carry_out_register(effects, ctx.actor_ref()).await;
+        }
+    }
+}
+
+/// Time to look whether the announcements have stopped.
+struct CheckLapse;
+
+impl Message<CheckLapse> for SlotKeeper {
+    type Reply = ();
+
+    async fn handle(&mut self, CheckLapse: CheckLapse, ctx: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        if let Some(register) = &mut self.register {
+            let effects = register.tick(now);
+            self.carry_out_register(effects, ctx.actor_ref()).await;
+        }
+    }
+}
--- a/crates/node/src/calls/body_intake.rs
+++ b/crates/node/src/calls/slots/body_intake.rs
@@ -21,9 +21,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at};
 
+use super::gate::{SlotRefusal, SlotRequest};
+use super::keeper::{ForecastRun, SlotKeeper};
 use super::queue_wake::QueueWake;
-use super::reason::StopReason;
-use super::slot_keeper::{ForecastRun, SlotKeeper, SlotRefusal, SlotRequest};
+use crate::calls::reason::StopReason;
 use crate::context::NodeContext;
 
 /// Bodies that may wait to be received for each one that is.
@@ -35,7 +36,7 @@
 
 /// The way to receive a large body.
 #[derive(Clone)]
-pub(super) struct BodyGateway {
+pub(crate) struct BodyGateway {
     context: NodeContext,
     intake: ActorRef<BodyIntake>,
     slots: ActorRef<SlotKeeper>,
@@ -44,7 +45,7 @@
 
 impl BodyGateway {
     /// Starts the intake of the target whose slots `slots` owns.
-    pub(super) fn start(context: &NodeContext, slots: ActorRef<SlotKeeper>) -> Self {
+    pub(crate) fn start(context: &NodeContext, slots: ActorRef<SlotKeeper>) -> Self {
         let intake = BodyIntake::new(context);
         Self {
             context: context.clone(),
@@ -55,7 +56,7 @@
     }
 
     /// Receives the body of a call when it is its turn.
-    pub(super) async fn receive(
+    pub(crate) async fn receive(
         &self,
         request: &SlotRequest<'_>,
         body: Body,
--- /dev/null
+++ b/crates/node/src/calls/slots/gate.rs
@@ -0,0 +1,183 @@
+//! What a call holds at the target's node: its way to a slot, and the slot.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use agatedeck_calls::{CallId, Fingerprint};
+use agatedeck_clock::Instant;
+use kameo::actor::ActorRef;
+use tokio::sync::oneshot;
+
+use super::keeper::{AdmitCall, EndCall, SlotKeeper};
+use crate::calls::reason::StopReason;
+
+/// Time before its deadline at which a queued call is refused, so that the refusal reaches its
+/// caller's node before that stops waiting. The call would otherwise be told as unknown, and its
+/// claim, if it has one, would never be released. The remaining time is counted here from the arrival
+/// of the request, so the margin covers the way of both messages, 12 ms each between regions.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(30);
+
+/// The way to a slot of the local target.
+#[derive(Clone)]
+pub(crate) struct SlotGate {
+    keeper: ActorRef<SlotKeeper>,
+    last_call: Arc<AtomicU64>,
+}
+
+impl SlotGate {
+    pub(crate) fn new(keeper: ActorRef<SlotKeeper>) -> Self {
+        Self {
+            keeper,
+            last_call: Arc::default(),
+        }
+    }
+
+    /// Waits for a slot. A call that is dropped while it waits leaves the queue.
+    pub(crate) async fn admit(
+        &self,
+        request: &SlotRequest<'_>,
+        now: Instant,
+    ) -> Result<SlotLease, SlotRefusal> {
+        let deadline = request.answered_by(now);
+        let fingerprint = request.fingerprint;
+        let call = CallId::from(self.last_call.fetch_add(1, Ordering::Relaxed));
+        let (reply, granted) = oneshot::channel();
+        let admit = AdmitCall {
+            call,
+            tenant: request.tenant.to_owned(),
+            priority: request.priority,
+            sent: request.sent.and_then(|(node, sent_us)| {
+                let sent_us = sent_us.parse().ok()?;
+                Some((node.to_owned(), sent_us))
+            }),
+            class: request.class.to_owned(),
+            useful_until: request.useful_until,
+            deadline,
+            fingerprint,
+            reply,
+        };
+        let mut lease = SlotLease {
+            call,
+            load: 0.0,
+            target_id: Arc::default(),
+            held_up: false,
+            keeper: self.keeper.clone(),
+            ended: false,
+        };
+        let stopping = SlotRefusal::at_once(StopReason::Draining);
+        if self.keeper.tell(admit).try_send().is_err() {
+            return Err(stopping);
+        }
+        match granted.await {
+            Ok(Ok(grant)) => {
+                lease.load = grant.load;
+                lease.target_id = grant.target_id;
+                lease.held_up = grant.held_up;
+                Ok(lease)
+            }
+            Ok(Err(refusal)) => {
+                lease.ended = true;
+                Err(refusal)
+            }
+            Err(_) => Err(stopping),
+        }
+    }
+}
+
+/// A call that asks for a slot.
+pub(crate) struct SlotRequest<'a> {
+    pub(crate) tenant: &'a str,
+    pub(crate) priority: u32,
+    pub(crate) class: &'a str,
+    /// Node that sent the call, and when by its clock in microseconds, if it says so.
+    pub(crate) sent: Option<(&'a str, &'a str)>,
+    /// Until when an answer is of full use to the caller, if that is stated.
+    pub(crate) useful_until: Option<Instant>,
+    pub(crate) deadline: Instant,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+impl SlotRequest<'_> {
+    /// Until when the call can be refused so that the refusal arrives in time.
+    pub(crate) fn answered_by(&self, now: Instant) -> Instant {
+        let remaining = self.deadline.since(now);
+        let margin = REFUSAL_MARGIN.min(remaining / 8);
+        now.after(remaining.saturating_sub(margin))
+    }
+}
+
+/// What a call that gets a slot is told.
+pub(super) struct SlotGrant {
+    pub(super) load: f64,
+    pub(super) held_up: bool,
+    pub(super) target_id: Arc<str>,
+}
+
+/// Why a call gets no slot, and when there is expected to be room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotRefusal {
+    pub(crate) reason: StopReason,
+    pub(crate) room_after: Duration,
+}
+
+impl SlotRefusal {
+    /// A refusal that does not depend on the room at the target.
+    pub(crate) fn at_once(reason: StopReason) -> Self {
+        Self {
+            reason,
+            room_after: Duration::ZERO,
+        }
+    }
+}
+
+/// How a call at the target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunEnd {
+    /// The answer is complete.
+    Answered,
+    /// The call was stopped from here, or its answer cannot be used.
+    Stopped,
+    /// No connection to the target could be opened, so that the call was not sent.
+    NotSent,
+    /// The target reset or closed the connection of the call.
+    ConnectionLost,
+}
+
+/// A slot of the target, or a place in its queue. Dropped without an end, it counts as stopped.
+#[derive(Debug)]
+pub(crate) struct SlotLease {
+    call: CallId,
+    /// Load of the target when the slot was granted.
+    pub(crate) load: f64,
+    /// Identity that the target has announced; empty if it announced none.
+    pub(crate) target_id: Arc<str>,
+    /// Whether the request was held up on its way from the caller's node.
+    pub(crate) held_up: bool,
+    keeper: ActorRef<SlotKeeper>,
+    ended: bool,
+}
+
+impl SlotLease {
+    pub(crate) fn end(mut self, end: RunEnd) {
+        self.tell(end);
+    }
+
+    fn tell(&mut self, end: RunEnd) {
+        self.ended = true;
+        let end = EndCall {
+            call: self.call,
+            end,
+        };
+        // The keeper is gone only when the node is stopping.
+        let _ = self.keeper.tell(end).try_send();
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.tell(RunEnd::Stopped);
+        }
+    }
+}
--- a/crates/node/src/calls/queue_wake.rs
+++ b/crates/node/src/calls/slots/queue_wake.rs
@@ -7,12 +7,12 @@
 
 /// The next look at a queue.
 #[derive(Debug, Default)]
-pub(super) struct QueueWake(Option<Instant>);
+pub(crate) struct QueueWake(Option<Instant>);
 
 impl QueueWake {
     /// Time after which the actor is to send itself the message to look at `queue`; `None` if such a
     /// message is on its way or nothing waits.
-    pub(super) fn schedule(&mut self, queue: &AdmissionQueue, now: Instant) -> Option<Duration> {
+    pub(crate) fn schedule(&mut self, queue: &AdmissionQueue, now: Instant) -> Option<Duration> {
         let deadline = queue.next_deadline(now)?;
         if self.0.is_some_and(|scheduled| scheduled <= deadline) {
             return None;
@@ -22,7 +22,7 @@
     }
 
     /// The message has arrived.
-    pub(super) fn arrived(&mut self) {
+    pub(crate) fn arrived(&mut self) {
         self.0 = None;
     }
 }
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -14,7 +14,6 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 
-use super::body_intake::BodyGateway;
 use super::claim_keeper::{ClaimKeeper, CountOpenClaims};
 use super::crash_keeper::{CrashKeeper, SweepReports};
 use super::first_look::look_at_target;
@@ -22,7 +21,7 @@
 use super::http_client::{ClientLimits, call_client};
 use super::latency_keeper::{FlushMetrics, LatencyKeeper};
 use super::router::{CallRouter, ViewChanged};
-use super::slot_keeper::{DrainSlots, PolicyChanged, SlotGate, SlotKeeper};
+use super::slots::{BodyGateway, DrainSlots, PolicyChanged, SlotGate, SlotKeeper};
 use super::target_side::{LocalTarget, TargetContext, target_router};
 use super::target_watch::{ProbeTarget, TargetWatch};
 use crate::context::NodeContext;
--- a/crates/node/src/calls/target_side.rs
+++ b/crates/node/src/calls/target_side.rs
@@ -21,7 +21,6 @@
 
 use super::answer_body::{AnswerBody, AnswerWatch};
 use super::ask_first::asks_first;
-use super::body_intake::BodyGateway;
 use super::crash_keeper::{CompleteRequest, CrashKeeper, CrashView};
 use super::drain_body::{BodyReturn, after_request, lend};
 use super::headers::{
@@ -31,7 +30,7 @@
 use super::http_client::{CallClient, connection_held};
 use super::latency_keeper::{CountEvent, LatencyKeeper};
 use super::reason::StopReason;
-use super::slot_keeper::{RunEnd, SlotGate, SlotLease, SlotRefusal, SlotRequest};
+use super::slots::{BodyGateway, RunEnd, SlotGate, SlotLease, SlotRefusal, SlotRequest};
 use crate::borders::{TargetTerms, TargetVerdict};
 use crate::context::NodeContext;
 
--- a/crates/node/src/calls/target_watch.rs
+++ b/crates/node/src/calls/target_watch.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use super::http_client::CallClient;
-use super::slot_keeper::{SlotKeeper, TargetProbe};
+use super::slots::{SlotKeeper, TargetProbe};
 use crate::context::NodeContext;
 
 /// Time allowed for a probe. A slow answer only leaves the reported load as it was.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod config;
 mod context;
+mod daemon;
 mod logging;
 mod member;
 mod metrics;
@@ -27,6 +28,7 @@
     TargetVerdict,
 };
 pub use calls::{CallSystemError, OwnDialect, StopReason};
+pub use daemon::{node_runtime, read_settings};
 pub use logging::{LogError, start_logging};
 pub use peer::link_chart;
 pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError, NodeReadiness};
--- a/src/bin/agatedeck-node.rs
+++ b/src/bin/agatedeck-node.rs
@@ -3,11 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use agatedeck::{Node, NodeSettings, start_logging};
+use agatedeck::{Node, NodeSettings, node_runtime, read_settings, start_logging};
 use lexopt::prelude::*;
 use log::LevelFilter;
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
-use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
@@ -73,7 +72,7 @@
             return ExitCode::from(BAD_INPUT);
         }
     };
-    let settings = match read_settings(&arguments) {
+    let settings = match read_settings(&arguments.config) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
@@ -93,19 +92,9 @@
     }
 }
 
-fn read_settings(arguments: &Arguments) -> Result<NodeSettings, String> {
-    let file = arguments.config.display().to_string();
-    let text = std::fs::read_to_string(&arguments.config);
-    let text = text.map_err(|error| format!("{file}: {error}"))?;
-    NodeSettings::parse(&file, &text).map_err(|findings| findings.to_string())
-}
-
 fn run(settings: NodeSettings) -> Result<()> {
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(settings.workers.unwrap_or(DEFAULT_WORKERS))
-        .enable_all()
-        .build()
-        .into_diagnostic()?;
+    let workers = settings.workers.unwrap_or(DEFAULT_WORKERS);
+    let runtime = node_runtime(workers).into_diagnostic()?;
     runtime.block_on(serve(settings))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,7 @@
 pub use agatedeck_node::{
     BalanceChoice, CallSettings, ControlBytes, EmulationSettings, ListenSettings, LogLevel, Node,
     NodeAddresses, NodeError, NodeSettings, SpreadChoice, StoreSettings, TargetSettings,
-    start_logging,
+    node_runtime, read_settings, start_logging,
 };
 pub use agatedeck_records::{
     ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, RecordConflict, RecordFault,
