Count a call that comes back from its first attempt

Callers that were refused come back after 260 ms or more, when an answer is due within 400 ms of the first attempt. The nodes took them for new calls, so that calls that were late in any case took the slots of those that could have been in time: 9,802 of 25,389 browse-slots calls were late.

Ruled out: to tell repeated requests by the time that their callers have left. It varies by 15% from caller to caller, and callers that always state less would be put last.

Change: the caller's node remembers the calls that were not answered, by fingerprint, until their deadlines, and the call that comes back is of use for what is left since its first attempt. Each refusal stands for one return, so that other callers with the same request are not taken for it. In the queue of a target, a call whose answer will be late in any case runs after those of its rank that can be in time.

Tests: call_that_comes_back_counts_from_its_first_attempt, each_refusal_stands_for_one_return, oldest_calls_are_forgotten, late_call_runs_after_those_in_time (the late call ran first before).

--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -65,9 +65,12 @@
 }
 
 impl CallTicket<'_> {
-    /// Place among the calls of one tenant and rank: the earlier, the sooner it runs.
-    fn rank(&self) -> Instant {
-        self.useful_until.unwrap_or(self.deadline)
+    /// Place among the calls of one tenant and rank: the earlier, the sooner it runs. A call whose
+    /// answer will come late after the service time in any case runs after those that can be in time.
+    fn place(&self, service_time: Duration, now: Instant) -> Instant {
+        let useful_until = self.useful_until.unwrap_or(self.deadline);
+        let late = useful_until < now.after(service_time);
+        if late { self.deadline } else { useful_until }
     }
 }
 
@@ -190,7 +193,9 @@
         let mut effects = self.tick(now);
         let class = self.classes.enter(ticket.class);
         let leaves_at = self.leaves_at(ticket, class, now);
-        if let Some(reason) = self.refusal(ticket, leaves_at, now) {
+        let place = ticket.place(self.classes.of(class).mean(), now);
+        let ahead = self.ahead_of(ticket, place);
+        if let Some(reason) = self.refusal(ticket, leaves_at, ahead, now) {
             effects.push(AdmissionEffect::Refuse(ticket.call, reason));
             return effects;
         }
@@ -214,8 +219,7 @@
             started_at: None,
         };
         self.calls.insert(ticket.call, entry);
-        self.ring_mut(priority)
-            .push(tenant, ticket.rank(), ticket.call);
+        self.ring_mut(priority).push(tenant, place, ticket.call);
         self.deadlines.insert((leaves_at, ticket.call));
         self.fill_slots(now, &mut effects);
         self.refuse_displaced(now, &mut effects);
@@ -377,24 +381,25 @@
         &self,
         ticket: &CallTicket<'_>,
         leaves_at: Instant,
+        ahead: usize,
         now: Instant,
     ) -> Option<RefusalReason> {
         if self.draining || self.closed {
             return Some(RefusalReason::Draining);
         }
         let must_wait = self.running >= self.open_slots(now);
-        let starts_at = now.after(self.time_of(self.ahead_of(ticket), now));
+        let starts_at = now.after(self.time_of(ahead, now));
         if must_wait && ticket.useful_until.is_some() && starts_at > leaves_at {
             return Some(RefusalReason::QueueFull);
         }
-        let done_at = now.after(self.expected_wait(ticket, now));
+        let done_at = now.after(self.expected_wait(ahead, now));
         let misses = ticket.deadline.is_past(now) || ticket.deadline < done_at;
         misses.then_some(RefusalReason::Deadline)
     }
 
     /// Time that a call that arrives now needs at least, or is expected to need if it has to wait
     /// for a slot.
-    fn expected_wait(&self, ticket: &CallTicket<'_>, now: Instant) -> Duration {
+    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
         let slots = self.open_slots(now);
         // With a slot open, only a call shorter than any is refused, since an unused slot is worth
         // nothing. With half of them open it is let through to measure the service time anew;
@@ -405,17 +410,17 @@
         if self.running < slots {
             return self.classes.all().shortest();
         }
-        let wait = self.time_of(self.ahead_of(ticket), now);
+        let wait = self.time_of(ahead, now);
         wait.saturating_add(self.classes.all().cautious())
     }
 
     /// Queued calls that run before a call that arrives now: the more urgent ones, and those of its
-    /// rank that are of use for a shorter time.
-    fn ahead_of(&self, ticket: &CallTicket<'_>) -> usize {
+    /// rank with an earlier place.
+    fn ahead_of(&self, ticket: &CallTicket<'_>, place: Instant) -> usize {
         let more_urgent = self.rings.range(..ticket.priority);
         let more_urgent: usize = more_urgent.map(|(_, ring)| ring.queued()).sum();
         let ring = self.rings.get(&ticket.priority);
-        let peers = ring.map_or(0, |ring| ring.queued_before(ticket.tenant, ticket.rank()));
+        let peers = ring.map_or(0, |ring| ring.queued_before(ticket.tenant, place));
         more_urgent + peers
     }
 
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -35,7 +35,8 @@
 pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use retry::{
     CallOutcome, OutcomeError, RetryBudget, RetryDecision, RetryQuestion, RetryRefusal,
-    RetrySettings, ReturnQuestion, ReturnSettings, decide_retry, owns_retries, return_after,
+    RetrySettings, ReturnQuestion, ReturnSettings, ReturnTable, UnansweredCall, decide_retry,
+    owns_retries, return_after,
 };
 pub use routing::{
     AttemptResult, BalancePolicy, BoardSettings, Candidate, NodePlace, PickError, PickRequest,
--- /dev/null
+++ b/crates/calls/src/retry/returns.rs
@@ -0,0 +1,96 @@
+//! Calls that come back after they were not answered.
+//!
+//! A caller that was refused repeats its request later. What it waits for is due since its first
+//! attempt, so that the repeated request is of full use for less time than a new one, or for none.
+//! Without this, requests that are late in any case take the place of those that can be in time, and
+//! under lasting overload most of both are late.
+
+use std::collections::{HashMap, VecDeque};
+
+use agatedeck_clock::Instant;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::crash::Fingerprint;
+
+/// Calls that are remembered; the oldest are forgotten first. At 96 bytes each, 400 KB.
+const MAX_CALLS: usize = 4_096;
+
+new_key_type! {
+    struct ReturnKey;
+}
+
+/// A call that was not answered.
+#[derive(Clone, Copy, Debug)]
+pub struct UnansweredCall {
+    /// What makes two requests the same.
+    pub fingerprint: Fingerprint,
+    /// When the first attempt of the caller arrived.
+    pub arrived_at: Instant,
+    /// Deadline of the call, until which the caller may repeat it.
+    pub deadline: Instant,
+}
+
+/// The calls that may come back.
+///
+/// Each remembered call stands for one that comes back, so that other callers with the same request
+/// are not taken for it.
+#[derive(Debug, Default)]
+pub struct ReturnTable {
+    calls: SlotMap<ReturnKey, UnansweredCall>,
+    by_fingerprint: HashMap<Fingerprint, VecDeque<ReturnKey>>,
+    /// Calls in the order in which they were noted, some of which may have come back.
+    order: VecDeque<ReturnKey>,
+}
+
+impl ReturnTable {
+    /// Remembers a call that was not answered.
+    pub fn note(&mut self, call: UnansweredCall, now: Instant) {
+        if call.deadline.is_past(now) {
+            return;
+        }
+        self.forget_old(now);
+        let key = self.calls.insert(call);
+        let same = self.by_fingerprint.entry(call.fingerprint).or_default();
+        same.push_back(key);
+        self.order.push_back(key);
+    }
+
+    /// When the first attempt arrived of the call that comes back with this request, if one does.
+    pub fn take(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Instant> {
+        loop {
+            let same = self.by_fingerprint.get_mut(&fingerprint)?;
+            let Some(key) = same.pop_front() else {
+                self.by_fingerprint.remove(&fingerprint);
+                return None;
+            };
+            let call = self.calls.remove(key);
+            let call = call.filter(|call| !call.deadline.is_past(now));
+            if let Some(call) = call {
+                return Some(call.arrived_at);
+            }
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        while let Some(&key) = self.order.front() {
+            let call = self.calls.get(key);
+            let keep = call.is_some_and(|call| !call.deadline.is_past(now));
+            if keep && self.order.len() < MAX_CALLS {
+                return;
+            }
+            self.order.pop_front();
+            if let Some(call) = self.calls.remove(key) {
+                self.forget_key(call.fingerprint, key);
+            }
+        }
+    }
+
+    fn forget_key(&mut self, fingerprint: Fingerprint, key: ReturnKey) {
+        if let Some(same) = self.by_fingerprint.get_mut(&fingerprint) {
+            same.retain(|other| *other != key);
+            if same.is_empty() {
+                self.by_fingerprint.remove(&fingerprint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/returns.rs
@@ -0,0 +1,58 @@
+//! Calls that come back after they were not answered.
+
+use agatedeck_calls::{Fingerprint, ReturnTable, UnansweredCall};
+use agatedeck_clock::Instant;
+
+fn fingerprint(number: u16) -> Fingerprint {
+    let mut bytes = [0; 32];
+    bytes[..2].copy_from_slice(&number.to_le_bytes());
+    Fingerprint::from_slice(&bytes).expect("32 bytes")
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn unanswered(number: u16, arrived_at: u64) -> UnansweredCall {
+    UnansweredCall {
+        fingerprint: fingerprint(number),
+        arrived_at: at(arrived_at),
+        deadline: at(arrived_at + 1_000),
+    }
+}
+
+/// Guards against a repeated request whose answer counts as in time from its latest attempt on.
+#[test]
+fn call_that_comes_back_counts_from_its_first_attempt() {
+    let mut table = ReturnTable::default();
+    table.note(unanswered(1, 100), at(150));
+    assert_eq!(table.take(fingerprint(2), at(400)), None);
+    assert_eq!(table.take(fingerprint(1), at(400)), Some(at(100)));
+}
+
+/// Guards against new callers that are taken for one that was refused, because they send the same
+/// request.
+#[test]
+fn each_refusal_stands_for_one_return() {
+    let mut table = ReturnTable::default();
+    table.note(unanswered(1, 100), at(150));
+    table.note(unanswered(1, 120), at(150));
+    let mut take = || table.take(fingerprint(1), at(400));
+    assert_eq!(
+        (take(), take(), take()),
+        (Some(at(100)), Some(at(120)), None)
+    );
+    table.note(unanswered(1, 500), at(510));
+    assert_eq!(table.take(fingerprint(1), at(1_501)), None);
+}
+
+/// Guards against a table that grows with every refusal.
+#[test]
+fn oldest_calls_are_forgotten() {
+    let mut table = ReturnTable::default();
+    for number in 0..5_000 {
+        table.note(unanswered(number, 100), at(150));
+    }
+    assert_eq!(table.take(fingerprint(0), at(400)), None);
+    assert_eq!(table.take(fingerprint(4_999), at(400)), Some(at(100)));
+}
--- a/crates/calls/tests/urgency.rs
+++ b/crates/calls/tests/urgency.rs
@@ -192,3 +192,25 @@
     let effects = queue.release(CallId::from(1_000), later);
     assert_eq!(effects, [AdmissionEffect::Run(CallId::from(2_000))]);
 }
+
+/// Guards against late calls that take the slots of those that can be in time: under lasting overload
+/// callers come back after their answer was due, and most calls of either kind were late.
+#[test]
+fn late_call_runs_after_those_in_time() {
+    const SLOTS: u32 = 4;
+    let (mut queue, now) = measured(SLOTS);
+    for call in 1_000..1_004 {
+        queue.admit(&ticket(call, 0, None), now);
+    }
+    let late = ticket(1_004, 0, Some(now));
+    assert_eq!(queue.admit(&late, now), []);
+    let in_time = ticket(1_005, 0, Some(now.after(Duration::from_millis(300))));
+    assert_eq!(queue.admit(&in_time, now), [refused(1_004)]);
+    let later = now.after(Duration::from_millis(10));
+    let effects = queue.release(CallId::from(1_000), later);
+    assert_eq!(effects, [AdmissionEffect::Run(CallId::from(1_005))]);
+}
+
+fn refused(call: u64) -> AdmissionEffect {
+    AdmissionEffect::Refuse(CallId::from(call), RefusalReason::QueueFull)
+}
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -7,7 +7,7 @@
 use agatedeck_calls::{
     AttemptEvent, AttemptResult, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms,
     ClaimAnswer, ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
-    ReturnQuestion, ReturnSettings, return_after,
+    ReturnQuestion, ReturnSettings, UnansweredCall, return_after,
 };
 use agatedeck_clock::Instant;
 use axum::body::Body;
@@ -34,7 +34,7 @@
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::request_body::RequestBody;
-use super::router::{DecideRetry, PickTarget, TargetLease};
+use super::router::{DecideRetry, NoteUnanswered, PickTarget, TargetLease};
 use crate::borders::{CallDialect, NodeAnswer};
 
 /// The request of a call, as it is sent with each attempt.
@@ -263,9 +263,13 @@
             first: self.life.attempts() == 1,
             avoid: self.life.used_targets().to_vec(),
             idempotent: self.plan.idempotent,
+            fingerprint: self.fingerprint,
         };
-        let picked = self.shared.router.ask(pick).await;
-        let Some(lease) = picked.ok().and_then(|reply| reply.0.ok()) else {
+        let picked = self.shared.router.ask(pick).await.ok();
+        if let Some(first_at) = picked.as_ref().and_then(|reply| reply.first_at) {
+            self.plan.count_from(first_at);
+        }
+        let Some(lease) = picked.and_then(|reply| reply.lease.ok()) else {
             // The reason of an earlier attempt says more.
             if self.life.attempts() == 1 {
                 self.reason = StopReason::NoTarget;
@@ -464,6 +468,14 @@
             let complete = CompleteRequest(self.fingerprint);
             let _ = self.shared.crash_keeper.tell(complete).try_send();
         }
+        if !answered {
+            let call = UnansweredCall {
+                fingerprint: self.fingerprint,
+                arrived_at: self.plan.arrived_at,
+                deadline: self.plan.deadline,
+            };
+            let _ = self.shared.router.tell(NoteUnanswered(call)).try_send();
+        }
         let now = self.shared.context.clock.now();
         let record = RecordCall {
             tenant: std::mem::take(&mut self.plan.tenant),
--- a/crates/node/src/calls/plan.rs
+++ b/crates/node/src/calls/plan.rs
@@ -25,6 +25,8 @@
     pub(super) service: String,
     pub(super) tenant: String,
     pub(super) class: String,
+    /// When the call arrived, or the first attempt of its caller if it has come back.
+    pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
     /// Hops that the call has behind it.
     pub(super) depth: u32,
@@ -112,6 +114,7 @@
             service: service.to_owned(),
             tenant: terms.tenant.unwrap_or(DEFAULT_TENANT).to_owned(),
             class: route.form.class.clone(),
+            arrived_at: now,
             deadline: now.after(timeout),
             depth,
             idempotent,
@@ -123,6 +126,15 @@
     }
 }
 
+impl CallPlan {
+    /// Counts the time for which an answer is of full use from the first attempt of the caller.
+    pub(super) fn count_from(&mut self, first_at: Instant) {
+        let useful = |until: Instant| first_at.after(until.since(self.arrived_at));
+        self.useful_until = self.useful_until.map(useful);
+        self.arrived_at = first_at;
+    }
+}
+
 /// Whether a call may run more than once, and whether it is claimed.
 fn repetition(rule: RepeatRule, method: &Method) -> (bool, bool) {
     match rule {
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use agatedeck_calls::{
-    AttemptResult, BalancePolicy, BoardSettings, PickError, PickRequest, PickedTarget, RetryBudget,
-    RetryDecision, RetryQuestion, RetrySettings, RoundRobin, TargetBoard, TargetKey, TwoChoices,
-    decide_retry,
+    AttemptResult, BalancePolicy, BoardSettings, Fingerprint, PickError, PickRequest, PickedTarget,
+    RetryBudget, RetryDecision, RetryQuestion, RetrySettings, ReturnTable, RoundRobin, TargetBoard,
+    TargetKey, TwoChoices, UnansweredCall, decide_retry,
 };
 use agatedeck_clock::Instant;
 use axum::http::uri::Authority;
@@ -31,6 +31,8 @@
     /// Budgets by service, so that the failures of one do not use up the retries of another.
     budgets: HashMap<String, RetryBudget>,
     settings: RetrySettings,
+    /// Calls that may come back.
+    returns: ReturnTable,
     services: HashSet<String>,
     /// Whether targets are being worked out.
     planning: bool,
@@ -63,6 +65,7 @@
             board: TargetBoard::new(&own, board, policy),
             budgets: HashMap::new(),
             settings,
+            returns: ReturnTable::default(),
             services: HashSet::new(),
             planning: false,
             changed_since: false,
@@ -177,11 +180,16 @@
     /// Targets of earlier attempts.
     pub(super) avoid: Vec<TargetKey>,
     pub(super) idempotent: bool,
+    pub(super) fingerprint: Fingerprint,
 }
 
 /// A target, or why there is none.
 #[derive(Debug, kameo::Reply)]
-pub(super) struct PickReply(pub(super) Result<TargetLease, PickError>);
+pub(super) struct PickReply {
+    pub(super) lease: Result<TargetLease, PickError>,
+    /// When the first attempt of the caller arrived, if the call has come back.
+    pub(super) first_at: Option<Instant>,
+}
 
 impl Message<PickTarget> for CallRouter {
     type Reply = PickReply;
@@ -192,15 +200,17 @@
             self.apply(&plan);
             self.services.insert(pick.service.clone());
         }
+        let now = self.context.clock.now();
+        let mut first_at = None;
         if pick.first {
             self.budget(&pick.service).note_call();
+            first_at = self.returns.take(pick.fingerprint, now);
         }
         let request = PickRequest {
             service: &pick.service,
             avoid: &pick.avoid,
             idempotent: pick.idempotent,
         };
-        let now = self.context.clock.now();
         let picked = self.board.pick(&request, now, &mut self.rng);
         let lease = picked.and_then(|target| {
             let authority = self.authority(target.peer).ok_or(PickError::NoTargets)?;
@@ -212,7 +222,7 @@
                 settled: false,
             })
         });
-        PickReply(lease)
+        PickReply { lease, first_at }
     }
 }
 
@@ -236,6 +246,17 @@
     }
 }
 
+/// A call was not answered and may come back.
+pub(super) struct NoteUnanswered(pub(super) UnansweredCall);
+
+impl Message<NoteUnanswered> for CallRouter {
+    type Reply = ();
+
+    async fn handle(&mut self, NoteUnanswered(call): NoteUnanswered, _: &mut Context<Self, ()>) {
+        self.returns.note(call, self.context.clock.now());
+    }
+}
+
 /// Asks whether a call is tried again.
 pub(super) struct DecideRetry {
     pub(super) question: RetryQuestion,
