Serve metrics as text

Cause: counters and histograms were sent as StatsD only, and the platform fetches text from an address of the node. Nobody saw them there.

Ruled out: a route of the admin API (it has no fixed port on the platform).

Latencies are kept by class, whose number routes bound; tenants come from callers.

Test: metrics_count_calls_by_outcome also reads the text.

--- a/crates/node/src/calls/latency_keeper.rs
+++ b/crates/node/src/calls/latency_keeper.rs
@@ -1,17 +1,14 @@
 //! The actor that owns the latency histograms and sends metrics.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use agatedeck_calls::{CallOutcome, LatencySettings, LatencySummary, LatencyTable};
-use cadence::StatsdClient;
-use cadence::prelude::*;
 use hdrhistogram::errors::CreationError;
 use kameo::Actor;
 use kameo::message::{Context, Message};
 
 use super::reason::StopReason;
-use crate::metrics::metrics_client;
+use crate::metrics::MetricBook;
 
 /// Longest time for which a metric waits in the buffer.
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
@@ -20,7 +17,7 @@
 #[derive(Actor)]
 pub(crate) struct LatencyKeeper {
     table: LatencyTable,
-    metrics: StatsdClient,
+    metrics: MetricBook,
     lines: LineBudget,
 }
 
@@ -45,20 +42,22 @@
         true
     }
 
-    fn refill(&mut self) {
+    /// Starts the budget of the next second. Returns the lines that were left out.
+    fn refill(&mut self) -> u32 {
         self.left = LINES_PER_SECOND;
         let left_out = std::mem::take(&mut self.left_out);
         if left_out > 0 {
             log::warn!(event = "lines-left-out", lines = left_out; "{left_out} lines on calls were left out");
         }
+        left_out
     }
 }
 
 impl LatencyKeeper {
-    pub(super) fn new(metrics: Option<SocketAddr>) -> Result<Self, CreationError> {
+    pub(super) fn new(metrics: MetricBook) -> Result<Self, CreationError> {
         Ok(Self {
             table: LatencyTable::new(LatencySettings::default())?,
-            metrics: metrics_client(metrics),
+            metrics,
             lines: LineBudget::default(),
         })
     }
@@ -87,11 +86,6 @@
             call.outcome
         );
     }
-
-    fn count(&self, name: &str) {
-        // Metrics are sent without an answer, and one that is lost changes no call.
-        let _ = self.metrics.count(name, 1_u64);
-    }
 }
 
 /// A call of a local caller has ended.
@@ -116,17 +110,15 @@
         let micros = u64::try_from(call.latency.as_micros()).unwrap_or(u64::MAX);
         if call.outcome == CallOutcome::Answered {
             self.table.record(&call.tenant, &call.class, micros);
-            let _ = self.metrics.time("calls.latency", call.latency);
+            self.metrics.note_latency(&call.class, call.latency);
         }
-        self.count(&format!("calls.{}", call.outcome));
+        self.metrics.count_call(call.outcome);
         if let Some(reason) = call.reason {
-            self.count(&format!("calls.stopped.{reason}"));
+            self.metrics.count_stopped(reason);
         }
         self.log(&call);
-        let retries = u64::from(call.attempts.saturating_sub(1));
-        if retries > 0 {
-            let _ = self.metrics.count("calls.retries", retries);
-        }
+        let retries = call.attempts.saturating_sub(1);
+        self.metrics.count_retries(retries.into());
     }
 }
 
@@ -144,8 +136,8 @@
 
     async fn handle(&mut self, event: CountEvent, _: &mut Context<Self, ()>) {
         match event {
-            CountEvent::TargetRefused(reason) => self.count(&format!("target.refused.{reason}")),
-            CountEvent::Claim(verdict) => self.count(&format!("claims.{verdict}")),
+            CountEvent::TargetRefused(reason) => self.metrics.count_refused(reason),
+            CountEvent::Claim(verdict) => self.metrics.count_claim(verdict),
         }
     }
 }
@@ -157,8 +149,9 @@
     type Reply = ();
 
     async fn handle(&mut self, FlushMetrics: FlushMetrics, ctx: &mut Context<Self, ()>) {
-        let _ = self.metrics.flush();
-        self.lines.refill();
+        self.metrics.flush();
+        let left_out = self.lines.refill();
+        self.metrics.count_left_out(left_out.into());
         ctx.actor_ref()
             .tell(FlushMetrics)
             .send_after(FLUSH_INTERVAL);
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -101,7 +101,7 @@
             ..limits
         });
 
-        let latency = LatencyKeeper::new(context.settings.metrics)?;
+        let latency = LatencyKeeper::new(context.metrics.clone())?;
         let latency = LatencyKeeper::spawn_with_mailbox(latency, mailbox::unbounded());
         let crash_keeper = CrashKeeper::new(context.clone(), relay, published_crashes);
         let crash_keeper = CrashKeeper::spawn_with_mailbox(crash_keeper, mailbox::unbounded());
--- /dev/null
+++ b/crates/node/src/metrics/book.rs
@@ -0,0 +1,198 @@
+//! The counters, gauges and histograms of a node.
+
+use std::fmt::{Debug, Error as FormatError, Formatter, Result as FormatResult};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatedeck_calls::CallOutcome;
+use cadence::StatsdClient;
+use cadence::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use super::statsd::metrics_client;
+use crate::calls::StopReason;
+
+/// Prefix of the names in the text.
+const TEXT_PREFIX: &str = "agatedeck";
+
+/// Upper end of the first bucket of latencies, in seconds. With each bucket twice as wide as the one
+/// before, the last one ends at 16 s.
+const FIRST_BUCKET_S: f64 = 0.001;
+
+/// Buckets of latencies, the unbounded one not counted.
+const BUCKETS: u16 = 15;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OutcomeLabel {
+    outcome: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabel {
+    reason: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct VerdictLabel {
+    verdict: &'static str,
+}
+
+/// Classes come from the routes, so that operators bound their number.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ClassLabel {
+    class: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct NameLabel {
+    name: String,
+}
+
+/// What is counted, sent at once and kept for the text.
+struct BookEntries {
+    statsd: StatsdClient,
+    registry: Registry,
+    calls: Family<OutcomeLabel, Counter>,
+    stopped: Family<ReasonLabel, Counter>,
+    refused: Family<ReasonLabel, Counter>,
+    claims: Family<VerdictLabel, Counter>,
+    retries: Counter,
+    left_out: Counter,
+    latency: Family<ClassLabel, Histogram>,
+    state: Family<NameLabel, Gauge>,
+}
+
+/// The metrics of a node, shared by those that count.
+#[derive(Clone)]
+pub(crate) struct MetricBook(Arc<BookEntries>);
+
+impl Debug for MetricBook {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> FormatResult {
+        formatter.write_str("MetricBook")
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
+
+impl MetricBook {
+    /// An empty book whose metrics are also sent to `statsd`, if that is set.
+    pub(crate) fn new(statsd: Option<SocketAddr>) -> Self {
+        let mut registry = Registry::with_prefix(TEXT_PREFIX);
+        let calls = Family::default();
+        let stopped = Family::default();
+        let refused = Family::default();
+        let claims = Family::default();
+        let retries = Counter::default();
+        let left_out = Counter::default();
+        let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let state = Family::default();
+        registry.register("calls", "Calls of local callers", calls.clone());
+        let text = "Calls of local callers without an answer";
+        registry.register("calls_stopped", text, stopped.clone());
+        let text = "Calls of other nodes that this node refused";
+        registry.register("target_refused", text, refused.clone());
+        registry.register("claims", "Claims by verdict", claims.clone());
+        registry.register("calls_retries", "Attempts after the first", retries.clone());
+        let text = "Log lines on calls beyond the budget of lines";
+        registry.register("lines_left_out", text, left_out.clone());
+        let text = "Time to the answer of calls that were answered";
+        registry.register("call_latency_seconds", text, latency.clone());
+        registry.register("state", "State of the control plane", state.clone());
+        Self(Arc::new(BookEntries {
+            statsd: metrics_client(statsd),
+            registry,
+            calls,
+            stopped,
+            refused,
+            claims,
+            retries,
+            left_out,
+            latency,
+            state,
+        }))
+    }
+
+    /// The metrics as text.
+    pub(crate) fn text(&self) -> Result<String, FormatError> {
+        let mut text = String::new();
+        encode(&mut text, &self.0.registry)?;
+        Ok(text)
+    }
+
+    /// Sends what waits in the buffer.
+    pub(crate) fn flush(&self) {
+        // A report that is lost is followed by the next one.
+        let _ = self.0.statsd.flush();
+    }
+
+    fn send_count(&self, name: &str, count: u64) {
+        // Metrics are sent without an answer, and one that is lost changes no call.
+        let _ = self.0.statsd.count(name, count);
+    }
+
+    /// A call of a local caller ended with this outcome.
+    pub(crate) fn count_call(&self, outcome: CallOutcome) {
+        let outcome = outcome.to_string();
+        self.send_count(&format!("calls.{outcome}"), 1);
+        self.0.calls.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A call of a local caller has no answer for this reason.
+    pub(crate) fn count_stopped(&self, reason: StopReason) {
+        let reason = reason.to_string();
+        self.send_count(&format!("calls.stopped.{reason}"), 1);
+        self.0.stopped.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// A call of another node was refused for this reason.
+    pub(crate) fn count_refused(&self, reason: StopReason) {
+        let reason = reason.to_string();
+        self.send_count(&format!("target.refused.{reason}"), 1);
+        self.0.refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// A claim ended with this verdict.
+    pub(crate) fn count_claim(&self, verdict: &'static str) {
+        self.send_count(&format!("claims.{verdict}"), 1);
+        self.0.claims.get_or_create(&VerdictLabel { verdict }).inc();
+    }
+
+    /// A call made attempts after its first.
+    pub(crate) fn count_retries(&self, retries: u64) {
+        if retries > 0 {
+            self.send_count("calls.retries", retries);
+            self.0.retries.inc_by(retries);
+        }
+    }
+
+    /// Log lines on calls were left out.
+    pub(crate) fn count_left_out(&self, lines: u64) {
+        self.0.left_out.inc_by(lines);
+    }
+
+    /// A call was answered after this time.
+    pub(crate) fn note_latency(&self, class: &str, latency: Duration) {
+        let _ = self.0.statsd.time("calls.latency", latency);
+        let class = class.to_owned();
+        let histogram = self.0.latency.get_or_create(&ClassLabel { class });
+        histogram.observe(latency.as_secs_f64());
+    }
+
+    /// Sets a gauge of the control plane.
+    pub(crate) fn set_gauge(&self, name: &str, value: u64) {
+        // Gauges are sent without an answer.
+        let _ = self.0.statsd.gauge(name, value);
+        let name = name.to_owned();
+        let gauge = self.0.state.get_or_create(&NameLabel { name });
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/gauges.rs
@@ -0,0 +1,49 @@
+//! The state of the control plane, reported from time to time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::context::NodeContext;
+use crate::peer::LinkMeters;
+
+/// Time between two reports of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Reports the state of the control plane until the task is aborted.
+pub(crate) async fn run_gauges(context: NodeContext, meters: LinkMeters) {
+    let mut ticks = interval(GAUGE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        report(&context, &meters);
+        context.metrics.flush();
+    }
+}
+
+fn report(context: &NodeContext, meters: &LinkMeters) {
+    let served = context.served();
+    let gauge = |name: &str, value: u64| context.metrics.set_gauge(name, value);
+    gauge("config.version", served.snapshot.version());
+    gauge("config.serving", u64::from(served.may_serve));
+    gauge("control.sent_bytes", meters.all.sent());
+    gauge("control.received_bytes", meters.all.received());
+    gauge(
+        "control.cross_region_sent_bytes",
+        meters.cross_region.sent(),
+    );
+    gauge(
+        "control.cross_region_received_bytes",
+        meters.cross_region.received(),
+    );
+    let mut members: BTreeMap<String, u64> = BTreeMap::new();
+    for member in context.table().members() {
+        let status = member.status().as_str_name();
+        let status = status.trim_start_matches("MEMBER_STATUS_").to_lowercase();
+        *members.entry(status).or_default() += 1;
+    }
+    for (status, count) in members {
+        gauge(&format!("members.{status}"), count);
+    }
+}
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -31,7 +31,7 @@
     JoinKeeper, Leave, MemberKeeper, StartDrain, VersionHeld, VersionInForce, WorkDrained,
     leave_directory, run_detector, run_directory, run_join,
 };
-use crate::metrics::run_gauges;
+use crate::metrics::{MetricBook, metrics_router, run_gauges};
 use crate::peer::{
     ControlServer, DelayedTransport, LinkMeters, LinkTransport, PeerTransport, serve_control,
 };
@@ -80,6 +80,25 @@
     pub control: SocketAddr,
     /// Operators.
     pub admin: SocketAddr,
+    /// Metrics as text, if they are served.
+    pub metrics: Option<SocketAddr>,
+}
+
+impl NodeAddresses {
+    fn log(&self) {
+        log::info!(
+            event = "listening",
+            calls:% = self.calls,
+            peer:% = self.peer,
+            control:% = self.control,
+            admin:% = self.admin;
+            "listening: calls {}, peer {}, control {}, admin {}",
+            self.calls,
+            self.peer,
+            self.control,
+            self.admin
+        );
+    }
 }
 
 /// Bytes of the control protocol, sent and received. The sum over all nodes counts each byte once.
@@ -123,6 +142,7 @@
     peer: TcpListener,
     control: TcpListener,
     admin: TcpListener,
+    metrics: Option<TcpListener>,
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
@@ -139,6 +159,10 @@
             peer: bind(listen.peer).await?,
             control: bind(listen.control).await?,
             admin: bind(listen.admin).await?,
+            metrics: match listen.metrics {
+                Some(address) => Some(bind(address).await?),
+                None => None,
+            },
         })
     }
 
@@ -148,6 +172,10 @@
             peer: self.peer.local_addr()?,
             control: self.control.local_addr()?,
             admin: self.admin.local_addr()?,
+            metrics: match &self.metrics {
+                Some(listener) => Some(listener.local_addr()?),
+                None => None,
+            },
         })
     }
 }
@@ -248,6 +276,7 @@
         feed: borders.feed,
         dialect: borders.dialect,
         transport: transport(&settings, meters),
+        metrics: MetricBook::new(settings.metrics),
         settings: Arc::new(settings),
         config,
         members,
@@ -374,11 +403,15 @@
             crashes: calls.crash_keeper.clone(),
         };
         let (stop, stop_seen) = watch::channel(false);
-        let servers = vec![
+        let mut servers = vec![
             serve(listeners.admin, admin_router(admin), stop_seen.clone()),
             serve(listeners.calls, calls.gateway, stop_seen.clone()),
-            serve(listeners.peer, calls.target_side, stop_seen),
+            serve(listeners.peer, calls.target_side, stop_seen.clone()),
         ];
+        if let Some(listener) = listeners.metrics {
+            let router = metrics_router(context.metrics.clone());
+            servers.push(serve(listener, router, stop_seen));
+        }
         tasks.push(tokio::spawn(serve_control(listeners.control, server)));
         tasks.extend(calls.tasks);
         let drain_limit = context.settings.calls.drain_time();
@@ -399,18 +432,7 @@
                 join.clone(),
             )),
         ]);
-        log::info!(
-            event = "listening",
-            calls:% = addresses.calls,
-            peer:% = addresses.peer,
-            control:% = addresses.control,
-            admin:% = addresses.admin;
-            "listening: calls {}, peer {}, control {}, admin {}",
-            addresses.calls,
-            addresses.peer,
-            addresses.control,
-            addresses.admin
-        );
+        addresses.log();
         Ok(Self {
             addresses,
             context,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -60,6 +60,8 @@
     pub control: SocketAddr,
     /// Operators.
     pub admin: SocketAddr,
+    /// Metrics as text; `None` if they are not served.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl Default for ListenSettings {
@@ -70,6 +72,7 @@
             peer: any,
             control: any,
             admin: any,
+            metrics: None,
         }
     }
 }
@@ -368,6 +371,7 @@
         address("peer", &mut self.peer);
         address("control", &mut self.control);
         address("admin", &mut self.admin);
+        self.metrics = table.parsed("metrics", "an IP number and port");
         table.finish();
     }
 }
--- a/crates/node/tests/calls/faults.rs
+++ b/crates/node/tests/calls/faults.rs
@@ -570,6 +570,20 @@
         let text = String::from_utf8_lossy(&packet[..length.expect("a packet")]).into_owned();
         missing.retain(|metric| !text.lines().any(|line| line.starts_with(metric)));
     }
+    let text = mesh.metrics_text(0).await;
+    for line in [
+        "agatedeck_calls_total{outcome=\"answered\"} 1",
+        "agatedeck_calls_total{outcome=\"not-run\"} 1",
+        "agatedeck_calls_stopped_total{reason=\"no-route\"} 1",
+        "agatedeck_claims_total{verdict=\"granted\"} 1",
+        "agatedeck_call_latency_seconds_count{class=\"default\"} 1",
+        "# EOF",
+    ] {
+        assert!(
+            text.lines().any(|other| other == line),
+            "no {line} in {text}"
+        );
+    }
 }
 
 /// Guards against a load that the target reports and its node does not pass on, and against calls
--- a/crates/node/tests/calls/support.rs
+++ b/crates/node/tests/calls/support.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use agatedeck_node::{CallSettings, Node, NodeSettings, StoreSettings, TargetSettings};
+use agatedeck_node::{
+    CallSettings, ListenSettings, Node, NodeSettings, StoreSettings, TargetSettings,
+};
 use agatedeck_records::read_record_file;
 use agatedeck_standin::{PlatformServer, TargetBehaviour, TargetServer};
 use reqwest::{Client, RequestBuilder};
@@ -179,6 +181,10 @@
                     ..Default::default()
                 }),
                 metrics: mesh.metrics.local_addr().ok(),
+                listen: ListenSettings {
+                    metrics: Some(any),
+                    ..Default::default()
+                },
                 calls: CallSettings {
                     probe_interval: Duration::from_millis(100),
                     ..calls.clone()
@@ -244,6 +250,15 @@
         format!("http://{}{path}", node.addresses().peer)
     }
 
+    /// The metrics of a node as text.
+    pub(crate) async fn metrics_text(&self, node: usize) -> String {
+        let node = self.nodes[node].as_ref().expect("the node runs");
+        let address = node.addresses().metrics.expect("metrics are served");
+        let answer = self.client.get(format!("http://{address}/metrics")).send();
+        let answer = answer.await.expect("the node answers");
+        answer.text().await.expect("a text")
+    }
+
     pub(crate) fn get(&self, node: usize, path: &str) -> RequestBuilder {
         self.client.get(self.url(node, path))
     }
--- a/examples/quickstart/mesh.rs
+++ b/examples/quickstart/mesh.rs
@@ -33,6 +33,7 @@
         peer: address(7402),
         control: address(7403),
         admin: address(7404),
+        ..Default::default()
     }
 }
 
