Follow the source of versions only once the node serves

Seven of the nine nodes whose logs were read could not read the floor within 1 s. A node that has just started knows no other, takes itself for a reader of the source, fetches the configuration a second time beside the read of its join, and passes it on to every node that it comes to know, over links of 7 Mbit/s.

Ruled out: a longer timeout for the store (it hides the second copy).

Change: a node follows the source once its join has ended. The join reads the configuration itself.

Test: starting_nodes_read_the_configuration_once; 12 reads by 6 nodes before, 6 after.

--- a/crates/node/src/store/feed.rs
+++ b/crates/node/src/store/feed.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatedeck_control::{SpreadOrder, SpreadReach};
+use agatedeck_control::{JoinState, SpreadOrder, SpreadReach};
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_store::StoreError;
 use kameo::actor::ActorRef;
@@ -45,6 +45,16 @@
 pub(crate) async fn run_feed(follower: FeedFollower) {
     let mut backoff = FIRST_BACKOFF;
     let mut lost = false;
+    // Until the node serves, its join reads the source and the other nodes are not known. Each node
+    // of a fleet that starts together would take itself for a reader and pass the version on to all.
+    let mut phase = follower.context.phase.clone();
+    if phase
+        .wait_for(|phase| *phase == JoinState::Serving)
+        .await
+        .is_err()
+    {
+        return;
+    }
     loop {
         if !follower.is_reader() {
             sleep(ROLE_CHECK_INTERVAL).await;
