Explain a request from the logs of nodes

Cause: the way from the id of a failed request to its cause was a pipe of grep and jq over the lines of one node, and what the node of the target had seen had to be looked for by hand.

Ruled out: ordering all lines by time. Clocks of hosts differ by seconds.

Change: `agatedeckctl explain REQUEST-ID LOGFILE...` prints for each node that the caller sent the request to what it was told and why, the node of the last target, and the last events of both nodes, with their ages by the clock of the node that saw them.

Tests: request_is_explained_from_two_logs, missing_log_is_named, unknown_request_and_unreadable_file.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -10,8 +10,8 @@
 
 use crate::command::AdminCommand;
 use crate::commands::{
-    ApplyCommand, DiffCommand, GetCommand, HistoryCommand, LookUpCommand, RetireCommand,
-    StatusCommand, WatchCommand, WatchSettings,
+    ApplyCommand, DiffCommand, ExplainCommand, GetCommand, HistoryCommand, LookUpCommand,
+    RetireCommand, StatusCommand, WatchCommand, WatchSettings,
 };
 use crate::error::CtlError;
 use crate::http_client::HttpClientSettings;
@@ -30,6 +30,9 @@
 /// to ask the next one.
 const WATCH_REQUEST_MS: u64 = 5_000;
 
+/// The command that asks no node.
+const EXPLAIN: &str = "explain";
+
 const ABOUT: &str = include_str!("../help/agatedeckctl.txt");
 const COMMON: &str = include_str!("../help/common.txt");
 
@@ -71,7 +74,7 @@
     build: fn(&Arguments) -> Result<Box<dyn AdminCommand>, CtlError>,
 }
 
-const COMMANDS: [CommandSpec; 8] = [
+const COMMANDS: [CommandSpec; 9] = [
     CommandSpec {
         name: "apply",
         help: include_str!("../help/apply.txt"),
@@ -120,6 +123,12 @@
         options: &[],
         build: build_look_up,
     },
+    CommandSpec {
+        name: EXPLAIN,
+        help: include_str!("../help/explain.txt"),
+        options: &[],
+        build: build_explain,
+    },
 ];
 
 /// A text that the arguments ask for in place of a command's result.
@@ -260,7 +269,7 @@
             nodes.push(node);
         }
     }
-    if nodes.is_empty() {
+    if nodes.is_empty() && arguments.command.as_deref() != Some(EXPLAIN) {
         return Err(usage(
             "no node is named: use `--node IP:PORT` or set AGATEDECK_NODE",
         ));
@@ -402,3 +411,13 @@
     let change_id = parse_change_id(&change_id)?;
     Ok(Box::new(LookUpCommand { change_id }))
 }
+
+fn build_explain(arguments: &Arguments) -> Result<Box<dyn AdminCommand>, CtlError> {
+    match arguments.operands.as_slice() {
+        [request, files @ ..] if !files.is_empty() => Ok(Box::new(ExplainCommand {
+            request: request.clone(),
+            files: files.iter().map(PathBuf::from).collect(),
+        })),
+        _ => Err(usage("expected as operands: REQUEST-ID LOGFILE...")),
+    }
+}
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod diff;
+mod explain;
 mod get;
 mod history;
 mod lookup;
@@ -11,6 +12,7 @@
 
 pub use apply::ApplyCommand;
 pub use diff::DiffCommand;
+pub use explain::ExplainCommand;
 pub use get::GetCommand;
 pub use history::HistoryCommand;
 pub use lookup::LookUpCommand;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,7 @@
 mod command;
 mod commands;
 mod error;
+mod explain;
 mod http_client;
 mod input;
 mod messages;
@@ -20,10 +21,11 @@
 pub use client::{AdminClient, ClientError, NodeFailure, RecordFilter};
 pub use command::{AdminCommand, CommandContext, ExitStatus};
 pub use commands::{
-    ApplyCommand, DiffCommand, GetCommand, HistoryCommand, LookUpCommand, RetireCommand,
-    StatusCommand, WatchCommand, WatchSettings,
+    ApplyCommand, DiffCommand, ExplainCommand, GetCommand, HistoryCommand, LookUpCommand,
+    RetireCommand, StatusCommand, WatchCommand, WatchSettings,
 };
 pub use error::CtlError;
+pub use explain::{LogLine, RequestAccount, SeenEvent, explain_request, read_log};
 pub use http_client::{HttpAdminClient, HttpClientSettings};
 pub use input::read_files;
 pub use messages::{
