--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -288,7 +288,7 @@
             return Duration::ZERO;
         }
         let rings = self.rings.range(..=priority);
-        self.time_of(rings.map(|(_, ring)| ring.queued()).sum(), now)
+        self.wait_behind(rings.map(|(_, ring)| ring.queued()).sum(), now)
     }
 
     /// Expected time until a call of this rank and class that arrives now would be answered; `None`
@@ -388,7 +388,7 @@
             return Some(RefusalReason::Draining);
         }
         let must_wait = self.running >= self.open_slots(now);
-        let starts_at = now.after(self.time_of(ahead, now));
+        let starts_at = now.after(self.wait_behind(ahead, now));
         if must_wait && ticket.useful_until.is_some() && starts_at > leaves_at {
             return Some(RefusalReason::QueueFull);
         }
@@ -410,7 +410,7 @@
         if self.running < slots {
             return self.classes.all().shortest();
         }
-        let wait = self.time_of(ahead, now);
+        let wait = self.wait_behind(ahead, now);
         wait.saturating_add(self.classes.all().cautious())
     }
 
@@ -425,7 +425,7 @@
     }
 
     /// Expected time until a call with `ahead` queued calls before it gets a slot, once none is open.
-    fn time_of(&self, ahead: usize, now: Instant) -> Duration {
+    fn wait_behind(&self, ahead: usize, now: Instant) -> Duration {
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         let slots = self.open_slots(now).max(1);
         self.classes.all().mean().saturating_mul(turns) / slots
@@ -438,7 +438,7 @@
         let Some(last) = rings.find_map(|ring| ring.newest_over(0)) else {
             return;
         };
-        let starts_at = now.after(self.time_of(self.queued() - 1, now));
+        let starts_at = now.after(self.wait_behind(self.queued() - 1, now));
         let displaced = self
             .calls
             .get(&last)
