Leave a call unknown that is lost before its body was asked for

Cause: read again as a newcomer, a call whose connection was lost before its body was asked for was told as not run. The node of the target sends the head of a request on before it has the whole body if the body is larger than it keeps, which is its own setting: with the defaults, a claimed call of 500 kB is kept by its caller's node and streamed by that of the target. Its answer that asks for the body can be lost with the connection while the target works.

Ruled out: to receive every body whole (a limit on memory is a promise too); to compare sizes (settings of two nodes may differ).

Change: only the refusal of the node says that the call has not run.

Test: none shows it without a proxy between two nodes; the rule is again that of the outcome of every other lost connection, which target_killed_with_a_call_in_flight and call_model hold.

--- a/crates/node/src/calls/ask_first.rs
+++ b/crates/node/src/calls/ask_first.rs
@@ -35,13 +35,6 @@
 #[derive(Debug)]
 pub(super) struct BodyGate(Arc<watch::Sender<GateState>>);
 
-impl BodyGate {
-    /// Whether the body was asked for, so that a part of it may have been sent.
-    pub(super) fn is_open(&self) -> bool {
-        *self.0.borrow() == GateState::Open
-    }
-}
-
 impl Drop for BodyGate {
     fn drop(&mut self) {
         leave_waiting(&self.0, GateState::Shut);
--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -8,7 +8,7 @@
 use axum::http::response::Parts;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::capture_connection;
 use tokio::time::{Instant, timeout_at};
 
@@ -52,20 +52,15 @@
     mut request: Request<Body>,
     terms: AttemptTerms,
 ) -> AttemptEnd {
-    // The target's node sends a call on only after it has received a body whose size is stated.
-    let sized = request.body().size_hint().exact().is_some();
-    let gate = ask_first(&mut request, terms.ask_first);
-    let unsent = || sized && gate.as_ref().is_some_and(|gate| !gate.is_open());
+    // A lost connection says nothing, also before the body was asked for: the node of the target may
+    // have sent the head of a large request on, and its answer to that may have been lost.
+    let _gate = ask_first(&mut request, terms.ask_first);
     // Known once a connection is at hand, which is before the first byte is written.
     let connection = capture_connection(&mut request);
     let answered = timeout_at(terms.deadline, send(client, request, terms.keep)).await;
-    match answered {
-        Ok(AttemptEnd::Lost(_)) if unsent() => AttemptEnd::NotSent,
-        Ok(end) => end,
-        Err(_) => AttemptEnd::Expired {
-            sent: connection.connection_metadata().is_some() && !unsent(),
-        },
-    }
+    answered.unwrap_or_else(|_| AttemptEnd::Expired {
+        sent: connection.connection_metadata().is_some(),
+    })
 }
 
 async fn send(client: &CallClient, request: Request<Body>, keep: usize) -> AttemptEnd {
