Speak HTTP with either store through one piece of code

Cause: the client of this project's store and that of the users' platform each had their own exchange before a deadline, errors of sending, decoding of JSON and base64, and answers to reads and writes of objects.

Ruled out: one client for both. Their paths, bodies and meanings of statuses differ; only these stay apart.

Change: agatedeck-store lists exchange, decode, decode_value, object_read, object_written and unexpected; each client says what a failing status means. No change of behaviour.

--- /dev/null
+++ b/crates/store/src/exchange.rs
@@ -0,0 +1,99 @@
+//! What every client that speaks HTTP with a store has in common.
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::Deserialize;
+use tokio::time::{Instant, timeout_at};
+
+use crate::store::StoreError;
+
+/// An answer as a store gave it.
+pub type StoreAnswer = (StatusCode, Vec<u8>);
+
+/// Sends a request and reads the whole answer before the deadline. `failure` tells which statuses say
+/// that the store did nothing, or leave open what it did.
+///
+/// # Errors
+///
+/// Fails if there is no whole answer, or with what `failure` says of its status.
+pub async fn exchange(
+    request: RequestBuilder,
+    deadline: Instant,
+    failure: fn(StatusCode) -> Option<StoreError>,
+) -> Result<StoreAnswer, StoreError> {
+    let answer = async {
+        let response = request.send().await.map_err(|error| send_error(&error))?;
+        let (status, body) = read_body(response).await?;
+        failure(status).map_or(Ok((status, body)), Err)
+    };
+    match timeout_at(deadline, answer).await {
+        Ok(answer) => answer,
+        Err(_) => Err(StoreError::Unanswered("the deadline passed".to_owned())),
+    }
+}
+
+async fn read_body(response: Response) -> Result<StoreAnswer, StoreError> {
+    let status = response.status();
+    let body = response.bytes().await;
+    let body = body.map_err(|error| StoreError::Unanswered(error.to_string()))?;
+    Ok((status, body.to_vec()))
+}
+
+fn send_error(error: &reqwest::Error) -> StoreError {
+    if error.is_connect() || error.is_builder() {
+        StoreError::Unreachable(error.to_string())
+    } else {
+        StoreError::Unanswered(error.to_string())
+    }
+}
+
+/// Decodes the JSON body of an answer.
+///
+/// # Errors
+///
+/// Fails if the body is no such JSON.
+pub fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Unusable(error.to_string()))
+}
+
+/// Decodes the value of a row from base64.
+///
+/// # Errors
+///
+/// Fails if the text is no base64.
+pub fn decode_value(text: &str) -> Result<Vec<u8>, StoreError> {
+    let value = BASE64_STANDARD.decode(text);
+    value.map_err(|error| StoreError::Unusable(error.to_string()))
+}
+
+/// The error for a status that the protocol does not name.
+pub fn unexpected(status: StatusCode) -> StoreError {
+    StoreError::Unusable(format!("status {status}"))
+}
+
+/// The object that a read was answered with, if there is one.
+///
+/// # Errors
+///
+/// Fails on a status that the protocol does not name.
+pub fn object_read((status, body): StoreAnswer) -> Result<Option<Vec<u8>>, StoreError> {
+    match status {
+        StatusCode::OK => Ok(Some(body)),
+        StatusCode::NOT_FOUND => Ok(None),
+        status => Err(unexpected(status)),
+    }
+}
+
+/// Whether a write of an object was answered with success.
+///
+/// # Errors
+///
+/// Fails on every other status.
+pub fn object_written((status, _): StoreAnswer) -> Result<(), StoreError> {
+    if status.is_success() {
+        Ok(())
+    } else {
+        Err(unexpected(status))
+    }
+}
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -3,10 +3,11 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use futures::future::BoxFuture;
-use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
+use crate::exchange::{decode, decode_value, exchange, object_read, object_written, unexpected};
 use crate::store::{
     PlatformStore, RowCondition, RowWrite, StoreError, StoreTransaction, StoredRow,
     TransactionOutcome,
@@ -100,62 +101,27 @@
     }
 }
 
-/// Sends a request and reads the whole answer before the deadline.
-async fn exchange(
-    request: RequestBuilder,
-    deadline: Instant,
-) -> Result<(StatusCode, Vec<u8>), StoreError> {
-    let answer = async {
-        let response = request.send().await.map_err(|error| send_error(&error))?;
-        read_body(response).await
-    };
-    match timeout_at(deadline, answer).await {
-        Ok(answer) => answer,
-        Err(_) => Err(StoreError::Unanswered("the deadline passed".to_owned())),
-    }
-}
-
-async fn read_body(response: Response) -> Result<(StatusCode, Vec<u8>), StoreError> {
-    let status = response.status();
-    let body = response.bytes().await;
-    let body = body.map_err(|error| StoreError::Unanswered(error.to_string()))?;
+/// What a status says of a request that the platform did not carry out.
+fn failure(status: StatusCode) -> Option<StoreError> {
     match status {
         // The platform answers 503 before it runs a request.
-        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unreachable(
+        StatusCode::SERVICE_UNAVAILABLE => Some(StoreError::Unreachable(
             "the platform is out of service".to_owned(),
         )),
         status if status.is_server_error() => {
-            Err(StoreError::Unanswered(format!("status {status}")))
+            Some(StoreError::Unanswered(format!("status {status}")))
         }
-        status => Ok((status, body.to_vec())),
-    }
-}
-
-fn send_error(error: &reqwest::Error) -> StoreError {
-    if error.is_connect() || error.is_builder() {
-        StoreError::Unreachable(error.to_string())
-    } else {
-        StoreError::Unanswered(error.to_string())
+        _ => None,
     }
 }
 
-fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(|error| StoreError::Unusable(error.to_string()))
-}
-
-fn unexpected(status: StatusCode) -> StoreError {
-    StoreError::Unusable(format!("status {status}"))
-}
-
 impl TryFrom<RowBody> for StoredRow {
     type Error = StoreError;
 
     fn try_from(body: RowBody) -> Result<Self, StoreError> {
-        let value = BASE64_STANDARD.decode(&body.value);
-        let value = value.map_err(|error| StoreError::Unusable(error.to_string()))?;
         Ok(Self {
+            value: decode_value(&body.value)?,
             key: body.key,
-            value,
             revision: body.revision,
         })
     }
@@ -192,7 +158,7 @@
                 .client
                 .get(self.url("/table/row"))
                 .query(&[("key", key)]);
-            match exchange(request, deadline).await? {
+            match exchange(request, deadline, failure).await? {
                 (StatusCode::OK, body) => decode::<RowBody>(&body)?.try_into().map(Some),
                 (StatusCode::NOT_FOUND, _) => Ok(None),
                 (status, _) => Err(unexpected(status)),
@@ -215,7 +181,7 @@
                 ("limit", limit.as_str()),
             ];
             let request = self.client.get(self.url("/table/rows")).query(&query);
-            match exchange(request, deadline).await? {
+            match exchange(request, deadline, failure).await? {
                 (StatusCode::OK, body) => decode::<RowsBody>(&body)?
                     .rows
                     .into_iter()
@@ -234,7 +200,7 @@
         Box::pin(async move {
             let body = TransactionBody::from(transaction);
             let request = self.client.post(self.url("/table/transaction")).json(&body);
-            match exchange(request, deadline).await? {
+            match exchange(request, deadline, failure).await? {
                 (StatusCode::OK, body) => Ok(TransactionOutcome::Committed(
                     decode::<CommittedBody>(&body)?.revision,
                 )),
@@ -253,11 +219,7 @@
     ) -> BoxFuture<'a, Result<Option<Vec<u8>>, StoreError>> {
         Box::pin(async move {
             let request = self.client.get(self.url("/object")).query(&[("key", key)]);
-            match exchange(request, deadline).await? {
-                (StatusCode::OK, body) => Ok(Some(body)),
-                (StatusCode::NOT_FOUND, _) => Ok(None),
-                (status, _) => Err(unexpected(status)),
-            }
+            object_read(exchange(request, deadline, failure).await?)
         })
     }
 
@@ -269,10 +231,8 @@
     ) -> BoxFuture<'a, Result<(), StoreError>> {
         Box::pin(async move {
             let request = self.client.put(self.url("/object")).query(&[("key", key)]);
-            match exchange(request.body(value.to_vec()), deadline).await? {
-                (status, _) if status.is_success() => Ok(()),
-                (status, _) => Err(unexpected(status)),
-            }
+            let request = request.body(value.to_vec());
+            object_written(exchange(request, deadline, failure).await?)
         })
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,9 +4,13 @@
 //! store in place and an adopter can connect another service. `docs/platform.md` describes the
 //! protocol that [`HttpStore`] speaks.
 
+mod exchange;
 mod http_store;
 mod store;
 
+pub use exchange::{
+    StoreAnswer, decode, decode_value, exchange, object_read, object_written, unexpected,
+};
 pub use http_store::{HttpStore, HttpStoreSettings};
 pub use store::{
     PlatformStore, RowCondition, RowWrite, StoreError, StoreTransaction, StoredRow,
