Keep one copy of announcements, refusals, daemon ends and read deltas

A whole version from its source was compressed, decompressed and compressed again, and a pulled delta was decompressed twice, on the way to each change and at each start.

Ruled out: an actor of its own for refusals; merging the two views of an announcement in the register, one of which is borrowed.

Change: Announcement is the message; caller_refusal; run_daemon and BAD_INPUT; registered; ReadDelta carries a delta with its compressed form through the holder. What a node passes on of a delta that it received are the bytes that it received. No change of behaviour otherwise.

--- a/crates/control/src/version/holder.rs
+++ b/crates/control/src/version/holder.rs
@@ -82,6 +82,23 @@
     deadline: Instant,
 }
 
+/// A delta and its compressed form. Compressing costs more than anything else that is done with one.
+#[derive(Debug)]
+struct ReadDelta {
+    delta: Delta,
+    bytes: Vec<u8>,
+}
+
+impl ReadDelta {
+    fn decode(bytes: &[u8]) -> Result<Self, String> {
+        let delta = decompress::<Delta>(bytes).map_err(|error| error.to_string())?;
+        Ok(Self {
+            delta,
+            bytes: bytes.to_vec(),
+        })
+    }
+}
+
 /// A compressed delta that nodes that are behind may ask for.
 #[derive(Debug)]
 struct KeptDelta {
@@ -104,7 +121,7 @@
     floor: Option<u64>,
     candidates: VecDeque<CandidateVersion>,
     /// Deltas that arrived before the version they start from, by the version they lead to.
-    ahead: BTreeMap<u64, Delta>,
+    ahead: BTreeMap<u64, ReadDelta>,
     deltas: VecDeque<KeptDelta>,
     refusal: Option<(u64, String)>,
 }
@@ -175,16 +192,20 @@
         if version <= tip {
             return (OfferVerdict::Stale, Vec::new());
         }
-        let decoded = match decompress::<Delta>(delta) {
-            Ok(decoded) => decoded,
-            Err(error) => return (self.refused(version, error.to_string()), Vec::new()),
-        };
-        if delta_base(&decoded) != tip {
-            self.keep_ahead(decoded);
+        match ReadDelta::decode(delta) {
+            Ok(read) => self.offer_read(read, now),
+            Err(reason) => (self.refused(version, reason), Vec::new()),
+        }
+    }
+
+    fn offer_read(&mut self, read: ReadDelta, now: Instant) -> (OfferVerdict, Vec<VersionEffect>) {
+        let tip = self.tip().version();
+        if delta_base(&read.delta) != tip {
+            self.keep_ahead(read);
             return (OfferVerdict::Behind, vec![VersionEffect::PullFrom(tip)]);
         }
         let mut effects = Vec::new();
-        let verdict = self.take_next(&decoded, now, &mut effects);
+        let verdict = self.take_next(read, now, &mut effects);
         if verdict == OfferVerdict::Held {
             self.take_ahead(now, &mut effects);
         }
@@ -197,19 +218,18 @@
     pub fn offer_pulled(&mut self, deltas: &[Vec<u8>], now: Instant) -> Vec<VersionEffect> {
         let mut effects = Vec::new();
         for bytes in deltas {
-            match decompress::<Delta>(bytes) {
-                Ok(delta) => effects.extend(self.offer(delta.version, bytes, now).1),
-                Err(error) => {
-                    let version = self.tip().version() + 1;
-                    self.refuse(version, &error.to_string());
-                }
+            let tip = self.tip().version();
+            match ReadDelta::decode(bytes) {
+                Ok(read) if read.delta.version <= tip => {}
+                Ok(read) => effects.extend(self.offer_read(read, now).1),
+                Err(reason) => self.refuse(tip + 1, &reason),
             }
         }
         effects
     }
 
-    fn keep_ahead(&mut self, delta: Delta) {
-        self.ahead.insert(delta.version, delta);
+    fn keep_ahead(&mut self, read: ReadDelta) {
+        self.ahead.insert(read.delta.version, read);
         while self.ahead.len() > self.settings.kept_ahead {
             // The farthest version is the one most likely to be pulled again anyway.
             self.ahead.pop_last();
@@ -220,14 +240,15 @@
         loop {
             let tip = self.tip().version();
             self.ahead = self.ahead.split_off(&(tip + 1));
-            let next = self.ahead.values().find(|delta| delta_base(delta) == tip);
+            let mut ahead = self.ahead.values().map(|read| &read.delta);
+            let next = ahead.find(|delta| delta_base(delta) == tip);
             let Some(version) = next.map(|delta| delta.version) else {
                 return;
             };
-            let Some(delta) = self.ahead.remove(&version) else {
+            let Some(read) = self.ahead.remove(&version) else {
                 return;
             };
-            if self.take_next(&delta, now, effects) != OfferVerdict::Held {
+            if self.take_next(read, now, effects) != OfferVerdict::Held {
                 return;
             }
         }
@@ -236,19 +257,22 @@
     /// Checks the version that follows the tip.
     fn take_next(
         &mut self,
-        delta: &Delta,
+        read: ReadDelta,
         now: Instant,
         effects: &mut Vec<VersionEffect>,
     ) -> OfferVerdict {
-        let checked = self.tip().apply(delta).map_err(|error| error.to_string());
+        let checked = self
+            .tip()
+            .apply(&read.delta)
+            .map_err(|error| error.to_string());
         let checked = checked.and_then(|snapshot| self.readable(snapshot));
         match checked {
             Ok(snapshot) => {
-                self.keep_delta(delta);
+                self.keep_delta(read);
                 self.stage(snapshot, now, effects);
                 OfferVerdict::Held
             }
-            Err(reason) => self.refused(delta.version, reason),
+            Err(reason) => self.refused(read.delta.version, reason),
         }
     }
 
@@ -263,8 +287,13 @@
         if snapshot.version() <= self.tip().version() {
             return (None, Vec::new());
         }
-        let bytes = compress(&self.tip().delta_to(snapshot));
-        let (verdict, effects) = self.offer(snapshot.version(), &bytes, now);
+        let delta = self.tip().delta_to(snapshot);
+        let bytes = compress(&delta);
+        let read = ReadDelta {
+            delta,
+            bytes: bytes.clone(),
+        };
+        let (verdict, effects) = self.offer_read(read, now);
         let delta = (verdict == OfferVerdict::Held).then_some(bytes);
         (delta, effects)
     }
@@ -295,11 +324,11 @@
         }
     }
 
-    fn keep_delta(&mut self, delta: &Delta) {
+    fn keep_delta(&mut self, read: ReadDelta) {
         self.deltas.push_back(KeptDelta {
-            base: delta_base(delta),
-            version: delta.version,
-            bytes: compress(delta),
+            base: delta_base(&read.delta),
+            version: read.delta.version,
+            bytes: read.bytes,
         });
         while self.deltas.len() > self.settings.kept_deltas {
             self.deltas.pop_front();
--- a/crates/node/src/announcer.rs
+++ b/crates/node/src/announcer.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use kameo::actor::ActorRef;
 
-use crate::calls::{AnnounceTarget, SlotKeeper, WithdrawTarget};
+use crate::calls::{SlotKeeper, WithdrawTarget};
 
 /// An announcement as it is handed in.
 #[derive(Clone, Debug)]
@@ -58,17 +58,7 @@
     /// Fails if the announcement changes nothing, with the reason.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), AnnounceError> {
         let slots = self.slots.as_ref().ok_or(AnnounceError::Closed)?;
-        let announced = AnnounceTarget {
-            id: announcement.id,
-            service: announcement.service,
-            address: announcement.address,
-            born_unix_ms: announcement.born_unix_ms,
-            sequence: announcement.sequence,
-            state: announcement.state,
-            slots: announcement.slots,
-            warm_up_left: announcement.warm_up_left,
-        };
-        match slots.ask(announced).await {
+        match slots.ask(announcement).await {
             Ok(()) => Ok(()),
             Err(kameo::error::SendError::HandlerError(error)) => Err(AnnounceError::Passed(error)),
             Err(_) => Err(AnnounceError::Closed),
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -7,7 +7,7 @@
 use agatedeck_calls::{
     AttemptEvent, AttemptResult, CallEffect, CallEvent, CallLife, CallOutcome, CallTerms,
     ClaimAnswer, ClaimVerdict, Fingerprint, RetryDecision, RetryQuestion, RetryRefusal,
-    ReturnQuestion, ReturnSettings, UnansweredCall, return_after,
+    ReturnQuestion, UnansweredCall,
 };
 use agatedeck_clock::Instant;
 use axum::body::Body;
@@ -28,14 +28,14 @@
 use super::gateway::GatewayContext;
 use super::headers::{
     ATTEMPT, CALLER, CLASS, DEADLINE, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY, REASON, SENT,
-    SERVICE, TENANT, USEFUL, node_response, number, strip_hop_headers,
+    SERVICE, TENANT, USEFUL, caller_refusal, number, strip_hop_headers,
 };
 use super::latency_keeper::RecordCall;
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::request_body::RequestBody;
 use super::router::{DecideRetry, NoteUnanswered, PickTarget, TargetLease};
-use crate::borders::{CallDialect, NodeAnswer};
+use crate::borders::CallDialect;
 
 /// The request of a call, as it is sent with each attempt.
 #[derive(Debug)]
@@ -183,13 +183,8 @@
             priority: self.plan.priority,
             room_after: self.room_after,
         };
-        let settings = ReturnSettings::default();
-        let answer = NodeAnswer {
-            outcome,
-            reason: self.reason,
-            retry_after: Some(return_after(&question, &settings, &mut rand::rng())),
-        };
-        node_response(&*self.shared.context.dialect, &answer)
+        let dialect = &*self.shared.context.dialect;
+        caller_refusal(dialect, outcome, self.reason, &question)
     }
 
     /// Carries out effects that do not wait.
--- a/crates/node/src/calls/first_look.rs
+++ b/crates/node/src/calls/first_look.rs
@@ -14,8 +14,9 @@
 use tokio::time::timeout;
 
 use super::http_client::CallClient;
-use super::slots::{AnnounceTarget, SlotKeeper};
+use super::slots::SlotKeeper;
 use super::target_watch::probe_uri;
+use crate::announcer::Announcement;
 use crate::context::NodeContext;
 
 /// Time allowed for the answer.
@@ -63,10 +64,10 @@
 }
 
 /// What the answer says, as the oldest announcement of the target: any other goes before it.
-fn announcement(context: &NodeContext, headers: &HeaderMap) -> Option<AnnounceTarget> {
+fn announcement(context: &NodeContext, headers: &HeaderMap) -> Option<Announcement> {
     let target = context.settings.target.as_ref()?;
     let dialect = Arc::clone(&context.dialect);
-    Some(AnnounceTarget {
+    Some(Announcement {
         id: dialect.target_identity(headers)?.to_owned(),
         service: target.service.clone(),
         address: target.address.to_string(),
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_calls::{
-    CallOutcome, Fingerprint, RequestIdentity, RequestView, ReturnQuestion, ReturnSettings,
-    return_after,
-};
+use agatedeck_calls::{CallOutcome, Fingerprint, RequestIdentity, RequestView, ReturnQuestion};
 use axum::Router;
 use axum::extract::{Request, State};
 use axum::http::HeaderValue;
@@ -20,14 +17,13 @@
 use super::claim_keeper::ClaimKeeper;
 use super::crash_keeper::{CrashKeeper, CrashView};
 use super::drain_body::after_request;
-use super::headers::{IDEMPOTENCY_KEY, node_response, text};
+use super::headers::{IDEMPOTENCY_KEY, caller_refusal, text};
 use super::http_client::CallClient;
 use super::latency_keeper::{LatencyKeeper, RecordCall};
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::request_body::RequestBody;
 use super::router::CallRouter;
-use crate::borders::NodeAnswer;
 use crate::context::NodeContext;
 
 /// What the tasks of calls work with.
@@ -110,15 +106,6 @@
         priority: plan.as_ref().map_or(0, |plan| plan.priority),
         room_after: None,
     };
-    let answer = NodeAnswer {
-        outcome: CallOutcome::NotRun,
-        reason,
-        retry_after: Some(return_after(
-            &question,
-            &ReturnSettings::default(),
-            &mut rand::rng(),
-        )),
-    };
     let (tenant, class, request_id) = plan.map_or_else(Default::default, |plan| {
         (plan.tenant, plan.class, plan.request_id)
     });
@@ -134,7 +121,8 @@
     };
     // The keeper is gone only when the node is stopping.
     let _ = shared.latency.tell(record).try_send();
-    node_response(&*shared.context.dialect, &answer)
+    let dialect = &*shared.context.dialect;
+    caller_refusal(dialect, CallOutcome::NotRun, reason, &question)
 }
 
 /// Digest of what makes a request the same request: method, path, and the body as far as it is kept.
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agatedeck_calls::CallOutcome;
+use agatedeck_calls::{CallOutcome, ReturnQuestion, ReturnSettings, return_after};
 use axum::body::Body;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, header};
 use axum::response::Response;
@@ -105,7 +105,7 @@
 }
 
 /// An answer that a node gives itself, as `dialect` states it.
-pub(super) fn node_response(dialect: &dyn CallDialect, answer: &NodeAnswer) -> Response {
+fn node_response(dialect: &dyn CallDialect, answer: &NodeAnswer) -> Response {
     let (status, headers) = dialect.node_answer(answer);
     let mut response = Response::new(Body::from(format!("{}\n", answer.reason.text())));
     *response.status_mut() = status;
@@ -113,6 +113,22 @@
     response
 }
 
+/// The answer to a caller whose call no target answered, with the time after which it may come back.
+pub(super) fn caller_refusal(
+    dialect: &dyn CallDialect,
+    outcome: CallOutcome,
+    reason: StopReason,
+    question: &ReturnQuestion,
+) -> Response {
+    let settings = ReturnSettings::default();
+    let answer = NodeAnswer {
+        outcome,
+        reason,
+        retry_after: Some(return_after(question, &settings, &mut rand::rng())),
+    };
+    node_response(dialect, &answer)
+}
+
 /// An answer that a node gives to another node.
 pub(super) fn peer_refusal(outcome: CallOutcome, reason: StopReason) -> Response {
     let answer = NodeAnswer {
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -38,6 +38,6 @@
 pub(crate) use latency_keeper::{LatencyKeeper, LatencyList, ReadLatencies};
 pub use own_dialect::OwnDialect;
 pub use reason::StopReason;
-pub(crate) use slots::{AnnounceTarget, SlotKeeper, WithdrawTarget};
+pub(crate) use slots::{SlotKeeper, WithdrawTarget};
 pub use system::CallSystemError;
 pub(crate) use system::{CallDrain, CallSystem};
--- a/crates/node/src/calls/slots/announcements.rs
+++ b/crates/node/src/calls/slots/announcements.rs
@@ -1,17 +1,16 @@
 //! What the local target says of itself.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use agatedeck_calls::{
-    AnnouncedState, NoticeError, NoticeState, RegisterEffect, RegisterSettings, TargetNotice,
-    TargetRegister,
+    AnnouncedState, NoticeError, RegisterEffect, RegisterSettings, TargetNotice, TargetRegister,
 };
 use agatedeck_clock::Instant;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 
 use super::keeper::SlotKeeper;
+use crate::announcer::Announcement;
 use crate::context::NodeContext;
 use crate::member::SetTarget;
 
@@ -81,25 +80,12 @@
     })
 }
 
-/// An announcement of the target.
-#[derive(Clone, Debug)]
-pub(crate) struct AnnounceTarget {
-    pub(crate) id: String,
-    pub(crate) service: String,
-    pub(crate) address: String,
-    pub(crate) born_unix_ms: u64,
-    pub(crate) sequence: u64,
-    pub(crate) state: NoticeState,
-    pub(crate) slots: u32,
-    pub(crate) warm_up_left: Duration,
-}
-
-impl Message<AnnounceTarget> for SlotKeeper {
+impl Message<Announcement> for SlotKeeper {
     type Reply = Result<(), NoticeError>;
 
     async fn handle(
         &mut self,
-        announced: AnnounceTarget,
+        announced: Announcement,
         ctx: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let now = self.context.clock.now();
--- a/crates/node/src/calls/slots/mod.rs
+++ b/crates/node/src/calls/slots/mod.rs
@@ -10,7 +10,7 @@
 mod keeper;
 mod queue_wake;
 
-pub(crate) use announcements::{AnnounceTarget, WithdrawTarget};
+pub(crate) use announcements::WithdrawTarget;
 pub(crate) use body_intake::BodyGateway;
 pub(crate) use gate::{RunEnd, SlotGate, SlotLease, SlotRefusal, SlotRequest};
 pub(crate) use keeper::{DrainSlots, PolicyChanged, SlotKeeper, TargetProbe};
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,6 +1,8 @@
 //! What every daemon does before its node starts.
 
+use std::fmt::Debug;
 use std::path::Path;
+use std::process::ExitCode;
 
 use tokio::runtime::{Builder, Runtime};
 
@@ -33,3 +35,33 @@
         .enable_all()
         .build()
 }
+
+/// Exit code of a daemon whose command line or settings are wrong.
+pub const BAD_INPUT: u8 = 2;
+
+/// Runs a daemon with its settings, or says what is wrong with them. With `check`, the settings file
+/// that is only to be checked, it does not run.
+pub fn run_daemon<E: Debug>(
+    settings: Result<NodeSettings, String>,
+    check: Option<&Path>,
+    run: impl FnOnce(NodeSettings) -> Result<(), E>,
+) -> ExitCode {
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    if let Some(file) = check {
+        println!("{}: the settings are in order", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,7 @@
     TargetVerdict,
 };
 pub use calls::{CallSystemError, OwnDialect, StopReason};
-pub use daemon::{node_runtime, read_settings};
+pub use daemon::{BAD_INPUT, node_runtime, read_settings, run_daemon};
 pub use logging::{LogError, start_logging};
 pub use peer::link_chart;
 pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError, NodeReadiness};
--- a/crates/node/src/metrics/book.rs
+++ b/crates/node/src/metrics/book.rs
@@ -14,7 +14,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 use super::statsd::metrics_client;
 use crate::calls::StopReason;
@@ -83,30 +83,45 @@
     Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
 }
 
+/// Registers a metric and returns it, to be counted with.
+fn registered<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl MetricBook {
     /// An empty book whose metrics are also sent to `statsd`, if that is set.
     pub(crate) fn new(statsd: Option<SocketAddr>) -> Self {
         let mut registry = Registry::with_prefix(TEXT_PREFIX);
-        let calls = Family::default();
-        let stopped = Family::default();
-        let refused = Family::default();
-        let claims = Family::default();
-        let retries = Counter::default();
-        let left_out = Counter::default();
         let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
-        let state = Family::default();
-        registry.register("calls", "Calls of local callers", calls.clone());
-        let text = "Calls of local callers without an answer";
-        registry.register("calls_stopped", text, stopped.clone());
-        let text = "Calls of other nodes that this node refused";
-        registry.register("target_refused", text, refused.clone());
-        registry.register("claims", "Claims by verdict", claims.clone());
-        registry.register("calls_retries", "Attempts after the first", retries.clone());
-        let text = "Log lines on calls beyond the budget of lines";
-        registry.register("lines_left_out", text, left_out.clone());
-        let text = "Time to the answer of calls that were answered";
-        registry.register("call_latency_seconds", text, latency.clone());
-        registry.register("state", "State of the control plane", state.clone());
+        let calls = registered(
+            &mut registry,
+            "calls",
+            "Calls of local callers",
+            Family::default(),
+        );
+        let help = "Calls of local callers without an answer";
+        let stopped = registered(&mut registry, "calls_stopped", help, Family::default());
+        let help = "Calls of other nodes that this node refused";
+        let refused = registered(&mut registry, "target_refused", help, Family::default());
+        let claims = registered(
+            &mut registry,
+            "claims",
+            "Claims by verdict",
+            Family::default(),
+        );
+        let help = "Attempts after the first";
+        let retries = registered(&mut registry, "calls_retries", help, Counter::default());
+        let help = "Log lines on calls beyond the budget of lines";
+        let left_out = registered(&mut registry, "lines_left_out", help, Counter::default());
+        let help = "Time to the answer of calls that were answered";
+        let latency = registered(&mut registry, "call_latency_seconds", help, latency);
+        let state = registered(
+            &mut registry,
+            "state",
+            "State of the control plane",
+            Family::default(),
+        );
         Self(Arc::new(BookEntries {
             statsd: metrics_client(statsd),
             registry,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -172,10 +172,11 @@
             peer: self.peer.local_addr()?,
             control: self.control.local_addr()?,
             admin: self.admin.local_addr()?,
-            metrics: match &self.metrics {
-                Some(listener) => Some(listener.local_addr()?),
-                None => None,
-            },
+            metrics: self
+                .metrics
+                .as_ref()
+                .map(TcpListener::local_addr)
+                .transpose()?,
         })
     }
 }
--- a/src/bin/agatedeck-node.rs
+++ b/src/bin/agatedeck-node.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use agatedeck::{Node, NodeSettings, node_runtime, read_settings, start_logging};
+use agatedeck::{
+    BAD_INPUT, Node, NodeSettings, node_runtime, read_settings, run_daemon, start_logging,
+};
 use lexopt::prelude::*;
 use log::LevelFilter;
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
@@ -26,8 +28,6 @@
   2  the command line or the settings are wrong
 ";
 
-const BAD_INPUT: u8 = 2;
-
 /// Worker threads of a node. The host belongs to its target; measurements use the same number.
 const DEFAULT_WORKERS: usize = 2;
 
@@ -72,24 +72,8 @@
             return ExitCode::from(BAD_INPUT);
         }
     };
-    let settings = match read_settings(&arguments.config) {
-        Ok(settings) => settings,
-        Err(findings) => {
-            eprintln!("{findings}");
-            return ExitCode::from(BAD_INPUT);
-        }
-    };
-    if arguments.check {
-        println!("{}: the settings are in order", arguments.config.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:?}");
-            ExitCode::FAILURE
-        }
-    }
+    let check = arguments.check.then_some(arguments.config.as_path());
+    run_daemon(read_settings(&arguments.config), check, run)
 }
 
 fn run(settings: NodeSettings) -> Result<()> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,9 @@
 //! `agatedeckctl` are thin programs over what is listed here.
 
 pub use agatedeck_node::{
-    BalanceChoice, CallSettings, ControlBytes, EmulationSettings, ListenSettings, LogLevel, Node,
-    NodeAddresses, NodeError, NodeSettings, SpreadChoice, StoreSettings, TargetSettings,
-    node_runtime, read_settings, start_logging,
+    BAD_INPUT, BalanceChoice, CallSettings, ControlBytes, EmulationSettings, ListenSettings,
+    LogLevel, Node, NodeAddresses, NodeError, NodeSettings, SpreadChoice, StoreSettings,
+    TargetSettings, node_runtime, read_settings, run_daemon, start_logging,
 };
 pub use agatedeck_records::{
     ApplyError, ChangeRefusal, ConfigSnapshot, PlannedChange, RecordConflict, RecordFault,
