Move the call at the local target out of the inbound path

Change: target_call.rs holds the request to the target, its answer and the slot until its end; inbound.rs keeps admission and refusals. No change of behaviour.

--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -31,6 +31,7 @@
 mod slots;
 mod startup_probe;
 mod system;
+mod target_call;
 mod target_probe;
 mod target_subset;
 
--- /dev/null
+++ b/crates/node/src/calls/target_call.rs
@@ -0,0 +1,209 @@
+//! A call at the local target: forwards the request and streams the answer back.
+
+use std::sync::Arc;
+
+use agatedeck_calls::{CallOutcome, Fingerprint};
+use agatedeck_clock::Instant;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::http::uri::{PathAndQuery, Scheme};
+use axum::http::{HeaderMap, Uri, header, uri};
+use axum::response::Response;
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use tokio::time::timeout_at;
+use tokio_util::task::task_tracker::TaskTrackerToken;
+
+use super::answer_body::{AnswerBody, AnswerObserver};
+use super::crash_actor::RecordCompletion;
+use super::drain_body::{BodyRecovery, make_recoverable, respond_after_drain};
+use super::headers::{
+    CALLER_SERVICE, LOAD, OUTCOME, REASON, header_text, local_answer_for_peer, outcome_value,
+    strip_hop_by_hop_headers,
+};
+use super::http_client::is_body_or_parse_error;
+use super::inbound::{InboundContext, fits_in_memory, refuse};
+use super::reason::StopReason;
+use super::slots::{CallCompletion, SlotLease};
+use crate::adapters::{AnswerKind, TargetMetadata};
+
+/// Upper bound of the reported load, which is the number of calls at the target divided by its
+/// slots.
+const MAX_REPORTED_LOAD: f64 = 8.0;
+
+/// Forwards a call that holds a slot to the target.
+pub(super) async fn forward_to_target(
+    request: Request,
+    mut call: TargetCall,
+    deadline: Instant,
+) -> Response {
+    let context = Arc::clone(&call.context);
+    let runtime_deadline = context.node.clock.runtime_instant(deadline);
+    let load = call.lease.as_ref().map_or(0.0, |lease| lease.load);
+    let protocol = Arc::clone(&context.node.protocol);
+    let request_id = protocol.caller_metadata(request.headers()).request_id;
+    let request_id = request_id.map(str::to_owned);
+    let target_id = call
+        .lease
+        .as_ref()
+        .map(|lease| Arc::clone(&lease.target_id));
+    let caller = header_text(request.headers(), &CALLER_SERVICE)
+        .unwrap_or_default()
+        .to_owned();
+    let metadata = TargetMetadata {
+        remaining: deadline.since(context.node.clock.now()),
+        target_id: target_id.as_deref().unwrap_or_default(),
+        caller_service: &caller,
+    };
+    let Some((request, recovery)) = build_target_request(request, &context, &metadata) else {
+        return refuse(&context, StopReason::Unreachable);
+    };
+    let answer = match timeout_at(runtime_deadline, context.client.request(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) if error.is_connect() => {
+            call.complete(CallCompletion::NotSent);
+            let response = refuse(&context, StopReason::Unreachable);
+            let unread = match recovery {
+                Some(recovery) => recovery.recover().await,
+                None => None,
+            };
+            return respond_after_drain(response, unread).await;
+        }
+        Ok(Err(error)) => {
+            call.complete(if is_body_or_parse_error(&error) {
+                CallCompletion::Cancelled
+            } else {
+                CallCompletion::ConnectionLost
+            });
+            return local_answer_for_peer(CallOutcome::Unknown, StopReason::NoAnswer);
+        }
+        // Dropping the request future closes the connection, which cancels the call at the target.
+        Err(_) => {
+            call.complete(CallCompletion::Cancelled);
+            return local_answer_for_peer(CallOutcome::Unknown, StopReason::Deadline);
+        }
+    };
+    let (mut parts, body) = answer.into_parts();
+    match protocol.classify_answer(request_id.as_deref(), parts.status, &parts.headers) {
+        AnswerKind::Answered => {}
+        AnswerKind::Declined => {
+            call.complete(CallCompletion::Cancelled);
+            return refuse(&context, StopReason::Declined);
+        }
+        AnswerKind::WrongTarget => {
+            call.complete(CallCompletion::Cancelled);
+            return refuse(&context, StopReason::Displaced);
+        }
+        AnswerKind::Unusable => {
+            call.complete(CallCompletion::Cancelled);
+            return local_answer_for_peer(CallOutcome::Unknown, StopReason::AnswerUnusable);
+        }
+    }
+    if !protocol.allows_close_delimited_answers() && !is_self_delimited(&parts.headers, &body) {
+        call.complete(CallCompletion::Cancelled);
+        return local_answer_for_peer(CallOutcome::Unknown, StopReason::AnswerUnbounded);
+    }
+    let headers = &mut parts.headers;
+    strip_hop_by_hop_headers(headers);
+    headers.remove(REASON);
+    headers.insert(OUTCOME, outcome_value(CallOutcome::Answered));
+    headers.insert(LOAD, load_in_thousandths(load).into());
+    if body.is_end_stream() {
+        call.on_complete();
+        return Response::from_parts(parts, Body::empty());
+    }
+    let body = AnswerBody::new(Bytes::new(), body, runtime_deadline, call);
+    Response::from_parts(parts, Body::new(body))
+}
+
+/// Whether the end of the answer is distinguishable from a lost connection: the answer states its
+/// length or uses chunked encoding.
+fn is_self_delimited(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to 0 to 8000"
+)]
+fn load_in_thousandths(load: f64) -> u16 {
+    (load.clamp(0.0, MAX_REPORTED_LOAD) * 1000.0) as u16
+}
+
+/// Builds the request to the target. For a body that does not fit in memory, also returns the
+/// handle that recovers its unsent rest.
+fn build_target_request(
+    request: Request,
+    context: &InboundContext,
+    metadata: &TargetMetadata<'_>,
+) -> Option<(Request, Option<BodyRecovery>)> {
+    let target_authority = &context.target.as_ref()?.authority;
+    let (mut parts, body) = request.into_parts();
+    let (body, recovery) = if fits_in_memory(context, &body) {
+        (body, None)
+    } else {
+        let (body, recovery) = make_recoverable(body);
+        (body, Some(recovery))
+    };
+    let mut uri_parts = uri::Parts::default();
+    uri_parts.scheme = Some(Scheme::HTTP);
+    uri_parts.authority = Some(target_authority.clone());
+    let path = parts.uri.path_and_query().cloned();
+    uri_parts.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+    parts.uri = Uri::from_parts(uri_parts).ok()?;
+    strip_hop_by_hop_headers(&mut parts.headers);
+    let protocol = &context.node.protocol;
+    protocol.rewrite_request_headers(&mut parts.headers, metadata);
+    Some((Request::from_parts(parts, body), recovery))
+}
+
+/// Holds the slot of a call until its answer has ended. If it is dropped before, the caller's node
+/// has disconnected, and the connection to the target is closed together with the answer body.
+pub(super) struct TargetCall {
+    context: Arc<InboundContext>,
+    lease: Option<SlotLease>,
+    fingerprint: Fingerprint,
+    /// Keeps the call in the tracker of open calls until this value is dropped.
+    _open_token: TaskTrackerToken,
+}
+
+impl TargetCall {
+    pub(super) fn new(
+        context: Arc<InboundContext>,
+        lease: SlotLease,
+        fingerprint: Fingerprint,
+        open_token: TaskTrackerToken,
+    ) -> Self {
+        Self {
+            context,
+            lease: Some(lease),
+            fingerprint,
+            _open_token: open_token,
+        }
+    }
+
+    fn complete(&mut self, completion: CallCompletion) {
+        if let Some(lease) = self.lease.take() {
+            lease.complete(completion);
+        }
+    }
+}
+
+impl AnswerObserver for TargetCall {
+    fn on_complete(&mut self) {
+        self.complete(CallCompletion::Answered);
+        if self.context.crash_view.borrow().has_reports {
+            let completion = RecordCompletion(self.fingerprint);
+            let _ = self.context.crash_actor.tell(completion).try_send();
+        }
+    }
+
+    fn on_truncated(&mut self, _: &hyper::Error) {
+        self.complete(CallCompletion::ConnectionLost);
+    }
+
+    fn on_deadline_passed(&mut self) {
+        self.complete(CallCompletion::Cancelled);
+    }
+}
