Log each call that the local target did not answer, with its connection

A call that its caller left wrote no line at the node of the target: not how long it waited there, whether it came late, nor on which connection it was sent. Change: TargetClient wraps the client for the local target and names the connection of a request by its local port.

--- a/crates/node/src/calls/inbound.rs
+++ b/crates/node/src/calls/inbound.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use agatedeck_calls::{CallOutcome, Fingerprint};
-use agatedeck_clock::Instant;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -24,11 +23,11 @@
     CLASS, EXPECTED_WAIT_MS, FINGERPRINT, PRIORITY, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE,
     header_number, header_text, local_answer_for_peer, requested_timeout,
 };
-use super::http_client::CallClient;
 use super::latency_actor::{CountEvent, LatencyActor};
 use super::reason::StopReason;
-use super::slots::{BodyClient, SlotClient, SlotLease, SlotRefusal, SlotRequest};
-use super::target_call::{TargetCall, forward_to_target};
+use super::slots::{BodyClient, SlotClient, SlotRefusal, SlotRequest};
+use super::target_call::{AdmittedCall, TargetCall, forward_to_target};
+use super::target_client::TargetClient;
 use crate::context::NodeContext;
 
 /// Timeout of a call whose request states none.
@@ -37,7 +36,7 @@
 /// Shared state of the handler of inbound calls.
 pub(super) struct InboundContext {
     pub(super) node: NodeContext,
-    pub(super) client: CallClient,
+    pub(super) client: TargetClient,
     /// `None` if this node has no local target.
     pub(super) target: Option<LocalTarget>,
     pub(super) crash_actor: ActorRef<CrashActor>,
@@ -66,13 +65,8 @@
     match admit(&context, &parts.headers, &mut body).await {
         Ok(admitted) => {
             let request = Request::from_parts(parts, body);
-            let AdmittedCall {
-                lease,
-                fingerprint,
-                deadline,
-            } = admitted;
-            let call = TargetCall::new(Arc::clone(&context), lease, fingerprint, open_token);
-            forward_to_target(request, call, deadline).await
+            let call = TargetCall::new(Arc::clone(&context), admitted, open_token);
+            forward_to_target(request, call).await
         }
         Err(SlotRefusal {
             reason,
@@ -90,13 +84,6 @@
     }
 }
 
-/// A call that holds a slot.
-struct AdmittedCall {
-    lease: SlotLease,
-    fingerprint: Fingerprint,
-    deadline: Instant,
-}
-
 /// Waits for a slot. If the sender expects `100 Continue`, a body that fits in memory is received
 /// before that.
 async fn admit(
@@ -144,6 +131,7 @@
     Ok(AdmittedCall {
         lease,
         fingerprint,
+        arrived_at: now,
         deadline,
     })
 }
--- a/crates/node/src/calls/latency_actor.rs
+++ b/crates/node/src/calls/latency_actor.rs
@@ -110,7 +110,7 @@
     type Reply = ();
 
     async fn handle(&mut self, call: RecordCall, _: &mut Context<Self, ()>) {
-        let latency_us = u64::try_from(call.latency.as_micros()).unwrap_or(u64::MAX);
+        let latency_us = whole_micros(call.latency);
         if call.outcome == CallOutcome::Answered {
             self.table.record(&call.workspace, &call.class, latency_us);
             self.metrics.observe_latency(&call.class, call.latency);
@@ -125,6 +125,47 @@
     }
 }
 
+/// Records a call that was sent to the local target and not answered.
+pub(super) struct RecordTargetCall {
+    /// Request ID; empty if the request has none.
+    pub(super) request_id: String,
+    pub(super) reason: StopReason,
+    /// Time from the arrival of the call at this node until it was sent to the target.
+    pub(super) queue_wait: Duration,
+    /// Time from then until the call ended.
+    pub(super) target_time: Duration,
+    /// Whether the request was delayed in transit from the caller's node.
+    pub(super) delayed: bool,
+    /// Local port of the connection to the target; 0 if there was none.
+    pub(super) connection: u16,
+}
+
+impl Message<RecordTargetCall> for LatencyActor {
+    type Reply = ();
+
+    async fn handle(&mut self, call: RecordTargetCall, _: &mut Context<Self, ()>) {
+        if !self.log_limiter.try_acquire() {
+            return;
+        }
+        log::info!(
+            event = "target-call",
+            request:% = call.request_id,
+            reason:% = call.reason,
+            connection = call.connection,
+            delayed = call.delayed,
+            queue_us = whole_micros(call.queue_wait),
+            target_us = whole_micros(call.target_time);
+            "call {} was not answered by the target: {}",
+            call.request_id,
+            call.reason
+        );
+    }
+}
+
+fn whole_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// An event that is only counted.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum CountEvent {
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -32,6 +32,7 @@
 mod startup_probe;
 mod system;
 mod target_call;
+mod target_client;
 mod target_probe;
 mod target_subset;
 
--- a/crates/node/src/calls/startup_probe.rs
+++ b/crates/node/src/calls/startup_probe.rs
@@ -13,8 +13,8 @@
 use kameo::actor::ActorRef;
 use tokio::time::timeout;
 
-use super::http_client::CallClient;
 use super::slots::SlotActor;
+use super::target_client::TargetClient;
 use super::target_probe::probe_uri;
 use crate::context::NodeContext;
 use crate::registrar::Announcement;
@@ -26,7 +26,7 @@
 /// target if it is healthy.
 pub(super) async fn probe_at_startup(
     mut context: NodeContext,
-    client: CallClient,
+    client: TargetClient,
     slots: ActorRef<SlotActor>,
 ) {
     let configured = context
@@ -38,7 +38,7 @@
     let Some(request) = health_request(&context) else {
         return;
     };
-    let Ok(Ok(answer)) = timeout(STARTUP_PROBE_TIMEOUT, client.request(request)).await else {
+    let Ok(Ok(answer)) = timeout(STARTUP_PROBE_TIMEOUT, client.send(request).1).await else {
         log::info!(event = "first-look"; "the target did not answer the startup probe");
         return;
     };
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -23,6 +23,7 @@
 use super::router::{CallRouter, TopologyChanged};
 use super::slots::{BodyClient, DrainSlots, PolicyChanged, SlotActor, SlotClient};
 use super::startup_probe::probe_at_startup;
+use super::target_client::TargetClient;
 use super::target_probe::{ProbeActor, ProbeTarget};
 use crate::context::NodeContext;
 use crate::dissemination::DisseminationRelay;
@@ -77,7 +78,7 @@
 }
 
 /// Builds the clients for calls to other nodes and to the local target.
-fn new_clients(settings: &CallSettings) -> (CallClient, CallClient) {
+fn new_clients(settings: &CallSettings) -> (CallClient, TargetClient) {
     let limits = ClientLimits {
         connect_timeout: settings.connect_timeout,
         user_timeout: settings.user_timeout,
@@ -89,12 +90,12 @@
     // for the probe.
     let idle_connections = settings.target_connections / 2 - 1;
     let idle_connections = usize::try_from(idle_connections).unwrap_or(usize::MAX);
-    let local_client = new_call_client(&ClientLimits {
+    let target_client = TargetClient::new(&ClientLimits {
         idle_connections,
         idle_timeout: settings.target_idle,
         ..limits
     });
-    (peer_client, local_client)
+    (peer_client, target_client)
 }
 
 impl CallSystem {
@@ -108,7 +109,7 @@
         let (draining_sender, draining) = watch::channel(false);
         let (drained_sender, drained) = watch::channel(false);
         let open_calls = TaskTracker::new();
-        let (peer_client, local_client) = new_clients(settings);
+        let (peer_client, target_client) = new_clients(settings);
 
         let latency_actor = LatencyActor::new(context.metrics.clone())?;
         let latency_actor = LatencyActor::spawn_with_mailbox(latency_actor, mailbox::unbounded());
@@ -152,13 +153,13 @@
         {
             tasks.push(tokio::spawn(probe_at_startup(
                 context.clone(),
-                local_client.clone(),
+                target_client.clone(),
                 slots.clone(),
             )));
         } else if let (Some(settings), Some(slots)) = (&context.settings.target, &slots) {
             let probe_actor = ProbeActor::spawn(ProbeActor {
                 context: context.clone(),
-                client: local_client.clone(),
+                client: target_client.clone(),
                 target: settings.address,
                 slots: slots.clone(),
                 was_refused: false,
@@ -180,7 +181,7 @@
         };
         let inbound_context = InboundContext {
             node: context.clone(),
-            client: local_client,
+            client: target_client,
             target,
             crash_actor: crash_actor.clone(),
             latency_actor: latency_actor.clone(),
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -23,8 +23,10 @@
 };
 use super::http_client::is_body_or_parse_error;
 use super::inbound::{InboundContext, fits_in_memory, refuse};
+use super::latency_actor::RecordTargetCall;
 use super::reason::StopReason;
 use super::slots::{CallCompletion, SlotLease};
+use super::target_client::TargetConnection;
 use crate::adapters::{AnswerKind, TargetMetadata};
 
 /// Upper bound of the reported load, which is the number of calls at the target divided by its
@@ -32,17 +34,15 @@
 const MAX_REPORTED_LOAD: f64 = 8.0;
 
 /// Forwards a call that holds a slot to the target.
-pub(super) async fn forward_to_target(
-    request: Request,
-    mut call: TargetCall,
-    deadline: Instant,
-) -> Response {
+pub(super) async fn forward_to_target(request: Request, mut call: TargetCall) -> Response {
     let context = Arc::clone(&call.context);
+    let deadline = call.deadline;
     let runtime_deadline = context.node.clock.runtime_instant(deadline);
     let load = call.lease.as_ref().map_or(0.0, |lease| lease.load);
     let protocol = Arc::clone(&context.node.protocol);
     let request_id = protocol.caller_metadata(request.headers()).request_id;
     let request_id = request_id.map(str::to_owned);
+    call.request_id = request_id.clone().unwrap_or_default();
     let target_id = call
         .lease
         .as_ref()
@@ -58,7 +58,12 @@
     let Some((request, recovery)) = build_target_request(request, &context, &metadata) else {
         return refuse(&context, StopReason::Unreachable);
     };
-    let answer = match timeout_at(runtime_deadline, context.client.request(request)).await {
+    let (connection, answer) = context.client.send(request);
+    call.dispatch = Some(TargetDispatch {
+        sent_at: context.node.clock.now(),
+        connection,
+    });
+    let answer = match timeout_at(runtime_deadline, answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) if error.is_connect() => {
             call.complete(CallCompletion::NotSent);
@@ -70,38 +75,35 @@
             return respond_after_drain(response, unread).await;
         }
         Ok(Err(error)) => {
-            call.complete(if is_body_or_parse_error(&error) {
+            let completion = if is_body_or_parse_error(&error) {
                 CallCompletion::Cancelled
             } else {
                 CallCompletion::ConnectionLost
-            });
-            return local_answer_for_peer(CallOutcome::Unknown, StopReason::NoAnswer);
+            };
+            return call.end_as_unknown(completion, StopReason::NoAnswer);
         }
         // Dropping the request future closes the connection, which cancels the call at the target.
         Err(_) => {
-            call.complete(CallCompletion::Cancelled);
-            return local_answer_for_peer(CallOutcome::Unknown, StopReason::Deadline);
+            return call.end_as_unknown(CallCompletion::Cancelled, StopReason::Deadline);
         }
     };
     let (mut parts, body) = answer.into_parts();
     match protocol.classify_answer(request_id.as_deref(), parts.status, &parts.headers) {
         AnswerKind::Answered => {}
         AnswerKind::Declined => {
-            call.complete(CallCompletion::Cancelled);
+            call.end(CallCompletion::Cancelled, StopReason::Declined);
             return refuse(&context, StopReason::Declined);
         }
         AnswerKind::WrongTarget => {
-            call.complete(CallCompletion::Cancelled);
+            call.end(CallCompletion::Cancelled, StopReason::Displaced);
             return refuse(&context, StopReason::Displaced);
         }
         AnswerKind::Unusable => {
-            call.complete(CallCompletion::Cancelled);
-            return local_answer_for_peer(CallOutcome::Unknown, StopReason::AnswerUnusable);
+            return call.end_as_unknown(CallCompletion::Cancelled, StopReason::AnswerUnusable);
         }
     }
     if !protocol.allows_close_delimited_answers() && !is_self_delimited(&parts.headers, &body) {
-        call.complete(CallCompletion::Cancelled);
-        return local_answer_for_peer(CallOutcome::Unknown, StopReason::AnswerUnbounded);
+        return call.end_as_unknown(CallCompletion::Cancelled, StopReason::AnswerUnbounded);
     }
     let headers = &mut parts.headers;
     strip_hop_by_hop_headers(headers);
@@ -158,12 +160,35 @@
     Some((Request::from_parts(parts, body), recovery))
 }
 
+/// A call that holds a slot of the target.
+pub(super) struct AdmittedCall {
+    pub(super) lease: SlotLease,
+    pub(super) fingerprint: Fingerprint,
+    /// When the request arrived at this node.
+    pub(super) arrived_at: Instant,
+    pub(super) deadline: Instant,
+}
+
+/// When a request was sent to the target, and on which connection.
+struct TargetDispatch {
+    sent_at: Instant,
+    connection: TargetConnection,
+}
+
 /// Holds the slot of a call until its answer has ended. If it is dropped before, the caller's node
 /// has disconnected, and the connection to the target is closed together with the answer body.
 pub(super) struct TargetCall {
     context: Arc<InboundContext>,
     lease: Option<SlotLease>,
     fingerprint: Fingerprint,
+    /// Request ID; empty if the request has none.
+    request_id: String,
+    arrived_at: Instant,
+    deadline: Instant,
+    /// Whether the request was delayed in transit from the caller's node.
+    delayed: bool,
+    /// `None` until the request is sent.
+    dispatch: Option<TargetDispatch>,
     /// Keeps the call in the tracker of open calls until this value is dropped.
     _open_token: TaskTrackerToken,
 }
@@ -171,14 +196,18 @@
 impl TargetCall {
     pub(super) fn new(
         context: Arc<InboundContext>,
-        lease: SlotLease,
-        fingerprint: Fingerprint,
+        admitted: AdmittedCall,
         open_token: TaskTrackerToken,
     ) -> Self {
         Self {
             context,
-            lease: Some(lease),
-            fingerprint,
+            delayed: admitted.lease.delayed,
+            lease: Some(admitted.lease),
+            fingerprint: admitted.fingerprint,
+            request_id: String::new(),
+            arrived_at: admitted.arrived_at,
+            deadline: admitted.deadline,
+            dispatch: None,
             _open_token: open_token,
         }
     }
@@ -188,6 +217,39 @@
             lease.complete(completion);
         }
     }
+
+    /// Completes a call that the target did not answer, and logs it.
+    fn end(&mut self, completion: CallCompletion, reason: StopReason) {
+        self.complete(completion);
+        let Some(dispatch) = self.dispatch.take() else {
+            return;
+        };
+        let now = self.context.node.clock.now();
+        let record = RecordTargetCall {
+            request_id: std::mem::take(&mut self.request_id),
+            reason,
+            queue_wait: dispatch.sent_at.since(self.arrived_at),
+            target_time: now.since(dispatch.sent_at),
+            delayed: self.delayed,
+            connection: dispatch.connection.local_port().unwrap_or_default(),
+        };
+        // The actor is stopped only when the node is stopping.
+        let _ = self.context.latency_actor.tell(record).try_send();
+    }
+
+    /// As [`Self::end`], for a call that may have run.
+    fn end_as_unknown(&mut self, completion: CallCompletion, reason: StopReason) -> Response {
+        self.end(completion, reason);
+        local_answer_for_peer(CallOutcome::Unknown, reason)
+    }
+}
+
+impl Drop for TargetCall {
+    fn drop(&mut self) {
+        if self.lease.is_some() {
+            self.end(CallCompletion::Cancelled, StopReason::Cancelled);
+        }
+    }
 }
 
 impl AnswerObserver for TargetCall {
@@ -200,10 +262,10 @@
     }
 
     fn on_truncated(&mut self, _: &hyper::Error) {
-        self.complete(CallCompletion::ConnectionLost);
+        self.end(CallCompletion::ConnectionLost, StopReason::AnswerTruncated);
     }
 
     fn on_deadline_passed(&mut self) {
-        self.complete(CallCompletion::Cancelled);
+        self.end(CallCompletion::Cancelled, StopReason::Deadline);
     }
 }
--- a/crates/node/src/calls/target_probe.rs
+++ b/crates/node/src/calls/target_probe.rs
@@ -15,8 +15,8 @@
 use serde::Deserialize;
 use tokio::time::timeout;
 
-use super::http_client::CallClient;
 use super::slots::{ProbeResult, SlotActor};
+use super::target_client::TargetClient;
 use crate::context::NodeContext;
 
 /// Timeout of a probe. A probe that times out leaves the reported load unchanged.
@@ -29,7 +29,7 @@
 #[derive(Actor)]
 pub(super) struct ProbeActor {
     pub(super) context: NodeContext,
-    pub(super) client: CallClient,
+    pub(super) client: TargetClient,
     pub(super) target: SocketAddr,
     pub(super) slots: ActorRef<SlotActor>,
     pub(super) was_refused: bool,
@@ -65,7 +65,7 @@
         let mut request = Request::new(Body::empty());
         *request.uri_mut() = uri;
         let answer = async {
-            let answer = self.client.request(request).await.map_err(|error| {
+            let answer = self.client.send(request).1.await.map_err(|error| {
                 if error.is_connect() {
                     ProbeError::Refused
                 } else {
