Use a connection to the target again only after a successful answer

Cause: a connection went back into the pool after any complete answer. After a refusal the target may still have to read the request's body, and reads what follows only then, or may repeat the refusal. The class of fault: a connection is used again although its last exchange may not be over. Ruled out: closing with a reset (bytes that the peer's kernel holds are still read), a new connection for each request with a body (a connection of 1 ms for each of 66 uploads a second), matching refusals by request ID alone (a refusal without one, or of an attempt of the same request, still matches). The same cause elsewhere: health probes share the client and keep to the rule now; between nodes, a refusal ends only after the body was read, so its connection is clean. Change: TargetClient closes a connection after an answer other than a success, and TargetCall after a call that was not answered. With several workers another call may take the connection from the pool before it is marked; the platform's daemon runs with one. A success that is sent before the body was read cannot be told from others.

--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -224,6 +224,8 @@
         let Some(dispatch) = self.dispatch.take() else {
             return;
         };
+        // The answer to this call, or the rest of it, may still arrive.
+        dispatch.connection.forbid_reuse();
         let now = self.context.node.clock.now();
         let record = RecordTargetCall {
             request_id: std::mem::take(&mut self.request_id),
--- a/crates/node/src/calls/target_client.rs
+++ b/crates/node/src/calls/target_client.rs
@@ -1,4 +1,9 @@
 //! The HTTP client for requests to the local target.
+//!
+//! A connection is used for another request only after a successful answer. A target that refuses
+//! a request may not have read its body yet, and reads a later request only after that body, even
+//! if the caller has left by then. A faulty target may also repeat a refusal, which would be taken
+//! for the answer to the later request.
 
 use std::future::Future;
 
@@ -29,7 +34,15 @@
         impl Future<Output = Result<Response<Incoming>, Error>> + use<>,
     ) {
         let connection = TargetConnection(capture_connection(&mut request));
-        (connection, self.0.request(request))
+        let (answer, answer_connection) = (self.0.request(request), connection.clone());
+        let answer = async move {
+            let answer = answer.await?;
+            if !answer.status().is_success() {
+                answer_connection.forbid_reuse();
+            }
+            Ok(answer)
+        };
+        (connection, answer)
     }
 }
 
@@ -38,6 +51,13 @@
 pub(super) struct TargetConnection(CaptureConnection);
 
 impl TargetConnection {
+    /// Closes the connection once the current request has ended.
+    pub(super) fn forbid_reuse(&self) {
+        if let Some(connected) = self.0.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+
     /// Local port of the connection, which identifies it in the log; `None` if the request was not
     /// sent.
     pub(super) fn local_port(&self) -> Option<u16> {
