Yield to other tasks while a peer sends bytes without pause

Callers saw: a target that sends interim answers or the digits of a chunk size without end kept its connection past the deadline of the call, and kept the worker thread; calls after it were answered 503. Shown on loopback in a debug build: not closed 5 s after the deadline. Cause: hyper parses both in a loop that ends only when a read has to wait. tokio makes a task wait after 128 reads, of up to 400 KB each here, so that one poll of the connection handles 50 MB before it looks whether its call has ended. Seen in a stack of the busy thread. Ruled out: the other forms of bytes without end (garbage, a status line, headers, one header, a body until the close or in chunks, a chunk extension, trailers, the body of a refusal), which are cut off at a limit of hyper or at the deadline; each has a test. Change: the stream of client connections yields after 64 KiB that were read without a pause. The target's own node still spends processor time on such bytes until the deadline of the call.

--- a/crates/node/src/calls/http_client.rs
+++ b/crates/node/src/calls/http_client.rs
@@ -9,10 +9,16 @@
 use axum::body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tower::util::MapResponse;
+
+use super::call_stream::CallStream;
 
 /// HTTP client for calls to other nodes and to the local target.
-pub(super) type CallClient = Client<HttpConnector, Body>;
+pub(super) type CallClient = Client<CallConnector, Body>;
+
+type CallConnector = MapResponse<HttpConnector, fn(TokioIo<TcpStream>) -> TokioIo<CallStream>>;
 
 /// Connection limits of a [`CallClient`].
 #[derive(Clone, Copy, Debug)]
@@ -38,7 +44,11 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(limits.idle_timeout)
         .pool_max_idle_per_host(limits.idle_connections)
-        .build(connector)
+        .build(MapResponse::new(connector, wrap_stream))
+}
+
+fn wrap_stream(stream: TokioIo<TcpStream>) -> TokioIo<CallStream> {
+    TokioIo::new(CallStream::new(stream.into_inner()))
 }
 
 /// Whether a client error was caused by the request's body or by an answer that is not valid HTTP.
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -13,6 +13,7 @@
 
 mod answer_body;
 mod attempt;
+mod call_stream;
 mod call_task;
 mod claim_actor;
 mod crash_actor;
