Keep a deregistered target closed when its node never knew its start time

Callers saw: nothing reported; found by reading. A target that deregisters at a node that has just restarted got calls again if an announcement that it had sent before arrived late (DRAIN). Cause: such a node knows no start time of the target, so that the late announcement looks like one of a later start. This holds also after the startup probe, whose answer has no start time. Ruled out: rejecting the ID for good (the same ID may start again). Change: for the lifetime of an announcement (6 s on the platform) after such a deregistration, announcements with the same ID are stale. Other IDs are accepted at once.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -31,7 +31,7 @@
 pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use registration::{
     RegistrationEffect, RegistrationError, RegistrationSettings, RegistrationState,
-    TargetAnnouncement, TargetReadiness, TargetRegistration,
+    TargetAnnouncement, TargetReadiness, TargetRegistration, UNKNOWN_START,
 };
 pub use retry::{
     CallOutcome, ClientRetryTable, OutcomeError, RefusedCall, RetryAfterSettings, RetryBudget,
--- a/crates/calls/src/registration/mod.rs
+++ b/crates/calls/src/registration/mod.rs
@@ -10,5 +10,5 @@
 pub use chart::RegistrationState;
 pub use target_registration::{
     RegistrationEffect, RegistrationError, RegistrationSettings, TargetAnnouncement,
-    TargetReadiness, TargetRegistration,
+    TargetReadiness, TargetRegistration, UNKNOWN_START,
 };
--- a/crates/calls/src/registration/target_registration.rs
+++ b/crates/calls/src/registration/target_registration.rs
@@ -7,6 +7,9 @@
 
 use super::chart::{REGISTRATION_CHART, RegistrationAction, RegistrationEvent, RegistrationState};
 
+/// Start time, in Unix milliseconds, of a target whose start time is not known.
+pub const UNKNOWN_START: u64 = 0;
+
 /// Whether a target accepts new calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetReadiness {
@@ -86,6 +89,9 @@
     slots: u32,
     warm_up_ends_at: Instant,
     expires_at: Option<Instant>,
+    /// Until when announcements with the ID of the registered target are stale, because the target
+    /// deregistered and a late announcement cannot be told from one of a later start.
+    same_id_stale_until: Option<Instant>,
 }
 
 impl TargetRegistration {
@@ -95,11 +101,12 @@
             settings,
             state: REGISTRATION_CHART.initial(),
             id: String::new(),
-            started_unix_ms: 0,
+            started_unix_ms: UNKNOWN_START,
             sequence: 0,
             slots: 0,
             warm_up_ends_at: Instant::default(),
             expires_at: None,
+            same_id_stale_until: None,
         }
     }
 
@@ -143,6 +150,9 @@
         {
             return Err(RegistrationError::WrongTarget);
         }
+        if self.is_late_after_deregistration(announcement, now) {
+            return Err(RegistrationError::Stale);
+        }
         let restarted = self.is_later_start(announcement)?;
         self.id.clear();
         self.id.push_str(announcement.id);
@@ -151,6 +161,7 @@
         self.slots = announcement.slots;
         self.warm_up_ends_at = now.after(announcement.warm_up_left);
         self.expires_at = Some(now.after(Duration::from_millis(self.settings.announcement_ttl_ms)));
+        self.same_id_stale_until = None;
         let event = match (restarted, announcement.readiness) {
             (false, TargetReadiness::Ready) => RegistrationEvent::Ready,
             (false, TargetReadiness::Draining) => RegistrationEvent::Draining,
@@ -160,6 +171,15 @@
         Ok(self.advance(event))
     }
 
+    fn is_late_after_deregistration(
+        &self,
+        announcement: &TargetAnnouncement<'_>,
+        now: Instant,
+    ) -> bool {
+        let stale_until = self.same_id_stale_until;
+        announcement.id == self.id && stale_until.is_some_and(|until| !until.is_past(now))
+    }
+
     /// Whether the announcement is from a later start of the target than the registered one.
     ///
     /// # Errors
@@ -187,12 +207,16 @@
     }
 
     /// Deregisters the target if its instance ID is `id` or if none is registered.
-    pub fn deregister(&mut self, id: &str) -> Vec<RegistrationEffect> {
+    pub fn deregister(&mut self, id: &str, now: Instant) -> Vec<RegistrationEffect> {
         if self.id != id && !self.id.is_empty() {
             return Vec::new();
         }
         id.clone_into(&mut self.id);
         self.expires_at = None;
+        if self.started_unix_ms == UNKNOWN_START {
+            let ttl = Duration::from_millis(self.settings.announcement_ttl_ms);
+            self.same_id_stale_until = Some(now.after(ttl));
+        }
         self.advance(RegistrationEvent::Deregistered)
     }
 
--- a/crates/calls/tests/announcement.rs
+++ b/crates/calls/tests/announcement.rs
@@ -7,6 +7,7 @@
     TargetAnnouncement, TargetReadiness, TargetRegistration,
 };
 use agatedeck_clock::Instant;
+use yare::parameterized;
 
 const ANNOUNCEMENT_TTL_MS: u64 = 6_000;
 
@@ -99,7 +100,7 @@
     )
     .expect("accepted");
     assert_eq!(
-        registration.deregister("a"),
+        registration.deregister("a", Instant::default()),
         [RegistrationEffect::Close, RegistrationEffect::Publish]
     );
     let late = announce(
@@ -119,6 +120,46 @@
     );
 }
 
+/// Guards against calls to a target that has deregistered at a node that never learned its start
+/// time, because the node has just restarted: a late announcement looks like one of a later start.
+#[parameterized(
+    unknown_target = { false },
+    target_known_from_a_probe = { true },
+)]
+fn late_announcement_does_not_undo_a_deregistration(is_probed: bool) {
+    let mut registration = registration();
+    if is_probed {
+        let probed = announcement("a", 0, 0, TargetReadiness::Ready);
+        announce(&mut registration, &probed).expect("accepted");
+    }
+    registration.deregister("a", Instant::default());
+    let late = announcement("a", 7, 3, TargetReadiness::Ready);
+    let late_at = Instant::from_millis(ANNOUNCEMENT_TTL_MS - 1);
+    assert_eq!(
+        registration.announce(&late, late_at),
+        Err(RegistrationError::Stale)
+    );
+    assert_eq!(registration.state(), RegistrationState::Gone);
+    // Another target may take the address at once, and the same ID once no announcement can be late.
+    let successor = announcement("b", 8, 0, TargetReadiness::Ready);
+    let opened = Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish]);
+    assert_eq!(registration.announce(&successor, late_at), opened);
+}
+
+/// Guards against rejecting a target that starts again under the ID of one that has deregistered at
+/// a node that did not know its start time.
+#[test]
+fn same_id_starts_again_once_no_announcement_can_be_late() {
+    let mut registration = registration();
+    registration.deregister("a", Instant::default());
+    let restarted = announcement("a", 7, 3, TargetReadiness::Ready);
+    let restarted_at = Instant::from_millis(ANNOUNCEMENT_TTL_MS);
+    assert_eq!(
+        registration.announce(&restarted, restarted_at),
+        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
+    );
+}
+
 /// Guards against accepting an announcement of an earlier start that a partition has delayed.
 #[test]
 fn announcement_of_an_earlier_start_is_rejected() {
@@ -134,7 +175,7 @@
     );
     assert_eq!(late, Err(RegistrationError::Stale));
     assert_eq!(registration.id(), "b");
-    assert_eq!(registration.deregister("a"), []);
+    assert_eq!(registration.deregister("a", Instant::default()), []);
     assert_eq!(registration.state(), RegistrationState::Ready);
 }
 
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -132,8 +132,9 @@
         DeregisterTarget(id): DeregisterTarget,
         ctx: &mut Context<Self, ()>,
     ) {
+        let now = self.context.clock.now();
         if let Some(registration) = &mut self.registration {
-            let effects = registration.deregister(&id);
+            let effects = registration.deregister(&id, now);
             self.apply_registration_effects(effects, ctx.actor_ref())
                 .await;
         }
--- a/crates/node/src/calls/startup_probe.rs
+++ b/crates/node/src/calls/startup_probe.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatedeck_calls::TargetReadiness;
+use agatedeck_calls::{TargetReadiness, UNKNOWN_START};
 use agatedeck_records::SnapshotView;
 use axum::body::Body;
 use axum::http::{HeaderMap, Request, StatusCode};
@@ -68,8 +68,8 @@
     Some(request)
 }
 
-/// Builds an announcement from the answer. Its start time and sequence number are 0, so any
-/// announcement of the target itself supersedes it.
+/// Builds an announcement from the answer. Its start time is unknown and its sequence number is 0,
+/// so any announcement of the target itself supersedes it.
 fn build_announcement(context: &NodeContext, headers: &HeaderMap) -> Option<Announcement> {
     let target = context.settings.target.as_ref()?;
     let protocol = Arc::clone(&context.protocol);
@@ -77,7 +77,7 @@
         id: protocol.target_identity(headers)?.to_owned(),
         service: target.service.clone(),
         address: target.address.to_string(),
-        started_unix_ms: 0,
+        started_unix_ms: UNKNOWN_START,
         sequence: 0,
         readiness: TargetReadiness::Ready,
         slots: protocol.target_load(headers).map_or(0, |load| load.slots),
