Accept the least urgent priority without an overflow

Callers saw: nothing reported; found by reading. A call whose node states priority ended the actor of the slots in a debug build; in a release build it could displace every queued call. Cause: the search for less urgent calls starts at the priority plus one. Change: the search excludes the priority itself. Open: the fair queue of a priority stays after its last call.

--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! Slots and queue of one target.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
@@ -498,7 +499,8 @@
             return None;
         }
         // A less urgent call is displaced: of the least urgent ones, the one that would run last.
-        let mut less_urgent = self.fair_queues.range(priority + 1..).rev();
+        let less_urgent = (Bound::Excluded(priority), Bound::Unbounded);
+        let mut less_urgent = self.fair_queues.range(less_urgent).rev();
         if let Some(displaced) = less_urgent.find_map(|(_, queue)| queue.last_call_over(0)) {
             self.unqueue(displaced);
             effects.push(AdmissionEffect::Refuse(displaced, RefusalReason::QueueFull));
--- a/crates/calls/tests/admission.rs
+++ b/crates/calls/tests/admission.rs
@@ -53,6 +53,21 @@
     assert_eq!(admission.tick(START), []);
 }
 
+/// Guards against an overflow at the least urgent priority, which callers' nodes state in a header
+/// and which then displaces all other calls.
+#[test]
+fn least_urgent_priority_displaces_no_other_call() {
+    let mut admission = queue(1, 1);
+    assert_eq!(admission.admit(&request(1, "a"), START), [Run(id(1))]);
+    assert_eq!(admission.admit(&request(2, "a"), START), []);
+    let least_urgent = AdmissionRequest {
+        priority: u32::MAX,
+        ..request(3, "b")
+    };
+    let refused = admission.admit(&least_urgent, START);
+    assert_eq!(refused, [Refuse(id(3), RefusalReason::QueueFull)]);
+}
+
 /// Guards against running a call that its caller has cancelled, and against reusing a slot while the
 /// target still works on a cancelled call.
 #[test]
