Replace a control connection on which requests time out without a response

Cause: the connections between nodes have bytes in flight when a cut begins. TCP resends them with growing pauses, the last one up to 6 s after the cut has healed. Until then every request on the connection times out, the connection stays, and nobody opens a new one. A new attempt could also wait 1 s for the connection and 5 s for the backoff. Ruled out: the feed of versions (it answers again 0.4 to 1.1 s after the heal), members that are still given up (all hosts had the first version after the heal within 0.7 s, then single hosts missed the next ones for up to 4.6 s until 18.5 s). Change: a connection without a response for 0.5 s on which a request times out is dropped; the next request opens a new one. A connection attempt may take 0.5 s (1 s before), the backoff 1 s (5 s). A connection that goes silent for good is replaced in the same way. The bound at hundreds of nodes was not measured.

--- a/crates/node/src/peer/connection.rs
+++ b/crates/node/src/peer/connection.rs
@@ -20,11 +20,17 @@
 
 use super::transport::PeerError;
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for opening a connection, many times the round trip between regions. After a partition
+/// has healed, a node is not reached before the last attempt that it delayed has timed out.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum reconnect backoff.
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Time without a response after which requests that time out close the connection. After a
+/// partition, TCP resends what was lost only seconds later, or the connection stays silent for
+/// good, while a new one works at once.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reconnect backoff after the first failed attempt, before jitter.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -104,6 +110,9 @@
     /// Incremented with each connection, so that a late [`ConnectionLost`] does not close a newer
     /// one.
     generation: u64,
+    /// When the connection counts as silent if no response arrives; `None` if no request has timed
+    /// out since the last response.
+    silent_at: Option<Instant>,
     pending: Vec<PendingRequest>,
     failures: u32,
     last_used: Instant,
@@ -122,6 +131,7 @@
             chart,
             channel: None,
             generation: 0,
+            silent_at: None,
             pending: Vec::new(),
             failures: 0,
             last_used: Instant::now(),
@@ -159,6 +169,7 @@
         let NewClient { client, dispatch } = tarpc::client::new(Config::default(), transport);
         self.channel = Some(client);
         self.generation += 1;
+        self.silent_at = None;
         let (generation, actor) = (self.generation, actor.clone());
         tokio::spawn(async move {
             // The dispatch task owns the socket. It ends when the connection breaks or all its
@@ -207,13 +218,25 @@
             } = pending;
             let mut context = tarpc::context::current();
             context.deadline = deadline.into_std();
+            let sent_at = Instant::now();
+            // The messages to the actor fail only while the node is stopping.
             let answer = match timeout_at(deadline, channel.call(context, request)).await {
-                Err(_) | Ok(Err(RpcError::DeadlineExceeded)) => Err(PeerError::Deadline),
+                Err(_) | Ok(Err(RpcError::DeadlineExceeded)) => {
+                    let timed_out = RequestTimedOut {
+                        generation,
+                        sent_at,
+                    };
+                    let _ = actor.tell(timed_out).await;
+                    Err(PeerError::Deadline)
+                }
                 Ok(Err(_)) => {
                     let _ = actor.tell(ConnectionLost { generation }).await;
                     Err(PeerError::ConnectionLost)
                 }
-                Ok(Ok(response)) => Ok(response),
+                Ok(Ok(response)) => {
+                    let _ = actor.tell(ResponseReceived { generation }).await;
+                    Ok(response)
+                }
             };
             reply.send(answer);
         });
@@ -284,6 +307,43 @@
     }
 }
 
+/// A request on the connection `generation` got a response.
+struct ResponseReceived {
+    generation: u64,
+}
+
+impl Message<ResponseReceived> for PeerConnection {
+    type Reply = ();
+
+    async fn handle(&mut self, received: ResponseReceived, _: &mut Context<Self, ()>) {
+        if received.generation == self.generation {
+            self.silent_at = None;
+        }
+    }
+}
+
+/// A request on the connection `generation` got no response before its deadline.
+struct RequestTimedOut {
+    generation: u64,
+    sent_at: Instant,
+}
+
+impl Message<RequestTimedOut> for PeerConnection {
+    type Reply = ();
+
+    async fn handle(&mut self, timed_out: RequestTimedOut, context: &mut Context<Self, ()>) {
+        if timed_out.generation != self.generation {
+            return;
+        }
+        let silent_at = timed_out.sent_at + SILENCE_TIMEOUT;
+        let silent_at = *self.silent_at.get_or_insert(silent_at);
+        if Instant::now() >= silent_at {
+            let actor = context.actor_ref().clone();
+            self.advance(ConnectionEvent::Disconnected, &actor);
+        }
+    }
+}
+
 struct BackoffElapsed;
 
 impl Message<BackoffElapsed> for PeerConnection {
