Split the claim table and the load balancer by what their types hold

Cause: claim/table.rs (713 lines) and routing/load_balancer.rs (695 lines) held the public types, the state of one entry and the table of all entries together. Change: claim/types.rs has the inputs and outputs of the table, claim/entry.rs one claim attempt, routing/target_entry.rs what the balancer knows about one target. Code is moved, not changed.

--- a/crates/calls/src/claim/mod.rs
+++ b/crates/calls/src/claim/mod.rs
@@ -23,15 +23,18 @@
 
 mod batch;
 mod chart;
+mod entry;
 mod row;
 mod table;
+mod types;
 
 pub use batch::{
     BatchId, BatchOutcome, BatchReport, BatchSettings, ClaimBatch, ClaimBatcher, ClaimWrite,
     WriteOutcome,
 };
 pub use row::{ClaimAnswer, ClaimPhase, ClaimRecord, ClaimRowError, decode_claim, encode_claim};
-pub use table::{
+pub use table::ClaimTable;
+pub use types::{
     AnswerView, CallEnd, ClaimEffect, ClaimId, ClaimOp, ClaimRefusal, ClaimRequest, ClaimSettings,
-    ClaimTable, ClaimTime, ClaimVerdict, ReadOutcome, StoredClaim,
+    ClaimTime, ClaimVerdict, ReadOutcome, StoredClaim,
 };
--- a/crates/calls/src/routing/mod.rs
+++ b/crates/calls/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod policy;
 mod subset;
 mod target;
+mod target_entry;
 
 pub use chart::TargetState;
 pub use load_balancer::{
