Limit the lines of target calls apart from those of calls

Cause: the event target-call shared the limit of 20 lines a second with the event call. Change: each kind of line has a limit of its own, 20 and 10 a second.

--- a/crates/node/src/calls/latency_actor.rs
+++ b/crates/node/src/calls/latency_actor.rs
@@ -10,8 +10,8 @@
 use super::reason::StopReason;
 use crate::metrics::NodeMetrics;
 
-/// Maximum time for which a metric stays in the send buffer. The log rate limiter, which counts
-/// lines per second, is refilled at the same interval.
+/// Maximum time for which a metric stays in the send buffer. The log rate limiters, which count
+/// lines per second, are refilled at the same interval.
 const METRICS_FLUSH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Owns the latency table and the metrics client.
@@ -19,41 +19,49 @@
 pub(crate) struct LatencyActor {
     table: LatencyTable,
     metrics: NodeMetrics,
-    log_limiter: LogRateLimiter,
+    call_limiter: LogRateLimiter,
+    target_call_limiter: LogRateLimiter,
 }
 
-/// Maximum rate of log lines about calls. A line costs about a tenth of the CPU time of a call, and
-/// under overload most calls would be logged.
+/// Maximum rate of log lines about calls of local callers. A line costs about a tenth of the CPU
+/// time of a call, and under overload most calls would be logged.
 const MAX_CALL_LINES_PER_SECOND: u32 = 20;
 
-/// Limits the rate of log lines about calls and counts the omitted ones.
-#[derive(Debug, Default)]
+/// Maximum rate of log lines about calls that the local target did not answer. Callers that leave
+/// cause most of them.
+const MAX_TARGET_CALL_LINES_PER_SECOND: u32 = 10;
+
+/// Limits the rate of log lines of one kind and counts the omitted ones.
+#[derive(Debug)]
 struct LogRateLimiter {
-    remaining_lines: u32,
-    omitted_lines: u32,
+    limit: u32,
+    remaining: u32,
+    omitted: u32,
 }
 
 impl LogRateLimiter {
+    /// Creates a limiter that allows no line before its first refill.
+    fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            remaining: 0,
+            omitted: 0,
+        }
+    }
+
     fn try_acquire(&mut self) -> bool {
-        let Some(remaining_lines) = self.remaining_lines.checked_sub(1) else {
-            self.omitted_lines += 1;
+        let Some(remaining) = self.remaining.checked_sub(1) else {
+            self.omitted += 1;
             return false;
         };
-        self.remaining_lines = remaining_lines;
+        self.remaining = remaining;
         true
     }
 
-    /// Starts the next second. Logs and returns the number of lines omitted in the last one.
+    /// Starts the next second. Returns the number of lines omitted in the last one.
     fn refill(&mut self) -> u32 {
-        self.remaining_lines = MAX_CALL_LINES_PER_SECOND;
-        let omitted_lines = std::mem::take(&mut self.omitted_lines);
-        if omitted_lines > 0 {
-            log::warn!(
-                event = "lines-left-out", lines = omitted_lines;
-                "{omitted_lines} log lines about calls were omitted"
-            );
-        }
-        omitted_lines
+        self.remaining = self.limit;
+        std::mem::take(&mut self.omitted)
     }
 }
 
@@ -62,7 +70,8 @@
         Ok(Self {
             table: LatencyTable::new(LatencySettings::default())?,
             metrics,
-            log_limiter: LogRateLimiter::default(),
+            call_limiter: LogRateLimiter::new(MAX_CALL_LINES_PER_SECOND),
+            target_call_limiter: LogRateLimiter::new(MAX_TARGET_CALL_LINES_PER_SECOND),
         })
     }
 
@@ -71,7 +80,7 @@
         let answered_at_first_attempt = call.outcome == CallOutcome::Answered && call.attempts <= 1;
         // Calls cancelled by their caller are no fault of the mesh.
         let cancelled = call.reason == Some(StopReason::Cancelled);
-        if answered_at_first_attempt || cancelled || !self.log_limiter.try_acquire() {
+        if answered_at_first_attempt || cancelled || !self.call_limiter.try_acquire() {
             return;
         }
         let reason = call.reason.map(|reason| reason.to_string());
@@ -144,7 +153,7 @@
     type Reply = ();
 
     async fn handle(&mut self, call: RecordTargetCall, _: &mut Context<Self, ()>) {
-        if !self.log_limiter.try_acquire() {
+        if !self.target_call_limiter.try_acquire() {
             return;
         }
         log::info!(
@@ -195,7 +204,13 @@
 
     async fn handle(&mut self, FlushMetrics: FlushMetrics, ctx: &mut Context<Self, ()>) {
         self.metrics.flush();
-        let omitted_lines = self.log_limiter.refill();
+        let omitted_lines = self.call_limiter.refill() + self.target_call_limiter.refill();
+        if omitted_lines > 0 {
+            log::warn!(
+                event = "lines-left-out", lines = omitted_lines;
+                "{omitted_lines} log lines about calls were omitted"
+            );
+        }
         self.metrics.count_omitted_lines(omitted_lines.into());
         ctx.actor_ref()
             .tell(FlushMetrics)
