Write numbers and booleans as such in log lines, and explain attempts at targets

Cause: took_ms was text, which log queries cannot compare, and so was delayed of the new event. Change: integers, floats and booleans keep their type in the JSON line. explain prints each target-call line of the request with the last one before it on the same connection. Open: an attempt that was refused in the queue, or answered late, has no such line.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -8,7 +8,7 @@
 
 use crate::command::{AdminCommand, CommandContext, ExitStatus};
 use crate::error::CommandError;
-use crate::request_log::{ObservedEvent, RequestReport, explain_request, parse_log};
+use crate::request_log::{ObservedEvent, RequestReport, TargetAttempt, explain_request, parse_log};
 
 /// Prints the outcome of a request and the events before it, from the log files of nodes.
 #[derive(Clone, Debug)]
@@ -80,7 +80,35 @@
         )?;
     }
     print_events(out, node, &report.seen_by_caller)?;
-    print_events(out, target_node, &report.seen_by_target)
+    print_events(out, target_node, &report.seen_by_target)?;
+    for attempt in &report.target_attempts {
+        print_attempt(out, attempt)?;
+    }
+    Ok(())
+}
+
+fn print_attempt(out: &mut dyn io::Write, attempt: &TargetAttempt) -> io::Result<()> {
+    let TargetAttempt {
+        node,
+        reason,
+        queue_ms,
+        target_ms,
+        connection,
+        ..
+    } = attempt;
+    let transit = if attempt.delayed {
+        ", delayed in transit"
+    } else {
+        ""
+    };
+    writeln!(
+        out,
+        "  at the target of {node}: {reason} after {queue_ms:.1} ms in the queue and {target_ms:.1} ms at the target{transit}, connection {connection}"
+    )?;
+    if let Some(earlier) = &attempt.earlier_on_connection {
+        writeln!(out, "    before on this connection: {earlier}")?;
+    }
+    Ok(())
 }
 
 fn print_events(out: &mut dyn io::Write, node: &str, events: &[ObservedEvent]) -> io::Result<()> {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -28,7 +28,9 @@
 pub use error::CommandError;
 pub use http_client::{HttpAdminClient, HttpClientSettings};
 pub use record_files::load_record_files;
-pub use request_log::{LogLine, ObservedEvent, RequestReport, explain_request, parse_log};
+pub use request_log::{
+    LogLine, ObservedEvent, RequestReport, TargetAttempt, explain_request, parse_log,
+};
 pub use responses::{
     ChangeResponse, ConflictReport, HistoryEntry, HistoryResponse, LatencyReport, LookupResponse,
     RecordsResponse, RefusedRequest, StatusResponse,
--- a/crates/ctl/src/request_log.rs
+++ b/crates/ctl/src/request_log.rs
@@ -5,12 +5,16 @@
 //! the last events of the last target's node whose time by its own clock is not later.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 /// Value of `event` in log lines of calls.
 const CALL_EVENT: &str = "call";
 
+/// Value of `event` in log lines of calls that the target of the node did not answer.
+const TARGET_CALL_EVENT: &str = "target-call";
+
 /// Value of `event` in the log line that states the addresses of a node.
 const LISTENING_EVENT: &str = "listening";
 
@@ -68,6 +72,14 @@
     pub took_ms: serde_json::Value,
     /// Address at which the node accepts calls of other nodes.
     pub peer: String,
+    /// Local port of the connection to the target.
+    pub connection: u16,
+    /// Time from the arrival of the request at the target's node until it was sent, in microseconds.
+    pub queue_us: u64,
+    /// Time from then until the call ended, in microseconds.
+    pub target_us: u64,
+    /// Whether the request was delayed in transit to the target's node.
+    pub delayed: bool,
 }
 
 impl LogLine {
@@ -90,6 +102,25 @@
     pub message: String,
 }
 
+/// Attempt that reached a target and was not answered, as logged by the node of the target.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetAttempt {
+    /// Name of the target's node.
+    pub node: String,
+    /// Why the target did not answer.
+    pub reason: String,
+    /// Time from the arrival at that node until the request was sent, in milliseconds.
+    pub queue_ms: f64,
+    /// Time from then until the call ended, in milliseconds.
+    pub target_ms: f64,
+    /// Whether the request was delayed in transit to that node.
+    pub delayed: bool,
+    /// Local port of the connection to the target.
+    pub connection: u16,
+    /// Text of the last such line before on the same connection, if any.
+    pub earlier_on_connection: Option<String>,
+}
+
 /// Outcome of a request at one caller's node, and the events that preceded it.
 #[derive(Clone, Debug, Serialize)]
 pub struct RequestReport {
@@ -113,6 +144,8 @@
     pub seen_by_caller: Vec<ObservedEvent>,
     /// Last events of the node of the last target, newest first.
     pub seen_by_target: Vec<ObservedEvent>,
+    /// Attempts that reached a target and were not answered, in the order of the log files.
+    pub target_attempts: Vec<TargetAttempt>,
 }
 
 /// Parses the text of a log file. Returns the log lines of nodes and the number of other non-empty
@@ -153,11 +186,44 @@
             target_node: target_node.map(str::to_owned),
             seen_by_caller: last_events_before(&call.node, call.unix_us, lines),
             seen_by_target: seen_by_target.unwrap_or_default(),
+            target_attempts: target_attempts(request, lines),
         }
     });
     reports.collect()
 }
 
+fn target_attempts(request: &str, lines: &[LogLine]) -> Vec<TargetAttempt> {
+    let attempts = lines
+        .iter()
+        .filter(|line| line.event == TARGET_CALL_EVENT && line.request == request);
+    let attempts = attempts.map(|attempt| TargetAttempt {
+        node: attempt.node.clone(),
+        reason: attempt.reason.clone(),
+        queue_ms: millis(attempt.queue_us),
+        target_ms: millis(attempt.target_us),
+        delayed: attempt.delayed,
+        connection: attempt.connection,
+        earlier_on_connection: earlier_on_connection(attempt, lines),
+    });
+    attempts.collect()
+}
+
+/// Returns the text of the last line before `attempt` on the same connection of the same node.
+fn earlier_on_connection(attempt: &LogLine, lines: &[LogLine]) -> Option<String> {
+    let earlier_lines = lines.iter().filter(|line| {
+        line.event == TARGET_CALL_EVENT
+            && line.node == attempt.node
+            && line.connection == attempt.connection
+            && line.unix_us < attempt.unix_us
+    });
+    let last_line = earlier_lines.max_by_key(|line| line.unix_us);
+    last_line.map(|line| line.message.clone())
+}
+
+fn millis(micros: u64) -> f64 {
+    Duration::from_micros(micros).as_secs_f64() * 1e3
+}
+
 /// Returns the last events of `node` up to `unix_us`, newest first, at most one of each kind.
 fn last_events_before(node: &str, unix_us: u64, lines: &[LogLine]) -> Vec<ObservedEvent> {
     let mut matching_lines: Vec<&LogLine> = lines
@@ -171,10 +237,9 @@
         if events.iter().any(|event| event.event == line.event) {
             continue;
         }
-        let age = std::time::Duration::from_micros(unix_us - line.unix_us);
         events.push(ObservedEvent {
             event: line.event.clone(),
-            age_ms: age.as_secs_f64() * 1e3,
+            age_ms: millis(unix_us - line.unix_us),
             message: line.message.clone(),
         });
         if events.len() == MAX_EVENTS_PER_NODE {
--- a/crates/ctl/tests/commands/explain.rs
+++ b/crates/ctl/tests/commands/explain.rs
@@ -18,6 +18,9 @@
 {"unix_us":1000000,"node":"node-b","event":"listening","message":"listening","peer":"10.0.0.2:80"}
 {"unix_us":3000000,"node":"node-b","event":"target","message":"the target `i-1` is ready"}
 {"unix_us":3250000,"node":"node-b","event":"target-crashed","message":"the target lost its connections"}
+{"unix_us":3300000,"node":"node-b","event":"target-call","request":"r-0","reason":"declined","connection":40001,"queue_us":100,"target_us":900,"delayed":false,"message":"call r-0 was not answered by the target: declined"}
+{"unix_us":3350000,"node":"node-b","event":"target-call","request":"r-3","reason":"declined","connection":40002,"queue_us":100,"target_us":900,"delayed":false,"message":"call r-3 was not answered by the target: declined"}
+{"unix_us":3400000,"node":"node-b","event":"target-call","request":"r-1","reason":"cancelled","connection":40001,"queue_us":300,"target_us":80250,"delayed":true,"message":"call r-1 was not answered by the target: cancelled"}
 killed
 "#;
 
@@ -48,6 +51,8 @@
   node-b, by its own clock:
     0.250 s before  target-crashed: the target lost its connections
     0.500 s before  target: the target `i-1` is ready
+  at the target of node-b: cancelled after 0.3 ms in the queue and 80.2 ms at the target, delayed in transit, connection 40001
+    before on this connection: call r-0 was not answered by the target: declined
 ";
     assert_eq!(output.out, expected);
     assert!(
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -54,9 +54,17 @@
 
 impl<'kvs> VisitSource<'kvs> for FieldCollector<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: FieldValue<'kvs>) -> Result<(), FieldError> {
-        let number = value.to_u64().map(Value::from);
-        let value = number.unwrap_or_else(|| Value::from(value.to_string()));
-        self.0.insert(key.as_str().to_owned(), value);
+        self.0.insert(key.as_str().to_owned(), json_value(&value));
         Ok(())
     }
 }
+
+/// Numbers and booleans are written as such, anything else as text.
+fn json_value(value: &FieldValue<'_>) -> Value {
+    let integer = value.to_u64().map(Value::from);
+    integer
+        .or_else(|| value.to_i64().map(Value::from))
+        .or_else(|| value.to_f64().map(Value::from))
+        .or_else(|| value.to_bool().map(Value::from))
+        .unwrap_or_else(|| Value::from(value.to_string()))
+}
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -36,3 +36,26 @@
         assert_eq!((missing.status, missing.outcome.as_str()), (404, "not-run"));
     }
 }
+
+/// Guards against numbers in log lines that are written as text, which log queries cannot compare.
+#[tokio::test(flavor = "multi_thread")]
+async fn numbers_in_log_lines_are_numbers() {
+    let mesh = TestMesh::start(TestMeshSettings::default()).await;
+    mesh.send_call(0, "/nothing", "call-1").await;
+    let log_lines = mesh.nodes[0].log_lines.clone();
+    let is_call = |line: &serde_json::Value| line["event"] == "call";
+    eventually(Duration::from_secs(10), || async {
+        // Lines about calls are written from the second after the start of a node on.
+        mesh.send_call(0, "/nothing", "call-2").await;
+        log_lines.borrow().iter().any(is_call)
+    })
+    .await;
+    let call_line = log_lines
+        .borrow()
+        .iter()
+        .find(|line| is_call(line))
+        .cloned();
+    let call_line = call_line.expect("a line about a call");
+    assert!(call_line["took_ms"].is_number(), "{call_line}");
+    assert!(call_line["attempts"].is_u64(), "{call_line}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use agatedeck_standin::{PlatformServer, TargetServer, TargetSettings};
 use serde_json::Value;
 use tempfile::TempDir;
+use tokio::sync::watch;
 
 /// Maximum time for a node to open its listeners.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -79,6 +80,8 @@
     pub(crate) name: String,
     pub(crate) addresses: NodeAddresses,
     pub(crate) child: Child,
+    /// The log lines that the process has written so far.
+    pub(crate) log_lines: watch::Receiver<Vec<Value>>,
 }
 
 impl Drop for NodeProcess {
@@ -296,6 +299,7 @@
         .expect("node process should start");
     let stdout = child.stdout.take().expect("standard output is piped");
     let (sender, receiver) = mpsc::channel();
+    let (lines_sender, log_lines) = watch::channel(Vec::new());
     // Reads the log until the node exits, so that the node never blocks on a full pipe.
     std::thread::spawn(move || {
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
@@ -304,6 +308,7 @@
                 // The receiver is dropped after the first addresses or after the timeout.
                 let _ = sender.send(addresses);
             }
+            lines_sender.send_modify(|lines| lines.push(line));
         }
     });
     let addresses = receiver
@@ -313,6 +318,7 @@
         name,
         addresses,
         child,
+        log_lines,
     }
 }
 
