Let only the current process of a host answer its probe

Cause: an answer ended the pending probe of a node before its incarnation was checked. A late answer of an earlier process of the host so kept its current one, which may be down, from being suspected for another round of probes. Change: the probe ends only on an answer of the current incarnation or a newer one.

--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -391,13 +391,14 @@
         answer: &ProbeAnswer,
         now: Instant,
     ) -> Vec<MemberEffect> {
-        self.pending_probes.remove(node);
         let mut effects = self.merge_updates(&answer.updates, now);
         let Some(known) = self.table.get(node) else {
+            self.pending_probes.remove(node);
             return effects;
         };
         // An answer from an earlier incarnation says nothing about the current one.
         if answer.incarnation >= known.incarnation {
+            self.pending_probes.remove(node);
             self.table
                 .apply_local_event(node, MemberEvent::ProbeAnswered, now);
         }
--- a/crates/control/tests/membership_edge_cases.rs
+++ b/crates/control/tests/membership_edge_cases.rs
@@ -1,12 +1,14 @@
 //! Limits and edge cases of membership and joins that the state machine test in `membership.rs`
 //! does not reach.
 
+use std::time::Duration;
+
 use agatedeck_clock::Instant;
 use agatedeck_control::{
     FailureDetector, FloorTable, JoinEffect, JoinMachine, JoinResponder, JoinSettings,
     MemberEffect, MemberSettings, MemberTable, MergeOutcome, ResponderSettings,
 };
-use agatedeck_wire::{Join, Member, MemberStatus};
+use agatedeck_wire::{Join, Member, MemberStatus, ProbeAnswer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use yare::parameterized;
@@ -100,6 +102,37 @@
     assert!(!effects.iter().any(is_broadcast), "{effects:?}");
 }
 
+/// Guards against a late answer of an earlier process of a host that ends the probe of its current
+/// process, which then takes another round to be suspected.
+#[test]
+fn answer_with_older_incarnation_does_not_end_a_probe() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = MemberSettings::default();
+    let mut detector = FailureDetector::new(&member("a"), &settings, Instant::default(), &mut rng);
+    let current = Member {
+        incarnation: 5,
+        ..member("b")
+    };
+    detector.merge_updates(&[current, member("c")], Instant::default());
+    let is_probe_of_b =
+        |effect: &MemberEffect| matches!(effect, MemberEffect::Probe { node, .. } if node == "b");
+    let probed_at = loop {
+        let now = detector.next_deadline();
+        if detector.tick(now, &mut rng).iter().any(is_probe_of_b) {
+            break now;
+        }
+    };
+    let stale_answer = ProbeAnswer {
+        incarnation: 4,
+        ..ProbeAnswer::default()
+    };
+    detector.on_probe_answer("b", &stale_answer, probed_at);
+    let timed_out_at = probed_at.after(Duration::from_millis(settings.probe_timeout_ms));
+    let effects = detector.tick(timed_out_at, &mut rng);
+    let asks_for_b = |effect: &MemberEffect| matches!(effect, MemberEffect::RequestIndirectProbe { request, .. } if request.node == "b");
+    assert!(effects.iter().any(asks_for_b), "{effects:?}");
+}
+
 /// Guards against a late update about an earlier process of a host that would change the entry of
 /// its current process.
 #[parameterized(
