Split the request to the target by its steps

forward_to_target did everything from the headers to the classification of the answer (85 lines). build_target_request now states what the target is told, unanswered_outcome why an answer is none. No change of behaviour; tests of agatedeck-node and agatedeck-platform pass.

--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -36,26 +36,12 @@
 /// Forwards a call that holds a slot to the target.
 pub(super) async fn forward_to_target(request: Request, mut call: TargetCall) -> Response {
     let context = Arc::clone(&call.context);
-    let deadline = call.deadline;
-    let runtime_deadline = context.node.clock.runtime_instant(deadline);
+    let runtime_deadline = context.node.clock.runtime_instant(call.deadline);
     let load = call.lease.as_ref().map_or(0.0, |lease| lease.load);
-    let protocol = Arc::clone(&context.node.protocol);
-    let request_id = protocol.caller_metadata(request.headers()).request_id;
-    let request_id = request_id.map(str::to_owned);
+    let request_id = context.node.protocol.caller_metadata(request.headers());
+    let request_id = request_id.request_id.map(str::to_owned);
     call.request_id = request_id.clone().unwrap_or_default();
-    let target_id = call
-        .lease
-        .as_ref()
-        .map(|lease| Arc::clone(&lease.target_id));
-    let caller = header_text(request.headers(), &CALLER_SERVICE)
-        .unwrap_or_default()
-        .to_owned();
-    let metadata = TargetMetadata {
-        remaining: deadline.since(context.node.clock.now()),
-        target_id: target_id.as_deref().unwrap_or_default(),
-        caller_service: &caller,
-    };
-    let Some((request, recovery)) = build_target_request(request, &context, &metadata) else {
+    let Some((request, recovery)) = build_target_request(request, &call) else {
         return refuse(&context, StopReason::Unreachable);
     };
     let (connection, answer) = context.client.send(request);
@@ -87,24 +73,14 @@
             return call.end_as_unknown(CallCompletion::Cancelled, StopReason::Deadline);
         }
     };
-    let (mut parts, body) = answer.into_parts();
-    match protocol.classify_answer(request_id.as_deref(), parts.status, &parts.headers) {
-        AnswerKind::Answered => {}
-        AnswerKind::Declined => {
-            call.end(CallCompletion::Cancelled, StopReason::Declined);
-            return refuse(&context, StopReason::Declined);
+    if let Some((outcome, reason)) = unanswered_outcome(&context, request_id.as_deref(), &answer) {
+        if outcome == CallOutcome::NotRun {
+            call.end(CallCompletion::Cancelled, reason);
+            return refuse(&context, reason);
         }
-        AnswerKind::WrongTarget => {
-            call.end(CallCompletion::Cancelled, StopReason::Displaced);
-            return refuse(&context, StopReason::Displaced);
-        }
-        AnswerKind::Unusable => {
-            return call.end_as_unknown(CallCompletion::Cancelled, StopReason::AnswerUnusable);
-        }
-    }
-    if !protocol.allows_close_delimited_answers() && !is_self_delimited(&parts.headers, &body) {
-        return call.end_as_unknown(CallCompletion::Cancelled, StopReason::AnswerUnbounded);
+        return call.end_as_unknown(CallCompletion::Cancelled, reason);
     }
+    let (mut parts, body) = answer.into_parts();
     let headers = &mut parts.headers;
     strip_hop_by_hop_headers(headers);
     headers.remove(REASON);
@@ -118,6 +94,25 @@
     Response::from_parts(parts, Body::new(body))
 }
 
+/// Outcome and reason if `answer` does not answer the request `request_id`; `None` if it does.
+fn unanswered_outcome(
+    context: &InboundContext,
+    request_id: Option<&str>,
+    answer: &hyper::Response<Incoming>,
+) -> Option<(CallOutcome, StopReason)> {
+    let protocol = &context.node.protocol;
+    let headers = answer.headers();
+    match protocol.classify_answer(request_id, answer.status(), headers) {
+        AnswerKind::Answered => {}
+        AnswerKind::Declined => return Some((CallOutcome::NotRun, StopReason::Declined)),
+        AnswerKind::WrongTarget => return Some((CallOutcome::NotRun, StopReason::Displaced)),
+        AnswerKind::Unusable => return Some((CallOutcome::Unknown, StopReason::AnswerUnusable)),
+    }
+    let is_delimited =
+        protocol.allows_close_delimited_answers() || is_self_delimited(headers, answer.body());
+    (!is_delimited).then_some((CallOutcome::Unknown, StopReason::AnswerUnbounded))
+}
+
 /// Whether the end of the answer is distinguishable from a lost connection: the answer states its
 /// length or uses chunked encoding.
 fn is_self_delimited(headers: &HeaderMap, body: &Incoming) -> bool {
@@ -137,9 +132,9 @@
 /// handle that recovers its unsent rest.
 fn build_target_request(
     request: Request,
-    context: &InboundContext,
-    metadata: &TargetMetadata<'_>,
+    call: &TargetCall,
 ) -> Option<(Request, Option<BodyRecovery>)> {
+    let context = &call.context;
     let target_authority = &context.target.as_ref()?.authority;
     let (mut parts, body) = request.into_parts();
     let (body, recovery) = if fits_in_memory(context, &body) {
@@ -154,9 +149,16 @@
     let path = parts.uri.path_and_query().cloned();
     uri_parts.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
     parts.uri = Uri::from_parts(uri_parts).ok()?;
+    let caller = header_text(&parts.headers, &CALLER_SERVICE);
+    let caller = caller.unwrap_or_default().to_owned();
     strip_hop_by_hop_headers(&mut parts.headers);
+    let metadata = TargetMetadata {
+        remaining: call.deadline.since(context.node.clock.now()),
+        target_id: call.lease.as_ref().map_or("", |lease| &lease.target_id),
+        caller_service: &caller,
+    };
     let protocol = &context.node.protocol;
-    protocol.rewrite_request_headers(&mut parts.headers, metadata);
+    protocol.rewrite_request_headers(&mut parts.headers, &metadata);
     Some((Request::from_parts(parts, body), recovery))
 }
 
