Keep one copy of the configuration of property tests

Five test files read the number of cases and the seed from the environment in five copies. They share crates/calls/tests/common/property.rs now; cases, seeds and shrink limits are as before.

--- a/crates/calls/tests/call_model.rs
+++ b/crates/calls/tests/call_model.rs
@@ -5,6 +5,8 @@
 //! set the number of cases and the seed of longer runs.
 
 mod common;
+#[path = "common/property.rs"]
+mod property;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -15,32 +17,15 @@
 };
 use agatedeck_clock::Instant;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use common::{LOCAL_NODE, request, view};
-
-fn env_or_default(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.map_or(default, |value| {
-        value.parse().expect("the variable is a number")
-    })
-}
-
-fn proptest_config() -> ProptestConfig {
-    let cases = env_or_default("AGATEDECK_PROPTEST_CASES", 256);
-    ProptestConfig {
-        cases: u32::try_from(cases).expect("the number of cases fits"),
-        rng_seed: RngSeed::Fixed(env_or_default("AGATEDECK_PROPTEST_SEED", 20)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
+use property::property_config;
 
 prop_state_machine! {
-    #![proptest_config(proptest_config())]
+    #![proptest_config(property_config(256, 20))]
 
     /// Guards the invariants I4, I5, I6, I7 and I8 at the level of decisions.
     #[test]
--- a/crates/calls/tests/claim_machine.rs
+++ b/crates/calls/tests/claim_machine.rs
@@ -3,6 +3,9 @@
 //! The oracle records the run of each key. `AGATEDECK_PROPTEST_CASES` and `AGATEDECK_PROPTEST_SEED`
 //! set the number of cases and the seed for long runs.
 
+#[path = "common/property.rs"]
+mod property;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -12,8 +15,8 @@
     ClaimTable, ClaimTime, ClaimVerdict, ReadOutcome, StoredClaim, decode_claim, encode_claim,
 };
 use agatedeck_clock::Instant;
+use property::property_config;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -569,25 +572,8 @@
     }
 }
 
-fn env_or_default(name: &str, default: u64) -> u64 {
-    let text = std::env::var(name).ok();
-    text.map_or(default, |text| {
-        text.parse().expect("the variable is a number")
-    })
-}
-
-fn proptest_config() -> Config {
-    let cases = env_or_default("AGATEDECK_PROPTEST_CASES", 512);
-    Config {
-        cases: u32::try_from(cases).unwrap(),
-        rng_seed: RngSeed::Fixed(env_or_default("AGATEDECK_PROPTEST_SEED", 0x00a9_a7ed)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(proptest_config())]
+    #![proptest_config(property_config(512, 0x00a9_a7ed))]
 
     /// Guards against a call that runs twice, a false `not-run`, and a stored answer that is not the
     /// answer of the run.
--- a/crates/control/tests/dissemination.rs
+++ b/crates/control/tests/dissemination.rs
@@ -3,6 +3,9 @@
 //! `AGATEDECK_PROPTEST_CASES` and `AGATEDECK_PROPTEST_SEED` set the number of cases and the seed for
 //! long runs.
 
+#[path = "../../calls/tests/common/property.rs"]
+mod property;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use agatedeck_clock::Instant;
@@ -11,8 +14,8 @@
     TreeDissemination, rendezvous_score,
 };
 use agatedeck_wire::Member;
+use property::property_config;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 
 /// Number of relays tried for a domain or region before its repair is left to the probes.
 const MAX_RELAY_ATTEMPTS: usize = 4;
@@ -143,27 +146,8 @@
     prop::collection::vec(prop::collection::vec(size, 1..4), 1..4)
 }
 
-fn env_or_default(name: &str, default: u64) -> u64 {
-    match std::env::var(name) {
-        Ok(text) => text
-            .parse()
-            .unwrap_or_else(|_| panic!("{name} is not a number: {text}")),
-        Err(_) => default,
-    }
-}
-
-fn proptest_config() -> Config {
-    let cases = env_or_default("AGATEDECK_PROPTEST_CASES", 48);
-    Config {
-        cases: u32::try_from(cases).unwrap(),
-        rng_seed: RngSeed::Fixed(env_or_default("AGATEDECK_PROPTEST_SEED", 0x00a9_a7ed)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(proptest_config())]
+    #![proptest_config(property_config(48, 0x00a9_a7ed))]
 
     /// Guards against nodes that are not reached, bytes spent on duplicates, a second copy of a
     /// delta over a billed cross-region link, and a depth that grows faster than logarithmically.
--- a/crates/control/tests/distribution_machine.rs
+++ b/crates/control/tests/distribution_machine.rs
@@ -5,14 +5,17 @@
 //! long runs.
 
 mod model;
+#[path = "../../calls/tests/common/property.rs"]
+mod property;
 
 use agatedeck_records::{ConfigSnapshot, RecordKey};
 use agatedeck_wire::RecordKind;
 use model::cluster::{ClusterModel, HOST_COUNT, MessageDelivery};
 use model::commit::RequestDelivery;
 use model::records::{policy_write, retirement_write, service_write};
+use property::property_config;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 /// An operator's edit. There are few names, so that edits conflict on the same records.
@@ -326,24 +329,11 @@
     }
 }
 
-fn env_or_default(name: &str, default: u64) -> u64 {
-    match std::env::var(name) {
-        Ok(text) => text
-            .parse()
-            .unwrap_or_else(|_| panic!("{name} is not a number: {text}")),
-        Err(_) => default,
-    }
-}
-
 fn proptest_config() -> Config {
-    let cases = env_or_default("AGATEDECK_PROPTEST_CASES", 512);
     Config {
-        cases: u32::try_from(cases).unwrap(),
-        rng_seed: RngSeed::Fixed(env_or_default("AGATEDECK_PROPTEST_SEED", 0x00a9_a7ed)),
-        failure_persistence: None,
         max_shrink_iters: 5_000,
         max_shrink_time: 20_000,
-        ..Config::default()
+        ..property_config(512, 0x00a9_a7ed)
     }
 }
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -5,10 +5,13 @@
 //! `AGATEDECK_PROPTEST_CASES` sets the number of cases and `AGATEDECK_PROPTEST_SEED` the seed.
 
 mod fleet;
+#[path = "../../calls/tests/common/property.rs"]
+mod property;
 
 use fleet::{FaultPercentages, FleetModel, HOST_LOCALITIES};
+use property::property_config;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 #[derive(Clone, Debug)]
@@ -192,23 +195,11 @@
     }
 }
 
-fn env_or_default(name: &str, default: u64) -> u64 {
-    let Ok(text) = std::env::var(name) else {
-        return default;
-    };
-    text.parse()
-        .unwrap_or_else(|error| panic!("{name}={text}: {error}"))
-}
-
-fn proptest_config() -> ProptestConfig {
-    let cases = env_or_default("AGATEDECK_PROPTEST_CASES", 48);
-    ProptestConfig {
-        cases: u32::try_from(cases).expect("AGATEDECK_PROPTEST_CASES fits 32 bits"),
-        rng_seed: RngSeed::Fixed(env_or_default("AGATEDECK_PROPTEST_SEED", 20_251)),
-        failure_persistence: None,
+fn proptest_config() -> Config {
+    Config {
         max_shrink_iters: 300,
         max_shrink_time: 20_000,
-        ..ProptestConfig::default()
+        ..property_config(48, 20_251)
     }
 }
 
