--- a/crates/node/src/calls/target_client.rs
+++ b/crates/node/src/calls/target_client.rs
@@ -51,7 +51,8 @@
 pub(super) struct TargetConnection(CaptureConnection);
 
 impl TargetConnection {
-    /// Closes the connection once the current request has ended.
+    /// Closes the connection once the current request has ended. On a runtime with several worker
+    /// threads, another request may take it from the pool just before this call.
     pub(super) fn forbid_reuse(&self) {
         if let Some(connected) = self.0.connection_metadata().as_ref() {
             connected.poison();
--- a/crates/node/src/peer/connection.rs
+++ b/crates/node/src/peer/connection.rs
@@ -20,8 +20,8 @@
 
 use super::transport::PeerError;
 
-/// Timeout for opening a connection, many times the round trip between regions. After a partition
-/// has healed, a node is not reached before the last attempt that it delayed has timed out.
+/// Timeout for opening a connection, many times the round trip between regions. An attempt that
+/// began during a partition delays the next one until it times out.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum reconnect backoff.
