Wait until the node serves where a test checks readings for a rollback

Ruled out: the load; the fault is in the code of the test and shows on an idle machine whenever the node asks the store late. Change: the wait ends with a reading of the target version.

--- a/tests/fault_injection.rs
+++ b/tests/fault_injection.rs
@@ -85,9 +85,9 @@
                 "node {node} served version {highest}, then {version}"
             );
             highest = version;
-        }
-        if highest == target {
-            return;
+            if version == target {
+                return;
+            }
         }
         assert!(
             Instant::now() < deadline,
