Build the URI of a hop in one place, and copy the request ID of a call once

Change: forwarded_uri serves both hops, TargetCall keeps the only copy, TargetClient::request is for the probes, and the answer is passed on before the connection is told. No change of behaviour.

--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -13,8 +13,7 @@
 use agatedeck_clock::Instant;
 use axum::body::Body;
 use axum::http::response::Parts;
-use axum::http::uri::{PathAndQuery, Scheme};
-use axum::http::{HeaderValue, Request, StatusCode, Uri, header, request, uri};
+use axum::http::{HeaderValue, Request, StatusCode, header, request};
 use axum::response::Response;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -32,6 +31,7 @@
     REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number, local_answer_for_caller,
     strip_hop_by_hop_headers,
 };
+use super::http_client::forwarded_uri;
 use super::latency_actor::RecordCall;
 use super::plan::CallPlan;
 use super::reason::StopReason;
@@ -368,12 +368,7 @@
         let authority = self.target_lease.as_ref()?.authority.clone();
         let mut attempt_request = Request::new(request.body.attempt_body()?);
         let parts = &request.parts;
-        let mut uri = uri::Parts::default();
-        uri.scheme = Some(Scheme::HTTP);
-        uri.authority = Some(authority);
-        let path = parts.uri.path_and_query().cloned();
-        uri.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
-        *attempt_request.uri_mut() = Uri::from_parts(uri).ok()?;
+        *attempt_request.uri_mut() = forwarded_uri(&parts.uri, authority)?;
         *attempt_request.method_mut() = parts.method.clone();
         let mut headers = parts.headers.clone();
         strip_hop_by_hop_headers(&mut headers);
--- a/crates/node/src/calls/http_client.rs
+++ b/crates/node/src/calls/http_client.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::http::uri::{Authority, PathAndQuery, Scheme};
+use axum::http::{Uri, uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -51,6 +53,16 @@
     TokioIo::new(CallStream::new(stream.into_inner()))
 }
 
+/// URI of a request at the next hop `authority`, with the path and query of `uri`.
+pub(super) fn forwarded_uri(uri: &Uri, authority: Authority) -> Option<Uri> {
+    let mut parts = uri::Parts::default();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = Some(authority);
+    let path = uri.path_and_query().cloned();
+    parts.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+    Uri::from_parts(parts).ok()
+}
+
 /// Whether a client error was caused by the request's body or by an answer that is not valid HTTP.
 /// Such an error does not mean that the connection was lost.
 pub(super) fn is_body_or_parse_error(error: &(dyn Error + 'static)) -> bool {
--- a/crates/node/src/calls/startup_probe.rs
+++ b/crates/node/src/calls/startup_probe.rs
@@ -38,7 +38,7 @@
     let Some(request) = health_request(&context) else {
         return;
     };
-    let Ok(Ok(answer)) = timeout(STARTUP_PROBE_TIMEOUT, client.send(request).1).await else {
+    let Ok(Ok(answer)) = timeout(STARTUP_PROBE_TIMEOUT, client.request(request)).await else {
         log::info!(event = "first-look"; "the target did not answer the startup probe");
         return;
     };
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -6,8 +6,7 @@
 use agatedeck_clock::Instant;
 use axum::body::Body;
 use axum::extract::Request;
-use axum::http::uri::{PathAndQuery, Scheme};
-use axum::http::{HeaderMap, Uri, header, uri};
+use axum::http::{HeaderMap, header};
 use axum::response::Response;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
@@ -21,7 +20,7 @@
     CALLER_SERVICE, LOAD, OUTCOME, REASON, header_text, local_answer_for_peer, outcome_value,
     strip_hop_by_hop_headers,
 };
-use super::http_client::is_body_or_parse_error;
+use super::http_client::{forwarded_uri, is_body_or_parse_error};
 use super::inbound::{InboundContext, fits_in_memory, refuse};
 use super::latency_actor::RecordTargetCall;
 use super::reason::StopReason;
@@ -38,9 +37,8 @@
     let context = Arc::clone(&call.context);
     let runtime_deadline = context.node.clock.runtime_instant(call.deadline);
     let load = call.lease.as_ref().map_or(0.0, |lease| lease.load);
-    let request_id = context.node.protocol.caller_metadata(request.headers());
-    let request_id = request_id.request_id.map(str::to_owned);
-    call.request_id = request_id.clone().unwrap_or_default();
+    let caller = context.node.protocol.caller_metadata(request.headers());
+    call.request_id = caller.request_id.map(str::to_owned);
     let Some((request, recovery)) = build_target_request(request, &call) else {
         return refuse(&context, StopReason::Unreachable);
     };
@@ -73,7 +71,8 @@
             return call.end_as_unknown(CallCompletion::Cancelled, StopReason::Deadline);
         }
     };
-    if let Some((outcome, reason)) = unanswered_outcome(&context, request_id.as_deref(), &answer) {
+    let request_id = call.request_id.as_deref();
+    if let Some((outcome, reason)) = unanswered_outcome(&context, request_id, &answer) {
         if outcome == CallOutcome::NotRun {
             call.end(CallCompletion::Cancelled, reason);
             return refuse(&context, reason);
@@ -143,12 +142,7 @@
         let (body, recovery) = make_recoverable(body);
         (body, Some(recovery))
     };
-    let mut uri_parts = uri::Parts::default();
-    uri_parts.scheme = Some(Scheme::HTTP);
-    uri_parts.authority = Some(target_authority.clone());
-    let path = parts.uri.path_and_query().cloned();
-    uri_parts.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
-    parts.uri = Uri::from_parts(uri_parts).ok()?;
+    parts.uri = forwarded_uri(&parts.uri, target_authority.clone())?;
     let caller = header_text(&parts.headers, &CALLER_SERVICE);
     let caller = caller.unwrap_or_default().to_owned();
     strip_hop_by_hop_headers(&mut parts.headers);
@@ -183,8 +177,7 @@
     context: Arc<InboundContext>,
     lease: Option<SlotLease>,
     fingerprint: Fingerprint,
-    /// Request ID; empty if the request has none.
-    request_id: String,
+    request_id: Option<String>,
     arrived_at: Instant,
     deadline: Instant,
     /// Whether the request was delayed in transit from the caller's node.
@@ -206,7 +199,7 @@
             delayed: admitted.lease.delayed,
             lease: Some(admitted.lease),
             fingerprint: admitted.fingerprint,
-            request_id: String::new(),
+            request_id: None,
             arrived_at: admitted.arrived_at,
             deadline: admitted.deadline,
             dispatch: None,
@@ -230,7 +223,7 @@
         dispatch.connection.forbid_reuse();
         let now = self.context.node.clock.now();
         let record = RecordTargetCall {
-            request_id: std::mem::take(&mut self.request_id),
+            request_id: self.request_id.take().unwrap_or_default(),
             reason,
             queue_wait: dispatch.sent_at.since(self.arrived_at),
             target_time: now.since(dispatch.sent_at),
--- a/crates/node/src/calls/target_client.rs
+++ b/crates/node/src/calls/target_client.rs
@@ -24,6 +24,14 @@
         Self(new_call_client(limits))
     }
 
+    /// Returns the future of the answer to a request.
+    pub(super) fn request(
+        &self,
+        request: Request<Body>,
+    ) -> impl Future<Output = Result<Response<Incoming>, Error>> + use<> {
+        self.send(request).1
+    }
+
     /// Returns the connection of a request and the future of its answer. Dropping the future before
     /// the answer closes the connection.
     pub(super) fn send(
--- a/crates/node/src/calls/target_probe.rs
+++ b/crates/node/src/calls/target_probe.rs
@@ -65,7 +65,7 @@
         let mut request = Request::new(Body::empty());
         *request.uri_mut() = uri;
         let answer = async {
-            let answer = self.client.send(request).1.await.map_err(|error| {
+            let answer = self.client.request(request).await.map_err(|error| {
                 if error.is_connect() {
                     ProbeError::Refused
                 } else {
--- a/crates/node/src/peer/connection.rs
+++ b/crates/node/src/peer/connection.rs
@@ -234,8 +234,9 @@
                     Err(PeerError::ConnectionLost)
                 }
                 Ok(Ok(response)) => {
+                    reply.send(Ok(response));
                     let _ = actor.tell(ResponseReceived { generation }).await;
-                    Ok(response)
+                    return;
                 }
             };
             reply.send(answer);
