Log when a node starts and stops to read the configuration feed

The logs of the late configurations show that no node had a new version while the store served five nodes of 24, but not which nodes read the feed: a reader that gets no answer and a node that does not read are both silent. The event `feed-reader` tells them apart. No logic has changed.

--- a/crates/node/src/store/feed.rs
+++ b/crates/node/src/store/feed.rs
@@ -58,8 +58,13 @@
     {
         return;
     }
+    let mut was_reader = false;
     loop {
-        if !follower.is_reader() {
+        let is_reader = follower.is_reader();
+        if is_reader != std::mem::replace(&mut was_reader, is_reader) {
+            log::info!(event = "feed-reader", reads = is_reader; "reads the configuration feed: {is_reader}");
+        }
+        if !is_reader {
             sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
