Let any node read versions while no reader shows that the store answers it

Callers got 404 for routes whose version had been confirmed more than 2 s before (CONFIG). Cause: the nodes that read the feed are chosen by rank among all live nodes, whether or not the store answers them. While it was silent to 19 of 24 nodes, all six readers among them, nobody read: no node logged a new version from 12 s to 18 s, and all 24 had the newest one 40 ms after the store answered again. Ruled out by the same logs: a loss on the tree or a slow pull (no node had any of the versions).

A reader now leads: it reads every 500 ms and sends a heartbeat over the dissemination tree after each answer. The other readers by rank read every 5 s as before. A node that hears no heartbeat for 1 to 1.3 s reads by itself, whatever its rank, and leads if it is answered; a node that the store refuses or ignores gives way to any that it answers. The spread and the pauses grow with the number of live nodes, so that a fleet of 2,700 sends at most 500 reads a second or so while the store answers nobody. A leading reader disseminates to all regions. The native nodes, which poll the head of the store, had the same fault and share the task. A heartbeat states the version of its sender, so that a node that missed it pulls.

Evidence: `a_version_arrives_whichever_node_the_store_answers` failed in both cases before (8 of 8 nodes without the version after 2 s) and passes.

--- a/crates/control/src/dissemination/policy.rs
+++ b/crates/control/src/dissemination/policy.rs
@@ -13,6 +13,7 @@
 use agatedeck_wire::{Member, SpreadScope};
 
 use crate::member::MemberTable;
+use crate::reader::READER_RANK_SALT;
 use crate::rendezvous::{rank_candidates, rendezvous_score};
 
 /// Number of children per node in the tree of a failure domain.
@@ -104,7 +105,8 @@
         failed: &DisseminationHop,
     ) -> Vec<DisseminationHop>;
 
-    /// Time between two polls of the store by the node `local_member`; `None` if it does not poll.
+    /// Time between two polls of the store by the node `local_member` while another reader shows that
+    /// the store answers it; `None` if the node is not one of the readers by rank.
     fn poll_interval(&self, table: &MemberTable, local_member: &Member) -> Option<Duration>;
 }
 
@@ -135,9 +137,6 @@
     }
 }
 
-/// Salt of the rendezvous ranking that selects the store readers.
-const READER_RANK_SALT: u64 = 0x7265_6164;
-
 fn hop_to(member: &Member, scope: DisseminationScope, attempt: usize) -> DisseminationHop {
     DisseminationHop {
         node: member.node.clone(),
--- /dev/null
+++ b/crates/control/src/reader/machine.rs
@@ -0,0 +1,219 @@
+//! The state machine of one node's role in reading new versions.
+
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+use rand::{Rng, RngCore};
+
+use super::chart::{READER_CHART, ReaderAction, ReaderEvent, ReaderState};
+use crate::rendezvous::rendezvous_score;
+
+/// Salt of the rendezvous ranking that selects the store readers.
+pub(crate) const READER_RANK_SALT: u64 = 0x7265_6164;
+
+/// Settings of a [`ReaderMachine`]. A version must be in force 2 s after its acknowledgement, also if
+/// the readers lose the store just before: a missed heartbeat, the takeover and the read fit in that.
+#[derive(Clone, Copy, Debug)]
+pub struct ReaderSettings {
+    /// Time for which one read of a leading reader waits for a new version, which is the time between
+    /// two heartbeats.
+    pub heartbeat_interval: Duration,
+    /// Time without a heartbeat after which a node may read by itself.
+    pub heartbeat_timeout: Duration,
+    /// Minimum period over which the nodes that miss the heartbeats spread their first reads.
+    pub min_takeover_spread: Duration,
+    /// Period by which each live node extends that spread. It bounds the rate of reads of the whole
+    /// fleet while the store answers nobody.
+    pub takeover_spread_per_node: Duration,
+    /// Time after which a read without an answer is no longer waited for, and another one starts.
+    pub answer_timeout: Duration,
+    /// Time after which a read is abandoned. Longer than `answer_timeout`, so that a slow store is
+    /// read as well.
+    pub read_timeout: Duration,
+    /// Pause after the first failed read, before jitter.
+    pub initial_backoff: Duration,
+    /// Maximum pause after failed reads, before jitter.
+    pub max_backoff: Duration,
+}
+
+impl Default for ReaderSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_interval: Duration::from_millis(500),
+            heartbeat_timeout: Duration::from_secs(1),
+            min_takeover_spread: Duration::from_millis(300),
+            takeover_spread_per_node: Duration::from_millis(2),
+            answer_timeout: Duration::from_millis(700),
+            read_timeout: Duration::from_secs(3),
+            initial_backoff: Duration::from_millis(150),
+            max_backoff: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A read to be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReaderRead {
+    /// Time to wait at the source for a version that is newer than the last one.
+    pub wait: Duration,
+    /// When the read is abandoned.
+    pub deadline: Instant,
+}
+
+/// Decides when a node reads new versions, and when it sends heartbeats.
+///
+/// Invariant: while the node does not lead, its reads stop or become rare only until
+/// [`ReaderSettings::heartbeat_timeout`] and the spread have passed since the last heartbeat of
+/// another node.
+#[derive(Debug)]
+pub struct ReaderMachine {
+    settings: ReaderSettings,
+    state: ReaderState,
+    score: u64,
+    /// Interval of reads while on standby; `None` if the node is not appointed.
+    standby_interval: Option<Duration>,
+    takeover_spread: Duration,
+    /// When the heartbeats of the other readers count as missed.
+    takeover_at: Instant,
+    /// When the next read starts; `None` while the node does not read.
+    read_at: Option<Instant>,
+    /// Until when the last answer to this node counts as contact with the source.
+    contact_until: Instant,
+    /// Whether the next read must be answered at once, to show that the source answers this node.
+    confirms: bool,
+    failures: u32,
+}
+
+impl ReaderMachine {
+    /// Creates the machine of the node `node`, which has just started to serve.
+    pub fn new(node: &str, settings: ReaderSettings, now: Instant, rng: &mut dyn RngCore) -> Self {
+        let mut machine = Self {
+            state: READER_CHART.initial(),
+            score: rendezvous_score(READER_RANK_SALT, node),
+            standby_interval: None,
+            takeover_spread: settings.min_takeover_spread,
+            takeover_at: now,
+            read_at: None,
+            contact_until: now,
+            confirms: false,
+            failures: 0,
+            settings,
+        };
+        machine.postpone_takeover(now, rng);
+        machine
+    }
+
+    /// Current role of the node.
+    pub fn state(&self) -> ReaderState {
+        self.state
+    }
+
+    /// Applies the membership view: the interval at which this node reads if it is one of the readers
+    /// by rank, and the number of live nodes.
+    pub fn set_view(
+        &mut self,
+        standby_interval: Option<Duration>,
+        live_nodes: usize,
+        now: Instant,
+    ) {
+        self.standby_interval = standby_interval;
+        let nodes = u32::try_from(live_nodes).unwrap_or(u32::MAX);
+        self.takeover_spread = self
+            .settings
+            .takeover_spread_per_node
+            .saturating_mul(nodes)
+            .max(self.settings.min_takeover_spread);
+        let event = if standby_interval.is_some() {
+            ReaderEvent::Appointed
+        } else {
+            ReaderEvent::Dismissed
+        };
+        self.advance(event, now);
+    }
+
+    /// Handles a heartbeat of the leading reader `node`. A leading reader gives way to one of a higher
+    /// rank, or to any other if the source does not answer itself.
+    pub fn on_heartbeat(&mut self, node: &str, now: Instant, rng: &mut dyn RngCore) {
+        self.postpone_takeover(now, rng);
+        let is_preferred = rendezvous_score(READER_RANK_SALT, node) > self.score;
+        if is_preferred || self.contact_until.is_past(now) {
+            self.advance(ReaderEvent::Outranked, now);
+        }
+    }
+
+    /// Starts the next read if it is due. Must be called at [`Self::next_deadline`].
+    pub fn poll(&mut self, now: Instant) -> Option<ReaderRead> {
+        if self.state != ReaderState::Leading && self.takeover_at.is_past(now) {
+            self.advance(ReaderEvent::HeartbeatsMissed, now);
+        }
+        if !self.read_at?.is_past(now) {
+            return None;
+        }
+        let wait = self.read_wait();
+        let mut retry_pause = self.settings.answer_timeout;
+        if self.confirms && self.standby_interval.is_none() {
+            retry_pause = retry_pause.max(self.takeover_spread);
+        }
+        self.read_at = Some(now.after(wait + retry_pause));
+        Some(ReaderRead {
+            wait,
+            deadline: now.after(wait + self.settings.read_timeout),
+        })
+    }
+
+    fn read_wait(&self) -> Duration {
+        match (self.state, self.standby_interval) {
+            (ReaderState::Leading, _) if self.confirms => Duration::ZERO,
+            (ReaderState::Standby, Some(interval)) => interval,
+            _ => self.settings.heartbeat_interval,
+        }
+    }
+
+    /// When [`Self::poll`] must be called.
+    pub fn next_deadline(&self) -> Instant {
+        let takeover_at = (self.state != ReaderState::Leading).then_some(self.takeover_at);
+        let deadlines = self.read_at.into_iter().chain(takeover_at);
+        deadlines.min().unwrap_or(self.takeover_at)
+    }
+
+    /// Handles an answer of the source. Returns whether to send a heartbeat.
+    pub fn on_read(&mut self, now: Instant) -> bool {
+        self.failures = 0;
+        self.confirms = false;
+        self.contact_until = now.after(self.settings.heartbeat_timeout);
+        self.read_at = self.read_at.map(|_| now);
+        self.state == ReaderState::Leading
+    }
+
+    /// Handles a read that failed before its deadline.
+    pub fn on_read_failed(&mut self, now: Instant, rng: &mut dyn RngCore) {
+        let settings = &self.settings;
+        let mut max_backoff = settings.max_backoff;
+        if self.standby_interval.is_none() {
+            max_backoff = max_backoff.max(self.takeover_spread);
+        }
+        let backoff = settings
+            .initial_backoff
+            .saturating_mul(1 << self.failures.min(8))
+            .min(max_backoff);
+        self.failures += 1;
+        self.confirms = self.state == ReaderState::Leading;
+        let retry_at = now.after(backoff.mul_f64(rng.random_range(0.75..1.25)));
+        self.read_at = self.read_at.map(|_| retry_at);
+    }
+
+    fn postpone_takeover(&mut self, now: Instant, rng: &mut dyn RngCore) {
+        let spread = self.takeover_spread.mul_f64(rng.random_range(0.0..1.0));
+        self.takeover_at = now.after(self.settings.heartbeat_timeout + spread);
+    }
+
+    fn advance(&mut self, event: ReaderEvent, now: Instant) {
+        for action in READER_CHART.advance(&mut self.state, event) {
+            match action {
+                ReaderAction::Read => self.read_at = Some(now),
+                ReaderAction::Confirm => self.confirms = true,
+                ReaderAction::Rest => self.read_at = None,
+            }
+        }
+    }
+}
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use agatedeck_control::{DisseminationHop, DisseminationRequest, DisseminationScope};
-use agatedeck_wire::{ControlPlaneRequest, CrashReport, Member, Offer, Rumor, SpreadScope};
+use agatedeck_wire::{
+    ControlPlaneRequest, CrashReport, Member, Offer, ReaderHeartbeat, Rumor, SpreadScope,
+};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use kameo::Actor;
@@ -31,6 +33,8 @@
         members: Vec<Member>,
         crashes: Vec<CrashReport>,
     },
+    /// Shows that the source of versions answers a reader, which has a version in force.
+    ReaderHeartbeat { node: String, version: u64 },
 }
 
 impl DisseminationPayload {
@@ -58,6 +62,16 @@
                 };
                 ControlPlaneRequest::Rumor { rumor }
             }
+            Self::ReaderHeartbeat { node, version } => {
+                let heartbeat = ReaderHeartbeat {
+                    node: node.clone(),
+                    version: *version,
+                    salt,
+                    scope,
+                    position,
+                };
+                ControlPlaneRequest::ReaderHeartbeat { heartbeat }
+            }
         }
     }
 }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -5,8 +5,8 @@
 use agatedeck_wire::{
     ControlPlane, ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord,
     IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer, OfferOutcome, Probe,
-    ProbeAnswer, Pull, PullAnswer, Rumor, RumorAnswer, Survey, SurveyAnswer, Sync, SyncAnswer,
-    server_transport,
+    ProbeAnswer, Pull, PullAnswer, ReaderHeartbeat, ReaderHeartbeatAnswer, Rumor, RumorAnswer,
+    Survey, SurveyAnswer, Sync, SyncAnswer, server_transport,
 };
 use futures::StreamExt;
 use kameo::actor::ActorRef;
@@ -17,7 +17,7 @@
 
 use crate::admin::survey;
 use crate::calls::{CrashActor, MergeCrashReports};
-use crate::config::{AnswerPull, ConfigActor, OfferVersion};
+use crate::config::{AnswerPull, ConfigActor, ObservePeerVersion, OfferVersion};
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
 use crate::member::{
@@ -25,6 +25,7 @@
     RecordFloor,
 };
 use crate::peer::PeerAddress;
+use crate::store::HeartbeatSender;
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -37,6 +38,7 @@
     pub(crate) members: ActorRef<MemberActor>,
     pub(crate) relay: ActorRef<DisseminationRelay>,
     pub(crate) crash_actor: ActorRef<CrashActor>,
+    pub(crate) heartbeats: HeartbeatSender,
 }
 
 /// Accepts connections until the task is aborted. Each connection is served by a separate task.
@@ -164,6 +166,30 @@
         }
     }
 
+    async fn reader_heartbeat(
+        self,
+        _: Context,
+        heartbeat: ReaderHeartbeat,
+    ) -> ReaderHeartbeatAnswer {
+        let (node, version) = (heartbeat.node.clone(), heartbeat.version);
+        let dissemination = StartDissemination::from_message(
+            heartbeat.salt,
+            heartbeat.scope(),
+            heartbeat.position,
+            DisseminationPayload::ReaderHeartbeat {
+                node: heartbeat.node,
+                version,
+            },
+        );
+        let _ = self.relay.tell(dissemination).await;
+        // A full queue holds heartbeats that the reading task has yet to handle.
+        let _ = self.heartbeats.try_send(node);
+        if version > self.context.served().snapshot.version() {
+            let _ = self.config.tell(ObservePeerVersion { version }).await;
+        }
+        ReaderHeartbeatAnswer {}
+    }
+
     async fn record_floor(self, _: Context, record: FloorRecord) -> FloorAnswer {
         self.members
             .ask(RecordFloor(record))
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -18,7 +18,7 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -40,7 +40,10 @@
 };
 use crate::registrar::TargetRegistrar;
 use crate::settings::{DisseminationMode, EmulationSettings, NodeSettings};
-use crate::store::{CommitActor, FeedFollower, StoreReader, run_feed, run_reader};
+use crate::store::{
+    CommitActor, FeedSource, HeadSource, HeartbeatReceiver, VersionReader, VersionSource,
+    run_reader,
+};
 
 /// Time allowed for the last messages of a leaving node to reach other nodes.
 const LEAVE_GRACE_PERIOD: Duration = Duration::from_millis(100);
@@ -114,10 +117,17 @@
     pub cross_region: u64,
 }
 
-/// Number of readers of the configuration feed in each region. A reader that loses its connection
-/// to the feed detects this only after seconds; until then the region relies on the other reader.
+/// Number of readers of the configuration feed in each region. A version waits for no takeover if one
+/// of them loses the feed.
 const FEED_READERS_PER_REGION: usize = 2;
 
+/// Time for which one long poll of a reader of the feed on standby waits for the next version. Each
+/// request is billed.
+const FEED_STANDBY_WAIT: Duration = Duration::from_secs(5);
+
+/// Maximum number of reader heartbeats that wait for the reading task.
+const MAX_QUEUED_HEARTBEATS: usize = 16;
+
 fn served_version(served: &ServedConfig) -> Option<u64> {
     served.may_serve.then(|| served.snapshot.version())
 }
@@ -221,6 +231,8 @@
             if follows_feed {
                 (tree.home_reader_count, tree.remote_reader_count) =
                     (FEED_READERS_PER_REGION, FEED_READERS_PER_REGION);
+                (tree.home_poll_interval, tree.remote_poll_interval) =
+                    (FEED_STANDBY_WAIT, FEED_STANDBY_WAIT);
             }
             Arc::new(tree)
         }
@@ -408,12 +420,14 @@
                 failure_sender,
             ));
         }
+        let (heartbeat_sender, heartbeats) = mpsc::channel(MAX_QUEUED_HEARTBEATS);
         let server = ControlServer {
             context: context.clone(),
             config: config.clone(),
             members: members.clone(),
             relay: relay.clone(),
             crash_actor: calls.crash_actor.clone(),
+            heartbeats: heartbeat_sender,
         };
         let admin = AdminState {
             context: context.clone(),
@@ -437,7 +451,7 @@
         tasks.extend(calls.tasks);
         let drain_timeout = context.settings.calls.drain_timeout();
         let drain_notice = context.settings.calls.drain_notice;
-        tasks.push(spawn_version_reader(&context, config, relay));
+        tasks.push(spawn_version_reader(&context, config, relay, heartbeats));
         tasks.extend([
             tokio::spawn(report_gauges(context.clone(), meters.clone())),
             tokio::spawn(run_detector(context.clone(), members.clone())),
@@ -595,21 +609,22 @@
     context: &NodeContext,
     config: ActorRef<ConfigActor>,
     relay: ActorRef<DisseminationRelay>,
+    heartbeats: HeartbeatReceiver,
 ) -> JoinHandle<()> {
     let context = context.clone();
-    match context.feed.clone() {
-        Some(feed) => tokio::spawn(run_feed(FeedFollower {
-            context,
-            feed,
-            config,
-            relay,
-        })),
-        None => tokio::spawn(run_reader(StoreReader {
-            context,
+    let source: Arc<dyn VersionSource> = match context.feed.clone() {
+        Some(feed) => Arc::new(FeedSource { feed, config }),
+        None => Arc::new(HeadSource {
+            context: context.clone(),
             config,
-            relay,
-        })),
-    }
+        }),
+    };
+    tokio::spawn(run_reader(VersionReader {
+        context,
+        source,
+        relay,
+        heartbeats,
+    }))
 }
 
 /// Forwards the active version to the actors that depend on it.
--- a/crates/node/src/store/catch_up.rs
+++ b/crates/node/src/store/catch_up.rs
@@ -24,6 +24,10 @@
     #[display("{_0}")]
     #[from(ignore)]
     Corrupt(#[error(not(source))] String),
+    /// The store did not answer in time.
+    #[display("the deadline passed")]
+    #[from(ignore)]
+    DeadlinePassed,
     /// The node is stopping.
     #[display("the node is stopping")]
     #[from(ignore)]
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -2,10 +2,10 @@
 
 mod catch_up;
 mod commit_actor;
-mod feed;
 mod reader;
+mod version_source;
 
 pub(crate) use catch_up::{CatchUpError, catch_up, read_head};
 pub(crate) use commit_actor::{ChangeLookup, CommitActor, CommitChange, CommitReply, find_change};
-pub(crate) use feed::{FeedFollower, run_feed};
-pub(crate) use reader::{StoreReader, run_reader};
+pub(crate) use reader::{HeartbeatReceiver, HeartbeatSender, VersionReader, run_reader};
+pub(crate) use version_source::{FeedSource, HeadSource, VersionSource};
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -1,94 +1,190 @@
-//! Polls the head of the store while this node is one of its readers.
+//! The task that reads new versions while this node is one of the readers, and disseminates them.
 //!
-//! Polling finds versions that the node which committed them could not disseminate. With an
-//! outdated membership view, a second node may poll, or none until the view is correct again.
+//! The decision when to read is that of [`ReaderMachine`]. The task owns the machine and the reads in
+//! progress, and receives the heartbeats of other readers as messages.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use agatedeck_control::{DisseminationRequest, DisseminationScope};
+use agatedeck_control::{
+    DisseminationRequest, DisseminationScope, JoinState, ReaderMachine, ReaderRead, ReaderSettings,
+    ReaderState,
+};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use kameo::actor::ActorRef;
-use rand::Rng;
-use tokio::time::sleep;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
 
-use super::catch_up::{CatchUpError, catch_up, latest_version, read_head};
-use crate::config::ConfigActor;
+use super::catch_up::CatchUpError;
+use super::version_source::{ReadVersion, VersionSource};
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
 
-/// Interval at which a node that is not a reader checks whether it has become one, before jitter.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum pause between two checks whether membership changes have made this node a reader.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay before a version found in the store is read, so that it can arrive over the dissemination
-/// tree. Without the delay, most changes would be sent through each region twice.
-const TREE_GRACE_PERIOD: Duration = Duration::from_millis(100);
+/// Names of the leading readers whose heartbeats have arrived.
+pub(crate) type HeartbeatSender = mpsc::Sender<String>;
 
-/// Maximum pause after failed reads, before jitter.
-const MAX_BACKOFF: Duration = Duration::from_secs(10);
+/// Receiver of the heartbeats, owned by the reading task.
+pub(crate) type HeartbeatReceiver = mpsc::Receiver<String>;
 
-/// Dependencies of the task that polls the store.
-#[derive(Clone)]
-pub(crate) struct StoreReader {
+/// Dependencies of the reading task.
+#[derive(Debug)]
+pub(crate) struct VersionReader {
     pub(crate) context: NodeContext,
-    pub(crate) config: ActorRef<ConfigActor>,
+    pub(crate) source: Arc<dyn VersionSource>,
     pub(crate) relay: ActorRef<DisseminationRelay>,
+    pub(crate) heartbeats: HeartbeatReceiver,
 }
 
-/// Polls until the task is aborted.
-pub(crate) async fn run_reader(reader: StoreReader) {
-    let mut failures = 0;
-    loop {
-        let interval = reader.poll_interval();
-        let Some(interval) = interval else {
-            failures = 0;
-            sleep(with_jitter(ROLE_CHECK_INTERVAL)).await;
-            continue;
-        };
-        let backoff = interval
-            .saturating_mul(1 << u32::min(failures, 8))
-            .min(MAX_BACKOFF);
-        sleep(with_jitter(backoff.max(interval))).await;
-        match reader.poll().await {
-            Ok(()) => failures = 0,
-            Err(error) => {
-                failures += 1;
-                log::warn!(event = "store-unread"; "could not read the store: {error}");
-            }
-        }
+type ReadResult = Result<Vec<ReadVersion>, CatchUpError>;
+
+/// Reads versions until the task is aborted.
+pub(crate) async fn run_reader(mut reader: VersionReader) {
+    // Before the node serves, the join reads the newest version and the other nodes are unknown.
+    let mut phase = reader.context.phase.clone();
+    if phase
+        .wait_for(|phase| *phase == JoinState::Serving)
+        .await
+        .is_err()
+    {
+        return;
     }
+    ReadLoop::new(&reader.context).run(&mut reader).await;
 }
 
-/// A random duration from 0.5 to 1.5 times `pause`, so that readers do not poll at the same time.
-fn with_jitter(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+/// State of the reading task.
+struct ReadLoop {
+    machine: ReaderMachine,
+    rng: SmallRng,
+    /// Reads in progress. More than one only while the source does not answer.
+    reads: FuturesUnordered<BoxFuture<'static, ReadResult>>,
+    logged_state: ReaderState,
+    unavailable: bool,
 }
 
-impl StoreReader {
-    fn poll_interval(&self) -> Option<Duration> {
-        let context = &self.context;
-        context
-            .dissemination_policy
-            .poll_interval(&context.table(), &context.local_member)
+impl ReadLoop {
+    fn new(context: &NodeContext) -> Self {
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let settings = ReaderSettings::default();
+        let now = context.clock.now();
+        let machine = ReaderMachine::new(&context.local_member.node, settings, now, &mut rng);
+        Self {
+            logged_state: machine.state(),
+            machine,
+            rng,
+            reads: FuturesUnordered::new(),
+            unavailable: false,
+        }
+    }
+
+    async fn run(mut self, reader: &mut VersionReader) {
+        loop {
+            self.start_due_read(reader);
+            let clock = reader.context.clock;
+            let latest = clock.now().after(ROLE_CHECK_INTERVAL);
+            let wake_up = clock.runtime_instant(self.machine.next_deadline().min(latest));
+            tokio::select! {
+                Some(result) = self.reads.next() => self.handle_read(reader, result).await,
+                Some(node) = reader.heartbeats.recv() => {
+                    self.machine.on_heartbeat(&node, clock.now(), &mut self.rng);
+                }
+                () = sleep_until(wake_up) => {}
+            }
+        }
+    }
+
+    fn start_due_read(&mut self, reader: &VersionReader) {
+        let context = &reader.context;
+        let (table, now) = (context.table(), context.clock.now());
+        let policy = &context.dissemination_policy;
+        let interval = policy.poll_interval(&table, &context.local_member);
+        self.machine.set_view(interval, table.live().count(), now);
+        if let Some(ReaderRead { wait, deadline }) = self.machine.poll(now) {
+            let deadline = context.clock.runtime_instant(deadline);
+            self.reads.push(reader.source.read_new(wait, deadline));
+        }
+        self.log_role();
+    }
+
+    fn log_role(&mut self) {
+        let state = self.machine.state();
+        if state != std::mem::replace(&mut self.logged_state, state) {
+            log::info!(event = "version-reader", state:% = state; "reading versions: {state}");
+        }
     }
 
-    async fn poll(&self) -> Result<(), CatchUpError> {
-        let (head, _) = read_head(&self.context).await?;
-        if latest_version(&self.config).await? >= head.version {
-            return Ok(());
+    async fn handle_read(&mut self, reader: &VersionReader, result: ReadResult) {
+        let now = reader.context.clock.now();
+        let versions = match result {
+            Ok(versions) => versions,
+            Err(error) => {
+                if !std::mem::replace(&mut self.unavailable, true) {
+                    log::warn!(event = "feed-lost"; "the source of versions does not answer: {error}");
+                }
+                self.machine.on_read_failed(now, &mut self.rng);
+                return;
+            }
+        };
+        if std::mem::take(&mut self.unavailable) {
+            log::info!(event = "feed-regained"; "the source of versions answers again");
+        }
+        // Earlier reads would only repeat the answer.
+        self.reads.clear();
+        let leads = self.machine.on_read(now);
+        for version in versions {
+            reader.disseminate_version(version, leads).await;
         }
-        sleep(TREE_GRACE_PERIOD).await;
-        let deltas = catch_up(&self.context, &self.config, &head).await?;
-        for (version, delta) in deltas {
-            self.disseminate(version, delta).await;
+        if leads {
+            self.send_heartbeat(reader).await;
         }
-        Ok(())
     }
 
-    async fn disseminate(&self, version: u64, delta: Vec<u8>) {
+    async fn send_heartbeat(&mut self, reader: &VersionReader) {
+        let context = &reader.context;
+        let payload = DisseminationPayload::ReaderHeartbeat {
+            node: context.local_member.node.clone(),
+            version: context.served().snapshot.version(),
+        };
+        let request = DisseminationRequest {
+            salt: self.rng.random(),
+            scope: DisseminationScope::AllRegions,
+        };
+        reader.start_dissemination(request, payload).await;
+    }
+}
+
+impl VersionReader {
+    /// Readers in the region of the store disseminate to all regions, so that regions whose own
+    /// readers are cut off also receive the version. A leading reader may be the only one that the
+    /// store answers. If the region of the store is unknown, all readers do so. A node that already
+    /// has the version does not forward it.
+    async fn disseminate_version(&self, read_version: ReadVersion, leads: bool) {
+        let ReadVersion { version, delta } = read_version;
+        let store_region = &self.context.settings.store.region;
+        let is_home = store_region.is_empty() || *store_region == self.context.local_member.region;
         let request = DisseminationRequest {
             salt: version,
-            scope: DisseminationScope::Region,
+            scope: if leads || is_home {
+                DisseminationScope::AllRegions
+            } else {
+                DisseminationScope::Region
+            },
         };
         let payload = DisseminationPayload::Version { version, delta };
+        self.start_dissemination(request, payload).await;
+    }
+
+    async fn start_dissemination(
+        &self,
+        request: DisseminationRequest,
+        payload: DisseminationPayload,
+    ) {
         // The send fails only while the node is stopping.
         let _ = self
             .relay
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -8,8 +8,8 @@
 use crate::codec::ControlCodec;
 use crate::generated::{
     FloorAnswer, FloorRecord, IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer,
-    Probe, ProbeAnswer, Pull, PullAnswer, Rumor, RumorAnswer, Survey, SurveyAnswer, Sync,
-    SyncAnswer,
+    Probe, ProbeAnswer, Pull, PullAnswer, ReaderHeartbeat, ReaderHeartbeatAnswer, Rumor,
+    RumorAnswer, Survey, SurveyAnswer, Sync, SyncAnswer,
 };
 
 /// Size of the length prefix of a frame, in bytes.
@@ -39,6 +39,8 @@
     async fn join(join: Join) -> JoinAnswer;
     /// Requests reports of the active versions.
     async fn survey(survey: Survey) -> SurveyAnswer;
+    /// Disseminates that the store answers a node.
+    async fn reader_heartbeat(heartbeat: ReaderHeartbeat) -> ReaderHeartbeatAnswer;
 }
 
 /// Transport of the control protocol over the byte stream `S`.
