--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -125,7 +125,7 @@
             Ok(versions) => versions,
             Err(error) => {
                 if !std::mem::replace(&mut self.unavailable, true) {
-                    log::warn!(event = "feed-lost"; "the source of versions does not answer: {error}");
+                    log::warn!(event = "feed-lost"; "cannot read versions: {error}");
                 }
                 self.machine.on_read_failed(now, &mut self.rng);
                 return;
