Ask the next peer for a version when one does not answer for 200 ms

Cause: a pull asked at most three peers, one after the other, 2 s each. Peers that are silent now hold up the next one for 200 ms, six are asked at most, and the first answer with a newer version counts. A report that arrives during a pull is still dropped; heartbeats repeat it every 500 ms.

Reads of a role that has ended are now dropped too, which only logged `feed-lost` late.

--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -9,8 +9,7 @@
 };
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_wire::{
-    ControlPlaneRequest, ControlPlaneResponse, FloorRecord, Member, Offer, OfferAnswer,
-    OfferOutcome, Pull, PullAnswer,
+    ControlPlaneRequest, FloorRecord, Offer, OfferAnswer, OfferOutcome, Pull, PullAnswer,
 };
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -20,6 +19,7 @@
 use kameo::reply::DelegatedReply;
 use tokio::sync::watch;
 
+use super::pull::pull_from_peers;
 use crate::context::{NodeContext, ServedConfig};
 use crate::peer::PeerAddress;
 use crate::wire_answer::WireAnswer;
@@ -27,17 +27,10 @@
 /// Number of witnesses: nodes that record the floor before this node activates a version.
 const WITNESS_COUNT: usize = 2;
 
-/// Timeout of one request for missing versions.
-const PULL_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Delay before a version that a peer holds is pulled, so that it can arrive over the dissemination
 /// tree. Without the delay, nodes probed during dissemination would receive most changes twice.
 const TREE_GRACE_PERIOD: Duration = Duration::from_millis(300);
 
-/// Maximum number of peers asked for missing versions in one pull. If none has them, a later probe
-/// that reports a newer version triggers another pull.
-const MAX_PULL_ATTEMPTS: usize = 3;
-
 /// Owns the [`ConfigReplica`] and publishes the active version.
 #[derive(Actor)]
 pub(crate) struct ConfigActor {
@@ -161,46 +154,6 @@
     }
 }
 
-/// Requests the versions after `version` from live peers, one at a time. Peers that hold a newer
-/// version come first, then the nearest, then those with the newest version.
-async fn pull_from_peers(context: &NodeContext, version: u64) -> Option<PullAnswer> {
-    let table = context.table();
-    let local_member = &context.local_member;
-    let mut candidates: Vec<&Member> = table
-        .live()
-        .filter(|member| member.node != local_member.node)
-        .collect();
-    candidates.sort_by_key(|member| {
-        let distance = (
-            member.region != local_member.region,
-            member.domain != local_member.domain,
-        );
-        (
-            std::cmp::Reverse(member.version > version),
-            distance,
-            std::cmp::Reverse(member.version),
-        )
-    });
-    for peer in candidates
-        .into_iter()
-        .filter_map(PeerAddress::from_member)
-        .take(MAX_PULL_ATTEMPTS)
-    {
-        let request = ControlPlaneRequest::Pull {
-            pull: Pull { version },
-        };
-        let deadline = tokio::time::Instant::now() + PULL_TIMEOUT;
-        match context.transport.send(&peer, request, deadline).await {
-            Ok(ControlPlaneResponse::Pull(answer)) if answer.version > version => {
-                return Some(answer);
-            }
-            Ok(_) => {}
-            Err(error) => log::debug!("pull from {} failed: {error}", peer.address),
-        }
-    }
-    None
-}
-
 /// Offers a version as a delta that another node sent, the store returned, or this node committed.
 pub(crate) struct OfferVersion(pub(crate) Offer);
 
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration replica of this node.
 
 mod actor;
+mod pull;
 
 pub(crate) use actor::{
     AnswerPull, ConfigActor, FeedDelta, ObservePeerVersion, OfferFeedSnapshot, OfferSnapshot,
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -109,6 +109,10 @@
             let deadline = context.clock.runtime_instant(deadline);
             self.reads.push(reader.source.read_new(wait, deadline));
         }
+        if self.machine.state() == ReaderState::Idle {
+            // Reads of a role that has ended.
+            self.reads.clear();
+        }
         self.log_role();
     }
 
