Hold the rate of calls that a target states at the node of the target

Cause: nothing read the header.

All calls to a target pass through its node, so the limit is held there, by a token bucket in admission control with the stated rate and a burst of a quarter of a second. No node has to know the share of another, so this does not change with the number of nodes. A call that the limit does not allow waits in the queue as for a slot, or is refused at once if it would be late, with the time after which it can start; the reported load counts the used part of the limit, so that callers' nodes prefer other targets.

--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod delay_detector;
 mod fair_queue;
 mod queue;
+mod rate_limit;
 mod service_time;
 mod service_time_table;
 
--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -8,6 +8,7 @@
 use derive_more::{Display, From, Into};
 
 use super::fair_queue::{FairQueue, WorkspaceKey};
+use super::rate_limit::RateLimit;
 use super::service_time_table::{ClassKey, ServiceTimeTable};
 
 /// Number of steps in which the slots of a warming target are opened.
@@ -136,7 +137,8 @@
 ///
 /// Invariants: a call is refused only before it is run; at most
 /// [`slots`](AdmissionSettings::slots) calls run and [`queue`](AdmissionSettings::queue) calls are
-/// queued; no call is queued while a slot is open; no call is run after its deadline.
+/// queued; no call is queued while a slot is open and the rate limit allows a call; no call is run
+/// after its deadline.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     settings: AdmissionSettings,
@@ -148,6 +150,7 @@
     queue_deadlines: BTreeSet<(Instant, CallId)>,
     running: u32,
     service_times: ServiceTimeTable,
+    rate_limit: RateLimit,
     warm_up_ends_at: Instant,
     draining: bool,
     drained_reported: bool,
@@ -167,6 +170,7 @@
             queue_deadlines: BTreeSet::new(),
             running: 0,
             service_times: ServiceTimeTable::default(),
+            rate_limit: RateLimit::new(now),
             draining: false,
             drained_reported: false,
             closed: false,
@@ -204,7 +208,7 @@
         }
         let priority = request.priority;
         let workspace = self.workspace_key(priority, request.workspace);
-        if self.running >= self.open_slots(now) {
+        if self.must_queue(now) {
             let reason = self.ensure_queue_space(priority, workspace, &mut effects);
             if let Some(reason) = reason {
                 self.remove_if_idle(priority, workspace);
@@ -280,15 +284,33 @@
         effects
     }
 
-    /// Accepts calls again after [`Self::close`].
-    pub fn reopen(&mut self) {
+    /// Accepts calls again after [`Self::close`]; few of them until the target has answered.
+    pub fn reopen(&mut self, now: Instant) {
         self.closed = false;
+        self.rate_limit.open(now);
+    }
+
+    /// Records the calls per second that the target accepts as of its last answer, or that it states
+    /// no limit.
+    pub fn record_rate_limit(&mut self, stated: Option<f64>, now: Instant) -> Vec<AdmissionEffect> {
+        self.rate_limit.record(stated, now);
+        self.tick(now)
+    }
+
+    /// Whether the rate of calls is limited. While it is, every answer must be passed to
+    /// [`Self::record_rate_limit`].
+    pub fn is_rate_limited(&self) -> bool {
+        self.rate_limit.is_active()
+    }
+
+    /// The calls per second that the target accepts, if it states a limit.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.stated_rate()
     }
 
     /// Expected time until a call of this priority that arrives now gets a slot.
     pub fn expected_queue_wait(&self, priority: u32, now: Instant) -> Duration {
-        let slots = self.open_slots(now).max(1);
-        if self.running < slots {
+        if !self.must_queue(now) {
             return Duration::ZERO;
         }
         let fair_queues = self.fair_queues.range(..=priority);
@@ -314,6 +336,7 @@
     /// [`next_deadline`](Self::next_deadline).
     pub fn tick(&mut self, now: Instant) -> Vec<AdmissionEffect> {
         let mut effects = Vec::new();
+        self.rate_limit.refresh(now);
         while let Some(&(deadline, call)) = self.queue_deadlines.first()
             && deadline.is_past(now)
         {
@@ -330,7 +353,10 @@
 
     /// Time at which [`tick`](Self::tick) must be called, if calls are queued.
     pub fn next_deadline(&self, now: Instant) -> Option<Instant> {
-        let &(deadline, _) = self.queue_deadlines.first()?;
+        let &(mut deadline, _) = self.queue_deadlines.first()?;
+        if self.running < self.open_slots(now) {
+            deadline = deadline.min(now.after(self.rate_limit.wait_for(1)));
+        }
         if self.warm_up_ends_at.is_past(now) {
             return Some(deadline);
         }
@@ -348,11 +374,18 @@
         self.queue_deadlines.len()
     }
 
-    /// Load to report to callers' nodes: running and queued calls divided by slots. Above 1 if more
-    /// calls are here than the target has slots.
+    /// Load to report to callers' nodes: running and queued calls divided by slots, or the used part
+    /// of the rate limit if that is more. Above 1 if more calls are here than the target has slots.
     pub fn load(&self) -> f64 {
+        let count = |calls: usize| u32::try_from(calls).unwrap_or(u32::MAX);
         let slots = f64::from(self.settings.slots.max(1));
-        f64::from(u32::try_from(self.calls.len()).unwrap_or(u32::MAX)) / slots
+        let slot_load = f64::from(count(self.calls.len())) / slots;
+        slot_load.max(self.rate_limit.load(count(self.queued())))
+    }
+
+    /// Whether a call that arrives now has to wait.
+    fn must_queue(&self, now: Instant) -> bool {
+        self.running >= self.open_slots(now) || !self.rate_limit.allows_call()
     }
 
     /// Number of open slots; fewer than all while the target warms up.
@@ -400,9 +433,8 @@
         if self.draining || self.closed {
             return Some(RefusalReason::Draining);
         }
-        let must_queue = self.running >= self.open_slots(now);
         let starts_at = now.after(self.queue_wait_behind(ahead, now));
-        if must_queue && request.useful_until.is_some() && starts_at > queue_deadline {
+        if self.must_queue(now) && request.useful_until.is_some() && starts_at > queue_deadline {
             return Some(RefusalReason::QueueFull);
         }
         let answered_at = now.after(self.admission_latency(ahead, now));
@@ -414,6 +446,10 @@
     /// is open, the expected one if the call must be queued.
     fn admission_latency(&self, ahead: usize, now: Instant) -> Duration {
         let slots = self.open_slots(now);
+        if !self.rate_limit.allows_call() {
+            let wait = self.queue_wait_behind(ahead, now);
+            return wait.saturating_add(self.service_times.overall().upper_bound());
+        }
         // With a slot open, a call is refused only if its deadline is shorter than the shortest
         // recent call, since an idle slot has no use. With more than half of the slots open, even
         // such a call is admitted to measure the service time again; otherwise a slow period or a
@@ -438,11 +474,16 @@
         more_urgent + same_priority
     }
 
-    /// Expected time until a call with `ahead` queued calls before it gets a slot, if none is open.
+    /// Expected time until a call with `ahead` queued calls before it gets a slot, if it has to wait.
     fn queue_wait_behind(&self, ahead: usize, now: Instant) -> Duration {
         let position = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         let slots = self.open_slots(now).max(1);
-        self.service_times.overall().mean().saturating_mul(position) / slots
+        let rate_wait = self.rate_limit.wait_for(position);
+        if self.running < slots && !rate_wait.is_zero() {
+            return rate_wait;
+        }
+        let slot_wait = self.service_times.overall().mean().saturating_mul(position) / slots;
+        slot_wait.max(rate_wait)
     }
 
     /// Refuses the call that runs last if it is now expected to get a slot too late, because calls
@@ -534,6 +575,7 @@
         let slots = self.open_slots(now);
         let max_running = u32::try_from(self.workspace_share(slots as usize)).unwrap_or(slots);
         while self.running < slots
+            && self.rate_limit.allows_call()
             && let Some(call) = self
                 .fair_queues
                 .values_mut()
@@ -557,6 +599,7 @@
             entry.started_at = Some(now);
             self.queue_mut(priority).get_mut(workspace).running += 1;
             self.running += 1;
+            self.rate_limit.take();
             effects.push(AdmissionEffect::Run(call));
         }
     }
--- a/crates/calls/tests/load_shedding.rs
+++ b/crates/calls/tests/load_shedding.rs
@@ -144,7 +144,7 @@
     assert_eq!(queue.close(now), [refuse(101)]);
     assert_eq!(queue.admit(&request(102, 0, None), now), [refuse(102)]);
     assert_eq!(queue.release(CallId::from(100), now), []);
-    queue.reopen();
+    queue.reopen(now);
     let effects = queue.admit(&request(103, 0, None), now);
     assert_eq!(effects, [AdmissionEffect::Run(CallId::from(103))]);
 }
--- a/crates/node/src/adapters.rs
+++ b/crates/node/src/adapters.rs
@@ -138,6 +138,10 @@
 
     /// Reads the load that the target reports in the headers of an answer.
     fn target_load(&self, headers: &HeaderMap) -> Option<TargetLoad>;
+
+    /// Reads the calls per second that the target accepts from all nodes together; `None` if it states
+    /// no limit, or one that is not a finite number of at least 0.
+    fn target_rate_limit(&self, headers: &HeaderMap) -> Option<f64>;
 }
 
 /// The adapters that a node runs with.
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -50,6 +50,10 @@
 /// caller. Only between nodes.
 pub(super) const USEFUL_MS: HeaderName = HeaderName::from_static("agatedeck-useful-ms");
 
+/// Calls per second that the target accepts from all nodes together, a decimal number. A target sends
+/// it in its answers for as long as the limit applies.
+pub(super) const RATE_LIMIT: HeaderName = HeaderName::from_static("agatedeck-rate-limit");
+
 /// Node that sent the request and the time by its clock, as `NAME/MICROSECONDS`. Only between
 /// nodes.
 pub(super) const SENT_AT: HeaderName = HeaderName::from_static("agatedeck-sent");
@@ -142,6 +146,12 @@
     local_response(&NativeProtocol, &answer)
 }
 
+/// Parses a rate limit; `None` if it is not a finite number of at least 0.
+pub fn parse_rate_limit(text: &str) -> Option<f64> {
+    let rate: f64 = text.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(rate)
+}
+
 /// Value of the header [`OUTCOME`].
 pub(super) fn outcome_value(outcome: CallOutcome) -> HeaderValue {
     HeaderValue::from_static(outcome.header_text())
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -40,6 +40,7 @@
 pub(crate) use crash_actor::{
     CrashActor, ListRefusedRequests, MergeCrashReports, RefusedRequestList,
 };
+pub use headers::parse_rate_limit;
 pub(crate) use latency_actor::{LatencyActor, LatencyList, ListLatencies};
 pub use native_protocol::NativeProtocol;
 pub use reason::StopReason;
--- a/crates/node/src/calls/native_protocol.rs
+++ b/crates/node/src/calls/native_protocol.rs
@@ -5,8 +5,8 @@
 
 use super::headers::{
     ATTEMPT, CALLER_SERVICE, DEADLINE_MS, DEPTH, FINGERPRINT, IDEMPOTENCY_KEY, OUTCOME, PRIORITY,
-    REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number, header_text, outcome_value,
-    requested_timeout,
+    RATE_LIMIT, REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number, header_text,
+    outcome_value, parse_rate_limit, requested_timeout,
 };
 use crate::adapters::{
     AnswerKind, CallProtocol, CallerMetadata, LocalAnswer, TargetLoad, TargetMetadata,
@@ -74,4 +74,7 @@
     fn target_load(&self, _: &HeaderMap) -> Option<TargetLoad> {
         None
     }
+    fn target_rate_limit(&self, headers: &HeaderMap) -> Option<f64> {
+        parse_rate_limit(header_text(headers, &RATE_LIMIT)?)
+    }
 }
--- a/crates/node/src/calls/slots/actor.rs
+++ b/crates/node/src/calls/slots/actor.rs
@@ -22,6 +22,9 @@
 use crate::context::NodeContext;
 use crate::member::MemberActor;
 
+/// Ratio of two rate limits from which the change is logged.
+const LOGGED_LIMIT_RATIO: f64 = 1.25;
+
 pub(super) struct WaitingCall {
     fingerprint: Fingerprint,
     priority: u32,
@@ -58,6 +61,8 @@
     pub(super) slots: u32,
     /// Load that the target reports. It includes calls that reach the target without its node.
     pub(super) reported_load: f64,
+    /// Rate limit that was last logged, in calls per second; 0 for none.
+    logged_rate_limit: f64,
     pub(super) queue_timer: QueueTimer,
     pub(super) crash_actor: ActorRef<CrashActor>,
     pub(super) drained_sender: watch::Sender<bool>,
@@ -96,6 +101,7 @@
             has_policy: false,
             slots: AdmissionSettings::default().slots,
             reported_load: 0.0,
+            logged_rate_limit: 0.0,
             queue_timer: QueueTimer::default(),
             crash_actor,
             drained_sender,
@@ -120,6 +126,7 @@
                     let grant = SlotGrant {
                         load: self.load(),
                         delayed: waiting.delayed,
+                        rate_limited: self.queue.is_rate_limited(),
                         target_id: Arc::clone(&self.target_id),
                     };
                     // If the caller is gone, its dropped lease completes the call here.
@@ -148,6 +155,18 @@
         }
     }
 
+    /// Logs a rate limit that begins, ends or changes by more than [`LOGGED_LIMIT_RATIO`].
+    fn log_rate_limit(&mut self) {
+        let rate = self.queue.rate_limit().unwrap_or_default();
+        let ratio = rate.max(self.logged_rate_limit) / rate.min(self.logged_rate_limit);
+        if rate.max(self.logged_rate_limit) == 0.0 || ratio < LOGGED_LIMIT_RATIO {
+            return;
+        }
+        self.logged_rate_limit = rate;
+        let target = &*self.target_id;
+        log::info!(event = "target-limit", target, rate; "the target accepts {rate} calls a second; 0 is no limit");
+    }
+
     fn load(&self) -> f64 {
         self.queue.load().max(self.reported_load)
     }
@@ -288,6 +307,24 @@
     }
 }
 
+/// The calls per second that the target accepts as of an answer, or that the answer states no limit.
+pub(super) struct RecordRateLimit(pub(super) Option<f64>);
+
+impl Message<RecordRateLimit> for SlotActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        RecordRateLimit(stated): RecordRateLimit,
+        ctx: &mut Context<Self, ()>,
+    ) {
+        let now = self.context.clock.now();
+        let effects = self.queue.record_rate_limit(stated, now);
+        self.log_rate_limit();
+        self.apply_effects(effects, ctx.actor_ref());
+    }
+}
+
 struct TickQueue;
 
 impl Message<TickQueue> for SlotActor {
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -30,7 +30,7 @@
         for effect in effects {
             match effect {
                 RegistrationEffect::Open => {
-                    self.queue.reopen();
+                    self.queue.reopen(now);
                     let effects = self.apply_settings(now);
                     self.apply_effects(effects, actor);
                 }
--- a/crates/node/src/calls/slots/slot_client.rs
+++ b/crates/node/src/calls/slots/slot_client.rs
@@ -10,7 +10,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 
-use super::actor::{AdmitCall, CompleteCall, SlotActor};
+use super::actor::{AdmitCall, CompleteCall, RecordRateLimit, SlotActor};
 use crate::calls::reason::StopReason;
 
 /// Time before its deadline at which a queued call is refused, so that the refusal reaches the
@@ -64,6 +64,7 @@
             load: 0.0,
             target_id: Arc::default(),
             delayed: false,
+            rate_limited: false,
             actor: self.actor.clone(),
             completed: false,
         };
@@ -76,6 +77,7 @@
                 lease.load = grant.load;
                 lease.target_id = grant.target_id;
                 lease.delayed = grant.delayed;
+                lease.rate_limited = grant.rate_limited;
                 Ok(lease)
             }
             Ok(Err(refusal)) => {
@@ -113,6 +115,7 @@
 pub(super) struct SlotGrant {
     pub(super) load: f64,
     pub(super) delayed: bool,
+    pub(super) rate_limited: bool,
     pub(super) target_id: Arc<str>,
 }
 
@@ -157,11 +160,21 @@
     pub(crate) target_id: Arc<str>,
     /// Whether the request was delayed in transit from the caller's node.
     pub(crate) delayed: bool,
+    /// Whether the rate of calls was limited when the slot was granted.
+    rate_limited: bool,
     actor: ActorRef<SlotActor>,
     completed: bool,
 }
 
 impl SlotLease {
+    /// Passes on the rate limit that an answer of the target states, or that it states none.
+    pub(crate) fn record_rate_limit(&self, stated: Option<f64>) {
+        if stated.is_some() || self.rate_limited {
+            // The actor is stopped only when the node is stopping.
+            let _ = self.actor.tell(RecordRateLimit(stated)).try_send();
+        }
+    }
+
     pub(crate) fn complete(mut self, completion: CallCompletion) {
         self.send_completion(completion);
     }
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -71,6 +71,7 @@
             return call.end_as_unknown(CallCompletion::Cancelled, StopReason::Deadline);
         }
     };
+    call.record_rate_limit(answer.headers());
     let request_id = call.request_id.as_deref();
     if let Some((outcome, reason)) = unanswered_outcome(&context, request_id, &answer) {
         if outcome == CallOutcome::NotRun {
@@ -207,6 +208,14 @@
         }
     }
 
+    /// Passes on the rate limit that an answer of the target states.
+    fn record_rate_limit(&self, headers: &HeaderMap) {
+        let stated = self.context.node.protocol.target_rate_limit(headers);
+        if let Some(lease) = &self.lease {
+            lease.record_rate_limit(stated);
+        }
+    }
+
     fn complete(&mut self, completion: CallCompletion) {
         if let Some(lease) = self.lease.take() {
             lease.complete(completion);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,7 +26,7 @@
     AnswerKind, CallProtocol, CallerMetadata, ConfigFeed, LocalAnswer, NodeAdapters, TargetLoad,
     TargetMetadata,
 };
-pub use calls::{CallSystemError, NativeProtocol, StopReason};
+pub use calls::{CallSystemError, NativeProtocol, StopReason, parse_rate_limit};
 pub use daemon::{BAD_INPUT_EXIT_CODE, node_runtime, read_settings, run_daemon};
 pub use logging::{LogError, start_logging};
 pub use peer::check_connection_chart;
