Close a target once it states in an answer that it is leaving

Cause: only announcements closed a target; one whose announcements lag went on to get calls.

The node of the target closes it at the first such answer, as after a draining announcement: the event `draining` of the registration chart, so that it opens again only at its next start. As all calls pass through that node, no other node has to remember the statement. Statements count only in answers that are the target's own (answered or declined).

--- a/crates/calls/src/registration/target_registration.rs
+++ b/crates/calls/src/registration/target_registration.rs
@@ -220,6 +220,15 @@
         self.advance(RegistrationEvent::Deregistered)
     }
 
+    /// Records that the target `id` has stated in an answer that it is leaving. As after a draining
+    /// announcement, it gets no calls before its next start.
+    pub fn mark_leaving(&mut self, id: &str) -> Vec<RegistrationEffect> {
+        if self.id != id {
+            return Vec::new();
+        }
+        self.advance(RegistrationEvent::Draining)
+    }
+
     /// Records that connections to the target fail. Its next announcement opens it again.
     pub fn mark_unreachable(&mut self) -> Vec<RegistrationEffect> {
         self.advance(RegistrationEvent::Unreachable)
--- a/crates/calls/tests/announcement.rs
+++ b/crates/calls/tests/announcement.rs
@@ -254,3 +254,27 @@
     );
     assert_eq!(registration.state(), RegistrationState::Absent);
 }
+
+/// Guards against calls to a target that has stated in an answer that it is leaving, against closing a
+/// later start for an answer of an earlier one, and against a target that stays closed after its next
+/// start.
+#[test]
+fn a_target_that_states_that_it_is_leaving_is_closed_until_its_next_start() {
+    let mut registration = registration();
+    let ready = |id, started, sequence| announcement(id, started, sequence, TargetReadiness::Ready);
+    announce(&mut registration, &ready("a", 1, 0)).unwrap();
+    assert_eq!(registration.mark_leaving("other"), []);
+    assert_eq!(
+        registration.mark_leaving("a"),
+        [RegistrationEffect::Close, RegistrationEffect::Publish]
+    );
+    assert_eq!(announce(&mut registration, &ready("a", 1, 1)), Ok(vec![]));
+    assert_eq!(registration.state(), RegistrationState::Draining);
+    assert_eq!(registration.mark_leaving("a"), []);
+    assert_eq!(
+        announce(&mut registration, &ready("b", 2, 0)),
+        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
+    );
+    assert_eq!(registration.mark_leaving("a"), []);
+    assert_eq!(registration.state(), RegistrationState::Ready);
+}
--- a/crates/node/src/adapters.rs
+++ b/crates/node/src/adapters.rs
@@ -142,6 +142,9 @@
     /// Reads the calls per second that the target accepts from all nodes together; `None` if it states
     /// no limit, or one that is not a finite number of at least 0.
     fn target_rate_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
+    /// Whether the target states in the headers of an answer that it is leaving.
+    fn is_target_leaving(&self, headers: &HeaderMap) -> bool;
 }
 
 /// The adapters that a node runs with.
--- a/crates/node/src/calls/headers.rs
+++ b/crates/node/src/calls/headers.rs
@@ -54,6 +54,9 @@
 /// it in its answers for as long as the limit applies.
 pub(super) const RATE_LIMIT: HeaderName = HeaderName::from_static("agatedeck-rate-limit");
 
+/// `1` in the answers of a target that announces itself and is leaving: it gets no new calls.
+pub(super) const LEAVING: HeaderName = HeaderName::from_static("agatedeck-leaving");
+
 /// Node that sent the request and the time by its clock, as `NAME/MICROSECONDS`. Only between
 /// nodes.
 pub(super) const SENT_AT: HeaderName = HeaderName::from_static("agatedeck-sent");
--- a/crates/node/src/calls/native_protocol.rs
+++ b/crates/node/src/calls/native_protocol.rs
@@ -4,9 +4,9 @@
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 
 use super::headers::{
-    ATTEMPT, CALLER_SERVICE, DEADLINE_MS, DEPTH, FINGERPRINT, IDEMPOTENCY_KEY, OUTCOME, PRIORITY,
-    RATE_LIMIT, REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number, header_text,
-    outcome_value, parse_rate_limit, requested_timeout,
+    ATTEMPT, CALLER_SERVICE, DEADLINE_MS, DEPTH, FINGERPRINT, IDEMPOTENCY_KEY, LEAVING, OUTCOME,
+    PRIORITY, RATE_LIMIT, REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number,
+    header_text, outcome_value, parse_rate_limit, requested_timeout,
 };
 use crate::adapters::{
     AnswerKind, CallProtocol, CallerMetadata, LocalAnswer, TargetLoad, TargetMetadata,
@@ -77,4 +77,8 @@
     fn target_rate_limit(&self, headers: &HeaderMap) -> Option<f64> {
         parse_rate_limit(header_text(headers, &RATE_LIMIT)?)
     }
+
+    fn is_target_leaving(&self, headers: &HeaderMap) -> bool {
+        header_text(headers, &LEAVING).is_some_and(|value| value.trim() == "1")
+    }
 }
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -141,6 +141,21 @@
     }
 }
 
+/// The target with this identity has stated in an answer that it is leaving.
+pub(super) struct TargetLeaving(pub(super) Arc<str>);
+
+impl Message<TargetLeaving> for SlotActor {
+    type Reply = ();
+
+    async fn handle(&mut self, TargetLeaving(id): TargetLeaving, ctx: &mut Context<Self, ()>) {
+        if let Some(registration) = &mut self.registration {
+            let effects = registration.mark_leaving(&id);
+            self.apply_registration_effects(effects, ctx.actor_ref())
+                .await;
+        }
+    }
+}
+
 /// Checks whether the last announcement has expired.
 struct CheckExpiry;
 
--- a/crates/node/src/calls/slots/slot_client.rs
+++ b/crates/node/src/calls/slots/slot_client.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::actor::{AdmitCall, CompleteCall, RecordRateLimit, SlotActor};
+use super::registration::TargetLeaving;
 use crate::calls::reason::StopReason;
 
 /// Time before its deadline at which a queued call is refused, so that the refusal reaches the
@@ -175,6 +176,13 @@
         }
     }
 
+    /// Passes on that the target which this lease is for has stated that it is leaving.
+    pub(crate) fn mark_target_leaving(&self) {
+        let leaving = TargetLeaving(Arc::clone(&self.target_id));
+        // The actor is stopped only when the node is stopping.
+        let _ = self.actor.tell(leaving).try_send();
+    }
+
     pub(crate) fn complete(mut self, completion: CallCompletion) {
         self.send_completion(completion);
     }
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -71,9 +71,16 @@
             return call.end_as_unknown(CallCompletion::Cancelled, StopReason::Deadline);
         }
     };
-    call.record_rate_limit(answer.headers());
+    let (status, headers) = (answer.status(), answer.headers());
     let request_id = call.request_id.as_deref();
-    if let Some((outcome, reason)) = unanswered_outcome(&context, request_id, &answer) {
+    let kind = context
+        .node
+        .protocol
+        .classify_answer(request_id, status, headers);
+    if matches!(kind, AnswerKind::Answered | AnswerKind::Declined) {
+        call.record_statements(headers);
+    }
+    if let Some((outcome, reason)) = unanswered_outcome(&context, kind, &answer) {
         if outcome == CallOutcome::NotRun {
             call.end(CallCompletion::Cancelled, reason);
             return refuse(&context, reason);
@@ -94,15 +101,15 @@
     Response::from_parts(parts, Body::new(body))
 }
 
-/// Outcome and reason if `answer` does not answer the request `request_id`; `None` if it does.
+/// Outcome and reason if an answer of this kind does not answer the request; `None` if it does.
 fn unanswered_outcome(
     context: &InboundContext,
-    request_id: Option<&str>,
+    kind: AnswerKind,
     answer: &hyper::Response<Incoming>,
 ) -> Option<(CallOutcome, StopReason)> {
     let protocol = &context.node.protocol;
     let headers = answer.headers();
-    match protocol.classify_answer(request_id, answer.status(), headers) {
+    match kind {
         AnswerKind::Answered => {}
         AnswerKind::Declined => return Some((CallOutcome::NotRun, StopReason::Declined)),
         AnswerKind::WrongTarget => return Some((CallOutcome::NotRun, StopReason::Displaced)),
@@ -208,11 +215,14 @@
         }
     }
 
-    /// Passes on the rate limit that an answer of the target states.
-    fn record_rate_limit(&self, headers: &HeaderMap) {
-        let stated = self.context.node.protocol.target_rate_limit(headers);
+    /// Passes on what an answer of the target states about the calls that it accepts.
+    fn record_statements(&self, headers: &HeaderMap) {
+        let protocol = &self.context.node.protocol;
         if let Some(lease) = &self.lease {
-            lease.record_rate_limit(stated);
+            lease.record_rate_limit(protocol.target_rate_limit(headers));
+            if protocol.is_target_leaving(headers) {
+                lease.mark_target_leaving();
+            }
         }
     }
 
