Answer the calls that are open when the drain of a stopped node ends

Reported by operators of systems like ours: in a planned stop, requests that came late in the grace were taken, passed on and cut without an answer at its end. Shown here by a test: a node that has 2 s to stop takes a call 0.45 s after the signal, passes it on with the 10 s that its caller waits, and the call is still open when the process would be killed (both kinds of routes).

A call that is taken during the drain now gets no more time than the node has left, which its target learns and by which the target's node refuses what it cannot serve. Calls that are open at the end of the drain, also those taken before it, are answered `unknown` (504) before the connections close; until now the process ended first. The code of the drain moves to `call_drain.rs`.

`each_call_is_answered_before_a_stopped_node_ends` failed in both cases (the calls ended 10 s after the signal) and passes.

--- a/crates/calls/src/retry/retry_after.rs
+++ b/crates/calls/src/retry/retry_after.rs
@@ -28,7 +28,7 @@
 }
 
 /// A refused call, as far as its `Retry-After` time depends on it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RefusedCall {
     /// Priority of the call; 0 is the most urgent.
     pub priority: u32,
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use super::call_drain::{DrainProgress, wait_for_cutoff};
 use super::call_task::{CallRequest, CallTask};
 use super::claim_actor::ClaimActor;
 use super::crash_actor::{CrashActor, CrashView};
@@ -36,7 +37,7 @@
     pub(super) crash_actor: ActorRef<CrashActor>,
     pub(super) latency_actor: ActorRef<LatencyActor>,
     pub(super) crash_view: watch::Receiver<Arc<CrashView>>,
-    pub(super) draining: watch::Receiver<bool>,
+    pub(super) drain: watch::Receiver<DrainProgress>,
     /// Tracks the calls that have not ended.
     pub(super) open_calls: TaskTracker,
 }
@@ -46,20 +47,39 @@
     Router::new().fallback(handle_call).with_state(gateway)
 }
 
+/// Answers a call; at the end of the drain also one that has not ended, before the process does.
 async fn handle_call(State(gateway): State<Arc<GatewayContext>>, request: Request) -> Response {
-    // Created before `draining` is checked, so that every call is either counted as open or
+    let cutoff = wait_for_cutoff(gateway.drain.clone());
+    tokio::select! {
+        response = serve_call(Arc::clone(&gateway), request) => response,
+        () = cutoff => {
+            let (outcome, reason) = (CallOutcome::Unknown, StopReason::Deadline);
+            let protocol = &*gateway.context.protocol;
+            local_answer_for_caller(protocol, outcome, reason, &RefusedCall::default())
+        }
+    }
+}
+
+async fn serve_call(gateway: Arc<GatewayContext>, request: Request) -> Response {
+    // Created before the drain is checked, so that every call is either counted as open or
     // refused.
     let open_token = gateway.open_calls.token();
     let (parts, body) = request.into_parts();
-    let draining = *gateway.draining.borrow();
-    if draining {
+    let drain = *gateway.drain.borrow();
+    if drain.refuses_calls {
         let mut response = refuse_call(&gateway, None, StopReason::Draining);
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
         return respond_after_drain(response, Some(body)).await;
     }
     let plan = match CallPlan::from_request(&gateway.context, &parts) {
-        Ok(plan) => plan,
+        Ok(mut plan) => {
+            if let Some(ends_at) = drain.ends_at {
+                // The target gets no more time than this node can wait for its answer.
+                plan.limit_deadline(gateway.context.clock.instant(ends_at));
+            }
+            plan
+        }
         Err(reason) => {
             let response = refuse_call(&gateway, None, reason);
             return respond_after_drain(response, Some(body)).await;
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -13,6 +13,7 @@
 
 mod answer_body;
 mod attempt;
+mod call_drain;
 mod call_stream;
 mod call_task;
 mod claim_actor;
@@ -37,6 +38,7 @@
 mod target_probe;
 mod target_subset;
 
+pub(crate) use call_drain::CallDrain;
 pub(crate) use crash_actor::{
     CrashActor, ListRefusedRequests, MergeCrashReports, RefusedRequestList,
 };
@@ -45,5 +47,5 @@
 pub use native_protocol::NativeProtocol;
 pub use reason::StopReason;
 pub(crate) use slots::{DeregisterTarget, SlotActor};
+pub(crate) use system::CallSystem;
 pub use system::CallSystemError;
-pub(crate) use system::{CallDrain, CallSystem};
--- a/crates/node/src/calls/plan.rs
+++ b/crates/node/src/calls/plan.rs
@@ -129,6 +129,11 @@
 }
 
 impl CallPlan {
+    /// Moves the deadline to `latest` if it is later.
+    pub(super) fn limit_deadline(&mut self, latest: Instant) {
+        self.deadline = self.deadline.min(latest);
+    }
+
     /// Sets the arrival time to that of the caller's first attempt and moves the target-latency
     /// deadline accordingly.
     pub(super) fn set_first_arrival(&mut self, first_arrival_at: Instant) {
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -11,17 +11,18 @@
 use kameo::mailbox;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
-use super::claim_actor::{ClaimActor, CountOpenClaims};
+use super::call_drain::{CallDrain, DrainProgress};
+use super::claim_actor::ClaimActor;
 use super::crash_actor::{CrashActor, RemoveExpiredReports};
 use super::gateway::{GatewayContext, gateway_router};
 use super::http_client::{CallClient, ClientLimits, new_call_client};
 use super::inbound::{InboundContext, LocalTarget, inbound_router};
 use super::latency_actor::{FlushMetrics, LatencyActor};
 use super::router::{CallRouter, TopologyChanged};
-use super::slots::{BodyClient, DrainSlots, PolicyChanged, SlotActor, SlotClient};
+use super::slots::{BodyClient, PolicyChanged, SlotActor, SlotClient};
 use super::startup_probe::probe_at_startup;
 use super::target_client::TargetClient;
 use super::target_probe::{ProbeActor, ProbeTarget};
@@ -37,9 +38,6 @@
 /// Time after which an idle connection to another node is closed.
 const PEER_CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Interval at which a draining node polls the number of open claims.
-const OPEN_CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Why the actors that handle calls did not start.
 #[derive(Debug, Display, Error, From)]
 pub enum CallSystemError {
@@ -68,15 +66,6 @@
     pub(crate) tasks: Vec<JoinHandle<()>>,
 }
 
-/// Drains calls on shutdown.
-#[derive(Debug)]
-pub(crate) struct CallDrain {
-    draining_sender: watch::Sender<bool>,
-    slots: Option<(ActorRef<SlotActor>, watch::Receiver<bool>)>,
-    claim_actor: ActorRef<ClaimActor>,
-    open_calls: TaskTracker,
-}
-
 /// Builds the clients for calls to other nodes and to the local target.
 fn new_clients(settings: &CallSettings) -> (CallClient, TargetClient) {
     let limits = ClientLimits {
@@ -106,7 +95,7 @@
     ) -> Result<Self, CallSystemError> {
         let settings = &context.settings.calls;
         let (crash_view_sender, crash_view) = watch::channel(Arc::default());
-        let (draining_sender, draining) = watch::channel(false);
+        let (drain_progress, drain_receiver) = watch::channel(DrainProgress::default());
         let (drained_sender, drained) = watch::channel(false);
         let open_calls = TaskTracker::new();
         let (peer_client, target_client) = new_clients(settings);
@@ -176,7 +165,7 @@
             crash_actor: crash_actor.clone(),
             latency_actor: latency_actor.clone(),
             crash_view: crash_view.clone(),
-            draining,
+            drain: drain_receiver,
             open_calls: open_calls.clone(),
         };
         let inbound_context = InboundContext {
@@ -196,7 +185,7 @@
             gateway: gateway_router(Arc::new(gateway_context)),
             inbound_router: inbound_router(Arc::new(inbound_context)),
             drain: CallDrain {
-                draining_sender,
+                progress: drain_progress,
                 slots: slots.map(|slots| (slots, drained)),
                 claim_actor,
                 open_calls,
@@ -244,34 +233,3 @@
         sleep(TARGET_REFRESH_INTERVAL).await;
     }
 }
-
-impl CallDrain {
-    /// Refuses new calls and waits until queued and running calls have ended, at most until
-    /// `deadline`. Returns whether all have ended.
-    pub(crate) async fn drain_calls(&self, deadline: Instant) -> bool {
-        self.refuse_peer_calls().await;
-        self.draining_sender.send_replace(true);
-        self.open_calls.close();
-        timeout_at(deadline, self.wait_until_drained())
-            .await
-            .is_ok()
-    }
-
-    /// Refuses new calls from other nodes.
-    pub(crate) async fn refuse_peer_calls(&self) {
-        if let Some((slots, _)) = &self.slots {
-            // An actor that has stopped runs no calls.
-            let _ = slots.tell(DrainSlots).await;
-        }
-    }
-
-    async fn wait_until_drained(&self) {
-        if let Some((_, drained)) = &self.slots {
-            let _ = drained.clone().wait_for(|drained| *drained).await;
-        }
-        self.open_calls.wait().await;
-        while self.claim_actor.ask(CountOpenClaims).await.unwrap_or(0) > 0 {
-            sleep(OPEN_CLAIM_POLL_INTERVAL).await;
-        }
-    }
-}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -18,7 +18,12 @@
     }
 
     pub(crate) fn now(self) -> Instant {
-        let micros = self.start.elapsed().as_micros();
+        self.instant(tokio::time::Instant::now())
+    }
+
+    /// Converts an instant of the async runtime to one of the state machines.
+    pub(crate) fn instant(self, at: tokio::time::Instant) -> Instant {
+        let micros = at.saturating_duration_since(self.start).as_micros();
         Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -550,17 +550,16 @@
             .members
             .ask(AnnounceStatus(MemberStatus::Draining))
             .await;
-        if !self.drain_notice.is_zero() {
-            self.drain.refuse_peer_calls().await;
-            tokio::time::sleep_until(start + self.drain_notice).await;
-        }
-        if !self.drain.drain_calls(deadline).await {
+        let notice_ends_at = start + self.drain_notice;
+        if !self.drain.drain_calls(notice_ends_at, deadline).await {
             log::warn!(event = "drain-limit"; "calls did not end within the drain limit and are aborted");
         }
         let _ = self.join.ask(CallsDrained).await;
         let _ = self.members.ask(AnnounceStatus(MemberStatus::Left)).await;
-        remove_own_row(&self.context).await;
-        tokio::time::sleep(LEAVE_GRACE_PERIOD).await;
+        tokio::join!(
+            remove_own_row(&self.context),
+            tokio::time::sleep(LEAVE_GRACE_PERIOD)
+        );
         self.stop_sender.send_replace(true);
         let deadline = Instant::now() + CLOSE_TIMEOUT;
         for mut server in self.servers {
