--- a/crates/calls/src/admission/fair_queue.rs
+++ b/crates/calls/src/admission/fair_queue.rs
@@ -5,7 +5,7 @@
 use agatedeck_clock::Instant;
 use slotmap::{SlotMap, new_key_type};
 
-use super::queue::CallId;
+use super::types::CallId;
 
 new_key_type! {
     pub(crate) struct WorkspaceKey;
--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -6,8 +6,8 @@
 mod rate_limit;
 mod service_time;
 mod service_time_table;
+mod types;
 
 pub use delay_detector::DelayDetector;
-pub use queue::{
-    AdmissionEffect, AdmissionQueue, AdmissionRequest, AdmissionSettings, CallId, RefusalReason,
-};
+pub use queue::AdmissionQueue;
+pub use types::{AdmissionEffect, AdmissionRequest, AdmissionSettings, CallId, RefusalReason};
