--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod daemon;
 mod dissemination;
+mod listeners;
 mod logging;
 mod member;
 mod metrics;
@@ -28,10 +29,11 @@
 };
 pub use calls::{CallSystemError, NativeProtocol, StopReason, parse_rate_limit};
 pub use daemon::{BAD_INPUT_EXIT_CODE, node_runtime, read_settings, run_daemon};
+pub use listeners::NodeAddresses;
 pub use logging::{LogError, start_logging};
 pub use peer::check_connection_chart;
 pub use registrar::{AnnounceError, Announcement, TargetRegistrar};
-pub use runtime::{ControlBytes, Node, NodeAddresses, NodeError, NodeReadiness};
+pub use runtime::{ControlBytes, Node, NodeError, NodeReadiness};
 pub use settings::{
     BalanceMode, CallSettings, DisseminationMode, EmulationSettings, ListenSettings, LogLevel,
     NodeSettings, RetryLimit, StoreSettings, TargetSettings,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -29,6 +29,7 @@
 use crate::config::ConfigActor;
 use crate::context::{NodeContext, ServedConfig};
 use crate::dissemination::DisseminationRelay;
+use crate::listeners::{Listeners, NodeAddresses};
 use crate::member::{
     AnnounceStatus, CallsDrained, JoinActor, MemberActor, SetActiveVersion, SetHeldVersion,
     StartDrain, remove_own_row, run_detector, run_directory, run_join,
@@ -75,38 +76,6 @@
     Calls(CallSystemError),
 }
 
-/// Addresses of the listeners of a node.
-#[derive(Clone, Copy, Debug)]
-pub struct NodeAddresses {
-    /// Listener for calls of local callers.
-    pub calls: SocketAddr,
-    /// Listener for calls that other nodes send to the local target.
-    pub peer: SocketAddr,
-    /// Listener of the control protocol.
-    pub control: SocketAddr,
-    /// Listener of the admin API.
-    pub admin: SocketAddr,
-    /// Listener for metrics as text; `None` if they are not served.
-    pub metrics: Option<SocketAddr>,
-}
-
-impl NodeAddresses {
-    fn log(&self) {
-        log::info!(
-            event = "listening",
-            calls:% = self.calls,
-            peer:% = self.peer,
-            control:% = self.control,
-            admin:% = self.admin;
-            "listening: calls {}, peer {}, control {}, admin {}",
-            self.calls,
-            self.peer,
-            self.control,
-            self.admin
-        );
-    }
-}
-
 /// Bytes of the control protocol, sent and received on connections that the node opened. The sum
 /// over all nodes counts each byte once.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -152,50 +121,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-struct Listeners {
-    calls: TcpListener,
-    peer: TcpListener,
-    control: TcpListener,
-    admin: TcpListener,
-    metrics: Option<TcpListener>,
-}
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| NodeError::Listen { address, source })
-}
-
-impl Listeners {
-    async fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
-        let listen = &settings.listen;
-        Ok(Self {
-            calls: bind(listen.calls).await?,
-            peer: bind(listen.peer).await?,
-            control: bind(listen.control).await?,
-            admin: bind(listen.admin).await?,
-            metrics: match listen.metrics {
-                Some(address) => Some(bind(address).await?),
-                None => None,
-            },
-        })
-    }
-
-    fn addresses(&self) -> io::Result<NodeAddresses> {
-        Ok(NodeAddresses {
-            calls: self.calls.local_addr()?,
-            peer: self.peer.local_addr()?,
-            control: self.control.local_addr()?,
-            admin: self.admin.local_addr()?,
-            metrics: self
-                .metrics
-                .as_ref()
-                .map(TcpListener::local_addr)
-                .transpose()?,
-        })
-    }
-}
-
 fn local_member(settings: &NodeSettings, addresses: &NodeAddresses) -> Member {
     Member {
         node: settings.name.clone(),
