--- a/crates/ctl/src/request_log.rs
+++ b/crates/ctl/src/request_log.rs
@@ -20,7 +20,7 @@
 
 /// Values of `event` that change what a node knows about its target, its configuration or its
 /// dependencies.
-const NODE_STATE_EVENTS: [&str; 17] = [
+const NODE_STATE_EVENTS: [&str; 19] = [
     "start",
     "serving",
     "in-force",
@@ -29,10 +29,12 @@
     "store-unread",
     "feed-lost",
     "feed-regained",
+    "version-reader",
     "directory-unread",
     "directory-unwritten",
     "target",
     "target-crashed",
+    "target-limit",
     "first-look",
     "heartbeat-passed",
     "stopping",
