--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,7 @@
     FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
     MergeOutcome,
 };
-pub use reader::{ReaderMachine, ReaderRead, ReaderSettings, ReaderState};
+pub use reader::{ReaderMachine, ReaderSettings, ReaderState, ScheduledRead};
 pub use rendezvous::{rank_candidates, rendezvous_score};
 pub use version::{
     ActivationState, ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect,
--- a/crates/control/src/reader/machine.rs
+++ b/crates/control/src/reader/machine.rs
@@ -53,7 +53,7 @@
 
 /// A read to be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReaderRead {
+pub struct ScheduledRead {
     /// Time to wait at the source for a version that is newer than the last one.
     pub wait: Duration,
     /// When the read is abandoned.
@@ -142,7 +142,7 @@
     }
 
     /// Starts the next read if it is due. Must be called at [`Self::next_deadline`].
-    pub fn poll(&mut self, now: Instant) -> Option<ReaderRead> {
+    pub fn poll(&mut self, now: Instant) -> Option<ScheduledRead> {
         if self.state != ReaderState::Leading && self.takeover_at.is_past(now) {
             self.advance(ReaderEvent::HeartbeatsMissed, now);
         }
@@ -155,7 +155,7 @@
             retry_pause = retry_pause.max(self.takeover_spread);
         }
         self.read_at = Some(now.after(wait + retry_pause));
-        Some(ReaderRead {
+        Some(ScheduledRead {
             wait,
             deadline: now.after(wait + self.settings.read_timeout),
         })
--- a/crates/control/src/reader/mod.rs
+++ b/crates/control/src/reader/mod.rs
@@ -9,4 +9,4 @@
 
 pub use chart::ReaderState;
 pub(crate) use machine::READER_RANK_SALT;
-pub use machine::{ReaderMachine, ReaderRead, ReaderSettings};
+pub use machine::{ReaderMachine, ReaderSettings, ScheduledRead};
--- a/crates/control/tests/reader.rs
+++ b/crates/control/tests/reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
-use agatedeck_control::{ReaderMachine, ReaderRead, ReaderSettings, ReaderState};
+use agatedeck_control::{ReaderMachine, ReaderSettings, ReaderState, ScheduledRead};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use yare::parameterized;
@@ -106,7 +106,7 @@
                     node.machine.on_read_failed(now, &mut self.rng);
                 }
             }
-            if let Some(ReaderRead { wait, .. }) = node.machine.poll(now) {
+            if let Some(ScheduledRead { wait, .. }) = node.machine.poll(now) {
                 self.reads_sent += 1;
                 let refused = !served && self.failure == Failure::Refused;
                 let wait = if refused { Duration::ZERO } else { wait };
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use agatedeck_control::{
-    DisseminationRequest, DisseminationScope, JoinState, ReaderMachine, ReaderRead, ReaderSettings,
-    ReaderState,
+    DisseminationRequest, DisseminationScope, JoinState, ReaderMachine, ReaderSettings,
+    ReaderState, ScheduledRead,
 };
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -20,7 +20,7 @@
 use tokio::time::sleep_until;
 
 use super::catch_up::CatchUpError;
-use super::version_source::{ReadVersion, VersionSource};
+use super::version_source::{NewVersion, VersionSource};
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
 
@@ -42,7 +42,7 @@
     pub(crate) heartbeats: HeartbeatReceiver,
 }
 
-type ReadResult = Result<Vec<ReadVersion>, CatchUpError>;
+type ReadResult = Result<Vec<NewVersion>, CatchUpError>;
 
 /// Reads versions until the task is aborted.
 pub(crate) async fn run_reader(mut reader: VersionReader) {
@@ -105,7 +105,7 @@
         let policy = &context.dissemination_policy;
         let interval = policy.poll_interval(&table, &context.local_member);
         self.machine.set_view(interval, table.live().count(), now);
-        if let Some(ReaderRead { wait, deadline }) = self.machine.poll(now) {
+        if let Some(ScheduledRead { wait, deadline }) = self.machine.poll(now) {
             let deadline = context.clock.runtime_instant(deadline);
             self.reads.push(reader.source.read_new(wait, deadline));
         }
@@ -168,8 +168,8 @@
     /// readers are cut off also receive the version. A leading reader may be the only one that the
     /// store answers. If the region of the store is unknown, all readers do so. A node that already
     /// has the version does not forward it.
-    async fn disseminate_version(&self, read_version: ReadVersion, leads: bool) {
-        let ReadVersion { version, delta } = read_version;
+    async fn disseminate_version(&self, new_version: NewVersion, leads: bool) {
+        let NewVersion { version, delta } = new_version;
         let store_region = &self.context.settings.store.region;
         let is_home = store_region.is_empty() || *store_region == self.context.local_member.region;
         let request = DisseminationRequest {
--- a/crates/node/src/store/version_source.rs
+++ b/crates/node/src/store/version_source.rs
@@ -21,7 +21,7 @@
 
 /// A version that was read and offered to the config actor.
 #[derive(Clone, Debug)]
-pub(crate) struct ReadVersion {
+pub(crate) struct NewVersion {
     pub(crate) version: u64,
     /// Compressed delta from the version before it.
     pub(crate) delta: Vec<u8>,
@@ -39,7 +39,7 @@
         &self,
         wait: Duration,
         deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<ReadVersion>, CatchUpError>>;
+    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>>;
 }
 
 /// Long-polls the configuration feed, a source of complete snapshots.
@@ -50,12 +50,12 @@
 }
 
 impl FeedSource {
-    async fn offer(&self, snapshot: ConfigSnapshot) -> Result<Vec<ReadVersion>, CatchUpError> {
+    async fn offer(&self, snapshot: ConfigSnapshot) -> Result<Vec<NewVersion>, CatchUpError> {
         let version = snapshot.version();
         let offered = self.config.ask(OfferFeedSnapshot(snapshot)).await;
         let FeedDelta(delta) = offered.map_err(|_| CatchUpError::Stopping)?;
-        let read_version = delta.map(|delta| ReadVersion { version, delta });
-        Ok(read_version.into_iter().collect())
+        let new_version = delta.map(|delta| NewVersion { version, delta });
+        Ok(new_version.into_iter().collect())
     }
 }
 
@@ -64,7 +64,7 @@
         &self,
         wait: Duration,
         deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<ReadVersion>, CatchUpError>> {
+    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>> {
         let source = self.clone();
         Box::pin(async move {
             match source.feed.next(wait, deadline).await? {
@@ -84,17 +84,17 @@
 }
 
 impl HeadSource {
-    async fn poll(&self) -> Result<Vec<ReadVersion>, CatchUpError> {
+    async fn poll(&self) -> Result<Vec<NewVersion>, CatchUpError> {
         let (head, _) = read_head(&self.context).await?;
         if latest_version(&self.config).await? >= head.version {
             return Ok(Vec::new());
         }
         sleep(TREE_GRACE_PERIOD).await;
         let deltas = catch_up(&self.context, &self.config, &head).await?;
-        let read_versions = deltas
+        let new_versions = deltas
             .into_iter()
-            .map(|(version, delta)| ReadVersion { version, delta });
-        Ok(read_versions.collect())
+            .map(|(version, delta)| NewVersion { version, delta });
+        Ok(new_versions.collect())
     }
 }
 
@@ -109,7 +109,7 @@
         &self,
         wait: Duration,
         deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<ReadVersion>, CatchUpError>> {
+    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>> {
         let source = self.clone();
         Box::pin(async move {
             sleep(with_jitter(wait)).await;
