--- a/crates/chart/tests/chart_files.rs
+++ b/crates/chart/tests/chart_files.rs
@@ -60,10 +60,12 @@
         "activation",
         "call",
         "claim",
-        "join",
+        "commit",
         "connection",
+        "join",
         "member",
-        "commit",
+        "rate_limit",
+        "reader",
         "target",
     ];
     for name in expected {
