Hold back no calls from a target whose answers cannot be used

Cause: a newly opened target gets four calls and 20 a second until its first answer, and an answer that cannot be used did not count as one. The broken exchange now ends that wait; a limit that was stated stays in force.

--- a/crates/calls/src/admission/queue.rs
+++ b/crates/calls/src/admission/queue.rs
@@ -197,6 +197,12 @@
         self.tick(now)
     }
 
+    /// Records that the target gave no usable answer to a call.
+    pub fn record_unusable_answer(&mut self, now: Instant) -> Vec<AdmissionEffect> {
+        self.rate_limit.record_unusable(now);
+        self.tick(now)
+    }
+
     /// Whether the rate of calls is limited. While it is, every answer must be passed to
     /// [`Self::record_rate_limit`].
     pub fn is_rate_limited(&self) -> bool {
--- a/crates/calls/src/admission/rate_limit.rs
+++ b/crates/calls/src/admission/rate_limit.rs
@@ -40,6 +40,7 @@
     Opened,
     Stated,
     Unstated,
+    Unusable,
     LiftDue,
 }
 
@@ -106,6 +107,11 @@
         self.advance(RateLimitEvent::Stated, now);
     }
 
+    /// Records an exchange that ended without an answer of the target that can be used.
+    pub(super) fn record_unusable(&mut self, now: Instant) {
+        self.advance(RateLimitEvent::Unusable, now);
+    }
+
     /// Whether calls are limited; the answers of the target must be recorded then.
     pub(super) fn is_active(&self) -> bool {
         self.state != RateLimitState::Unlimited
--- a/crates/calls/tests/rate_limit.rs
+++ b/crates/calls/tests/rate_limit.rs
@@ -200,3 +200,19 @@
     );
     assert!(target.queue.load() >= 1.0);
 }
+
+/// Guards against calls that are held back from a faulty target, none of whose answers can be used: it
+/// would never give the answer that is waited for.
+#[test]
+fn an_unusable_answer_ends_the_wait_for_the_first_one() {
+    let mut target = LimitedTarget::new(None);
+    target.queue.close(target.now);
+    target.queue.reopen(target.now);
+    assert!(target.queue.is_rate_limited());
+    target.queue.record_unusable_answer(target.now);
+    assert!(!target.queue.is_rate_limited());
+    // A limit that was stated stays.
+    target.queue.record_rate_limit(Some(5.0), target.now);
+    target.queue.record_unusable_answer(target.now);
+    assert_eq!(target.queue.rate_limit(), Some(5.0));
+}
--- a/crates/node/src/calls/slots/actor.rs
+++ b/crates/node/src/calls/slots/actor.rs
@@ -325,6 +325,19 @@
     }
 }
 
+/// The target gave no usable answer to a call.
+pub(super) struct RecordUnusableAnswer;
+
+impl Message<RecordUnusableAnswer> for SlotActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: RecordUnusableAnswer, ctx: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        let effects = self.queue.record_unusable_answer(now);
+        self.apply_effects(effects, ctx.actor_ref());
+    }
+}
+
 struct TickQueue;
 
 impl Message<TickQueue> for SlotActor {
--- a/crates/node/src/calls/slots/slot_client.rs
+++ b/crates/node/src/calls/slots/slot_client.rs
@@ -10,7 +10,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 
-use super::actor::{AdmitCall, CompleteCall, RecordRateLimit, SlotActor};
+use super::actor::{AdmitCall, CompleteCall, RecordRateLimit, RecordUnusableAnswer, SlotActor};
 use super::registration::TargetLeaving;
 use crate::calls::reason::StopReason;
 
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Passes on that the target gave no usable answer.
+    pub(crate) fn record_unusable_answer(&self) {
+        if self.rate_limited {
+            // The actor is stopped only when the node is stopping.
+            let _ = self.actor.tell(RecordUnusableAnswer).try_send();
+        }
+    }
+
     /// Passes on that the target which this lease is for has stated that it is leaving.
     pub(crate) fn mark_target_leaving(&self) {
         let leaving = TargetLeaving(Arc::clone(&self.target_id));
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -59,6 +59,7 @@
             return respond_after_drain(response, unread).await;
         }
         Ok(Err(error)) => {
+            call.record_unusable_answer();
             let completion = if is_body_or_parse_error(&error) {
                 CallCompletion::Cancelled
             } else {
@@ -79,6 +80,8 @@
         .classify_answer(request_id, status, headers);
     if matches!(kind, AnswerKind::Answered | AnswerKind::Declined) {
         call.record_statements(headers);
+    } else {
+        call.record_unusable_answer();
     }
     if let Some((outcome, reason)) = unanswered_outcome(&context, kind, &answer) {
         if outcome == CallOutcome::NotRun {
@@ -215,6 +218,13 @@
         }
     }
 
+    /// Passes on that the target gave no usable answer.
+    fn record_unusable_answer(&self) {
+        if let Some(lease) = &self.lease {
+            lease.record_unusable_answer();
+        }
+    }
+
     /// Passes on what an answer of the target states about the calls that it accepts.
     fn record_statements(&self, headers: &HeaderMap) {
         let protocol = &self.context.node.protocol;
