Pull versions past a silent failure domain, and what is reported during a pull

Cause: a pull asked the six nearest peers, which stand in one failure domain, and stayed in progress until the last request had timed out (3 s). Reports of newer versions were dropped meanwhile, and the next pull asked the same six. Ruled out: the readers (the node did not lead and heard heartbeats) and the witnesses (150 ms at most). Change: decisions move to control/pull with a chart. A pull alternates between failure domain, region and other regions, asks silent peers last for 5 s, ends for the next report once each peer had its 200 ms, and is repeated if a newer version was reported meanwhile. Only the asked peers get an address; before, each pull sorted all members. Figures: a_version_is_pulled_past_a_silent_failure_domain (12 silent peers) fails before, passes after.

--- a/crates/chart/tests/chart_files.rs
+++ b/crates/chart/tests/chart_files.rs
@@ -64,6 +64,7 @@
         "connection",
         "join",
         "member",
+        "pull",
         "rate_limit",
         "reader",
         "target",
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,5 +1,5 @@
 //! State machines of the control plane: commits of changes, version activation, reading of the
-//! store, dissemination, membership and joins.
+//! store, pulls from peers, dissemination, membership and joins.
 //!
 //! The crate performs no I/O and has no tasks or clocks: the caller passes in the current time and
 //! received messages, and performs the returned effects.
@@ -8,6 +8,7 @@
 mod dissemination;
 mod join;
 mod member;
+mod pull;
 mod reader;
 mod rendezvous;
 mod version;
@@ -29,6 +30,7 @@
     FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
     MergeOutcome,
 };
+pub use pull::{PullMachine, PullSettings, PullState, select_pull_peers};
 pub use reader::{ReaderMachine, ReaderSettings, ReaderState, ScheduledRead};
 pub use rendezvous::{rank_candidates, rendezvous_score};
 pub use version::{
--- /dev/null
+++ b/crates/control/src/pull/machine.rs
@@ -0,0 +1,104 @@
+//! The state machine of one node's pulls.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use agatedeck_clock::Instant;
+
+use super::chart::{PULL_CHART, PullEvent, PullState};
+
+/// Settings of a [`PullMachine`].
+#[derive(Clone, Copy, Debug)]
+pub struct PullSettings {
+    /// Time for which a peer that did not answer is asked only after all others.
+    pub silence_memory: Duration,
+}
+
+impl Default for PullSettings {
+    fn default() -> Self {
+        Self {
+            // Longer than the failure detector takes to declare a silent peer dead.
+            silence_memory: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Decides when a pull starts, and remembers which peers did not answer earlier ones.
+///
+/// Invariant: while a version that was reported is missing, either a pull is in progress, or the
+/// last one found no peer that answers and the next report starts another one.
+#[derive(Debug)]
+pub struct PullMachine {
+    settings: PullSettings,
+    state: PullState,
+    /// Newest version that another node was reported to hold.
+    reported_version: u64,
+    /// Peers that did not answer, each with the time at which it is asked like any other again.
+    silent_until: BTreeMap<String, Instant>,
+}
+
+impl PullMachine {
+    /// Creates the machine of a node that knows of no version.
+    pub fn new(settings: PullSettings) -> Self {
+        Self {
+            settings,
+            state: PULL_CHART.initial(),
+            reported_version: 0,
+            silent_until: BTreeMap::new(),
+        }
+    }
+
+    /// Current state.
+    pub fn state(&self) -> PullState {
+        self.state
+    }
+
+    /// Handles a report that another node holds `version`, while this node holds `latest`. Returns
+    /// whether to start a pull.
+    #[must_use]
+    pub fn on_report(&mut self, version: u64, latest: u64) -> bool {
+        if version <= latest {
+            return false;
+        }
+        self.reported_version = self.reported_version.max(version);
+        self.advance(PullEvent::NewerReported)
+    }
+
+    /// Handles the first answer to a pull, after which this node holds `latest`. Returns whether to
+    /// start another pull.
+    #[must_use]
+    pub fn on_answer(&mut self, latest: u64) -> bool {
+        self.advance(if latest >= self.reported_version {
+            PullEvent::CaughtUp
+        } else {
+            PullEvent::Progressed
+        })
+    }
+
+    /// Handles a pull that none of its peers has answered with a newer version in time. Returns
+    /// whether to start another pull.
+    #[must_use]
+    pub fn on_no_answer(&mut self, latest: u64) -> bool {
+        self.advance(if latest >= self.reported_version {
+            PullEvent::CaughtUp
+        } else {
+            PullEvent::Unanswered
+        })
+    }
+
+    /// Records that the peer `node` did not answer a request.
+    pub fn record_silence(&mut self, node: &str, now: Instant) {
+        let until = now.after(self.settings.silence_memory);
+        self.silent_until.insert(node.to_owned(), until);
+    }
+
+    /// Peers that are asked after all others.
+    pub fn silent_peers(&mut self, now: Instant) -> BTreeSet<&str> {
+        self.silent_until.retain(|_, until| !until.is_past(now));
+        self.silent_until.keys().map(String::as_str).collect()
+    }
+
+    fn advance(&mut self, event: PullEvent) -> bool {
+        !PULL_CHART.advance(&mut self.state, event).is_empty()
+    }
+}
--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -5,7 +5,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect, select_witnesses,
+    ConfigReplica, OfferResult, PullMachine, PullReply, PullSettings, ReplicaSettings,
+    VersionEffect, select_witnesses,
 };
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_wire::{
@@ -19,7 +20,7 @@
 use kameo::reply::DelegatedReply;
 use tokio::sync::watch;
 
-use super::pull::pull_from_peers;
+use super::pull::PeerPull;
 use crate::context::{NodeContext, ServedConfig};
 use crate::peer::PeerAddress;
 use crate::wire_answer::WireAnswer;
@@ -37,7 +38,7 @@
     context: NodeContext,
     replica: ConfigReplica,
     config_sender: watch::Sender<ServedConfig>,
-    pull_in_progress: bool,
+    pull_machine: PullMachine,
 }
 
 impl ConfigActor {
@@ -54,7 +55,7 @@
             context,
             replica,
             config_sender,
-            pull_in_progress: false,
+            pull_machine: PullMachine::new(PullSettings::default()),
         })
     }
 
@@ -78,7 +79,8 @@
                     let version = snapshot.version();
                     log::info!(event = "in-force", version; "version {version} is in force");
                 }
-                VersionEffect::PullAfter(version) => self.pull_missing(version, actor),
+                // The version after the held one exists; which one is not known.
+                VersionEffect::PullAfter(version) => self.observe_version(version + 1, actor),
             }
         }
     }
@@ -128,18 +130,40 @@
         });
     }
 
-    fn pull_missing(&mut self, version: u64, actor: &ActorRef<Self>) {
-        if self.pull_in_progress {
-            return;
+    /// Starts a pull if `version`, which another node holds, is missing here.
+    fn observe_version(&mut self, version: u64, actor: &ActorRef<Self>) {
+        let latest = self.replica.latest().version();
+        if self.pull_machine.on_report(version, latest) {
+            self.start_pull(actor);
         }
-        self.pull_in_progress = true;
-        let (context, actor) = (self.context.clone(), actor.clone());
+    }
+
+    fn start_pull(&mut self, actor: &ActorRef<Self>) {
+        let mut pull = self.prepare_pull(self.replica.latest().version());
+        let actor = actor.clone();
         tokio::spawn(async move {
-            let answer = pull_from_peers(&context, version).await;
-            let _ = actor.tell(PullCompleted(answer)).await;
+            let answer = pull.first_answer().await;
+            let is_unanswered = answer.is_none();
+            let silent_peers = pull.unanswered().map(str::to_owned).collect();
+            // The sends fail only while the node is stopping.
+            let _ = actor
+                .tell(FirstPullAnswer {
+                    answer,
+                    silent_peers,
+                })
+                .await;
+            if is_unanswered && let Some(answer) = pull.late_answer().await {
+                let _ = actor.tell(LatePullAnswer(answer)).await;
+            }
         });
     }
 
+    fn prepare_pull(&mut self, version: u64) -> PeerPull {
+        let now = self.context.clock.now();
+        let silent_peers = self.pull_machine.silent_peers(now);
+        PeerPull::new(&self.context, version, &silent_peers)
+    }
+
     fn apply_pull_answer(&mut self, pulled: &PullAnswer, actor: &ActorRef<Self>) {
         let now = self.context.clock.now();
         if pulled.snapshot.is_empty() {
@@ -254,20 +278,48 @@
     }
 }
 
-struct PullCompleted(Option<PullAnswer>);
+/// The first answer to a pull that [`PullMachine`] started.
+struct FirstPullAnswer {
+    /// `None` if no peer answered with a newer version in time.
+    answer: Option<PullAnswer>,
+    /// Peers that have not answered.
+    silent_peers: Vec<String>,
+}
+
+impl Message<FirstPullAnswer> for ConfigActor {
+    type Reply = ();
+
+    async fn handle(&mut self, first: FirstPullAnswer, context: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        for node in &first.silent_peers {
+            self.pull_machine.record_silence(node, now);
+        }
+        let pulls_again = if let Some(answer) = &first.answer {
+            self.apply_pull_answer(answer, context.actor_ref());
+            let latest = self.replica.latest().version();
+            self.pull_machine.on_answer(latest)
+        } else {
+            let latest = self.replica.latest().version();
+            self.pull_machine.on_no_answer(latest)
+        };
+        if pulls_again {
+            self.start_pull(context.actor_ref());
+        }
+    }
+}
+
+/// An answer that came after the pull had ended without one.
+struct LatePullAnswer(PullAnswer);
 
-impl Message<PullCompleted> for ConfigActor {
+impl Message<LatePullAnswer> for ConfigActor {
     type Reply = ();
 
     async fn handle(
         &mut self,
-        PullCompleted(answer): PullCompleted,
-        context: &mut Context<Self, ()>,
+        LatePullAnswer(answer): LatePullAnswer,
+        ctx: &mut Context<Self, ()>,
     ) {
-        self.pull_in_progress = false;
-        if let Some(answer) = answer {
-            self.apply_pull_answer(&answer, context.actor_ref());
-        }
+        self.apply_pull_answer(&answer, ctx.actor_ref());
     }
 }
 
@@ -329,10 +381,7 @@
         PullIfBehind(version): PullIfBehind,
         context: &mut Context<Self, ()>,
     ) {
-        let latest = self.replica.latest().version();
-        if version > latest {
-            self.pull_missing(latest, context.actor_ref());
-        }
+        self.observe_version(version, context.actor_ref());
     }
 }
 
@@ -351,11 +400,16 @@
         let actor = context.actor_ref().clone();
         let (delegated, reply) = context.reply_sender();
         let Some(reply) = reply else { return delegated };
-        let node_context = self.context.clone();
+        let mut pull = self.prepare_pull(pull.version);
         tokio::spawn(async move {
-            let answer = pull_from_peers(&node_context, pull.version).await;
-            // The actor replies after it has applied the pull answer.
-            let _ = actor.ask(PullCompleted(answer)).await;
+            let mut answer = pull.first_answer().await;
+            if answer.is_none() {
+                answer = pull.late_answer().await;
+            }
+            if let Some(answer) = answer {
+                // The actor replies after it has applied the answer.
+                let _ = actor.ask(LatePullAnswer(answer)).await;
+            }
             let latest = actor.ask(ReadLatest).await;
             reply.send(latest.map_or(0, |latest| latest.snapshot.version()));
         });
@@ -372,10 +426,7 @@
     async fn handle(&mut self, RaiseFloor(floor): RaiseFloor, context: &mut Context<Self, ()>) {
         self.replica.raise_floor(floor);
         self.publish();
-        if !self.replica.may_serve() {
-            let version = self.replica.latest().version();
-            self.pull_missing(version, context.actor_ref());
-        }
+        self.observe_version(floor, context.actor_ref());
     }
 }
 
--- a/crates/node/src/config/pull.rs
+++ b/crates/node/src/config/pull.rs
@@ -1,10 +1,13 @@
 //! Pulls the versions that this node lacks from other nodes.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+use agatedeck_control::select_pull_peers;
 use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member, Pull, PullAnswer};
-use futures::StreamExt;
+use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use tokio::time::{Instant, sleep};
 
 use crate::context::NodeContext;
@@ -17,75 +20,106 @@
 /// regions.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(200);
 
-/// Maximum number of peers asked for missing versions in one pull. If none has them, a later report
-/// of a newer version triggers another pull.
-const MAX_PULL_ATTEMPTS: usize = 6;
+/// What one peer returned: its name, and its answer unless it did not answer.
+type PeerReply = (String, Option<PullAnswer>);
 
-/// Requests the versions after `version` from live peers and returns the first answer that has any.
-/// Peers that do not answer hold up the next one only briefly: they may be frozen or cut off.
-pub(super) async fn pull_from_peers(context: &NodeContext, version: u64) -> Option<PullAnswer> {
-    let peers = rank_peers(context, version);
-    let mut peers = peers.into_iter().take(MAX_PULL_ATTEMPTS);
-    let mut pulls = FuturesUnordered::new();
-    loop {
-        let next_peer = peers.next();
-        let is_last = next_peer.is_none();
-        if let Some(peer) = next_peer {
-            pulls.push(pull_from_peer(context, peer, version));
+/// One pull: the peers that are still to be asked, and the requests that are not answered yet.
+pub(super) struct PeerPull {
+    context: NodeContext,
+    version: u64,
+    peers: VecDeque<Member>,
+    requests: FuturesUnordered<BoxFuture<'static, PeerReply>>,
+    unanswered: BTreeSet<String>,
+}
+
+impl PeerPull {
+    /// Prepares a pull of the versions after `version`. Peers in `silent` are asked last.
+    pub(super) fn new(context: &NodeContext, version: u64, silent: &BTreeSet<&str>) -> Self {
+        let table = context.table();
+        let peers = select_pull_peers(
+            &table,
+            &context.local_member,
+            version,
+            silent,
+            &mut rand::rng(),
+        );
+        Self {
+            peers: peers.into_iter().cloned().collect(),
+            context: context.clone(),
+            version,
+            requests: FuturesUnordered::new(),
+            unanswered: BTreeSet::new(),
         }
-        tokio::select! {
-            pulled = pulls.next() => match pulled {
-                Some(Some(answer)) => return Some(answer),
-                Some(None) => {}
-                None => return None,
-            },
-            () = sleep(NEXT_PEER_DELAY), if !is_last => {}
+    }
+
+    /// Asks one peer after the other and returns the first answer with a newer version. Returns `None`
+    /// once the last peer has had as much time as each before it; the requests go on.
+    pub(super) async fn first_answer(&mut self) -> Option<PullAnswer> {
+        loop {
+            let is_last = self.peers.is_empty();
+            if let Some(peer) = self.peers.pop_front() {
+                self.send_request(peer);
+            }
+            tokio::select! {
+                reply = self.requests.next() => match reply {
+                    Some(reply) => {
+                        if let Some(answer) = self.newer_answer(reply) {
+                            return Some(answer);
+                        }
+                    }
+                    None => return None,
+                },
+                () = sleep(NEXT_PEER_DELAY) => if is_last {
+                    return None;
+                },
+            }
         }
     }
-}
 
-/// Live peers in the order in which they are asked: those that hold a version after `version` first,
-/// then the nearest, then those with the newest version.
-fn rank_peers(context: &NodeContext, version: u64) -> Vec<PeerAddress> {
-    let table = context.table();
-    let local_member = &context.local_member;
-    let mut candidates: Vec<&Member> = table
-        .live()
-        .filter(|member| member.node != local_member.node)
-        .collect();
-    candidates.sort_by_key(|member| {
-        let distance = (
-            member.region != local_member.region,
-            member.domain != local_member.domain,
-        );
-        (
-            std::cmp::Reverse(member.version > version),
-            distance,
-            std::cmp::Reverse(member.version),
-        )
-    });
-    candidates
-        .into_iter()
-        .filter_map(PeerAddress::from_member)
-        .collect()
+    /// Waits for an answer with a newer version; `None` once no request is left.
+    pub(super) async fn late_answer(&mut self) -> Option<PullAnswer> {
+        while let Some(reply) = self.requests.next().await {
+            if let Some(answer) = self.newer_answer(reply) {
+                return Some(answer);
+            }
+        }
+        None
+    }
+
+    /// Peers that were asked and have not answered.
+    pub(super) fn unanswered(&self) -> impl Iterator<Item = &str> {
+        self.unanswered.iter().map(String::as_str)
+    }
+
+    fn newer_answer(&mut self, (node, answer): PeerReply) -> Option<PullAnswer> {
+        let answer = answer?;
+        self.unanswered.remove(&node);
+        (answer.version > self.version).then_some(answer)
+    }
+
+    fn send_request(&mut self, peer: Member) {
+        self.unanswered.insert(peer.node.clone());
+        let request = request_versions(self.context.clone(), peer, self.version);
+        self.requests.push(request.boxed());
+    }
 }
 
-/// Requests the versions after `version` from one peer; `None` if it does not answer or has none.
-async fn pull_from_peer(
-    context: &NodeContext,
-    peer: PeerAddress,
-    version: u64,
-) -> Option<PullAnswer> {
+/// Requests the versions after `version` from one peer.
+async fn request_versions(context: NodeContext, peer: Member, version: u64) -> PeerReply {
+    let Some(address) = PeerAddress::from_member(&peer) else {
+        return (peer.node, None);
+    };
     let request = ControlPlaneRequest::Pull {
         pull: Pull { version },
     };
     let deadline = Instant::now() + PULL_TIMEOUT;
-    match context.transport.send(&peer, request, deadline).await {
-        Ok(ControlPlaneResponse::Pull(answer)) => (answer.version > version).then_some(answer),
+    let answer = match context.transport.send(&address, request, deadline).await {
+        Ok(ControlPlaneResponse::Pull(answer)) => Some(answer),
         Ok(_) => None,
         Err(error) => {
-            log::debug!("pull from {} failed: {error}", peer.address);
+            log::debug!("pull from {} failed: {error}", address.address);
             None
         }
-    }
+    };
+    (peer.node, answer)
 }
--- a/crates/node/tests/silent_peer.rs
+++ b/crates/node/tests/silent_peer.rs
@@ -134,6 +134,19 @@
 /// frozen: one of them costs the whole bound on a change if the peers are asked one after the other.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_is_pulled_past_silent_peers() {
+    pull_past_silent_peers(3).await;
+}
+
+/// Guards against a node that asks only the peers of its own failure domain, and waits for each of
+/// them, while all of that domain is frozen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_is_pulled_past_a_silent_failure_domain() {
+    pull_past_silent_peers(12).await;
+}
+
+/// Checks that a node with `silent_count` silent peers in its failure domain and one peer that answers
+/// elsewhere gets a version that the latter holds.
+async fn pull_past_silent_peers(silent_count: usize) {
     // Each node has a store of its own, so that the version can only come from the other node.
     let (platform, other_platform) = (start_platform().await, start_platform().await);
     let node = start_node("node-0", "kolkata-a", &platform).await;
@@ -153,11 +166,11 @@
         "kolkata-b",
         other.addresses().control,
     )];
-    for index in 0..3 {
+    for index in 0..silent_count {
         let (address, _) = start_silent_peer().await;
         // In the same failure domain, so that they are asked first.
         members.push(live_member(
-            &format!("silent-{index}"),
+            &format!("silent-{index:02}"),
             "kolkata-a",
             address,
         ));
