Take a node for dead once another one has its address

Cause: a host that was lost for good left its address to a new one. The new node answered the probes of the old one, and an answer named nobody, so the old node stayed alive in every table, also through a restart of all nodes. Its calls went to the new node, which serves another service and refused them. Evidence: all 1,532 refusals with reason displaced name the two addresses that two nodes had had. Ruled out: a late change of the service of one node, and old connections in the pool; the refusals outlast a restart of all nodes. Change: of two live entries with one control address, the later incarnation stays live. An answer to a probe names its sender; one of another node ends the membership of the probed one. A node whose address was had by one with a clock ahead raises its incarnation above that one's. Answers of nodes that do not state a name are taken as before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use member::{
     FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
-    MergeOutcome,
+    MergeOutcome, is_probe_answer_of,
 };
 pub use pull::{PullMachine, PullSettings, PullState, select_pull_peers};
 pub use reader::{ReaderMachine, ReaderSettings, ReaderState, ScheduledRead};
--- a/crates/control/src/member/chart.rs
+++ b/crates/control/src/member/chart.rs
@@ -24,6 +24,7 @@
     SuspicionExpired,
     IncarnationRaised,
     RetentionExpired,
+    AddressTaken,
     ReceivedAlive,
     ReceivedSuspect,
     ReceivedDraining,
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -380,11 +380,12 @@
             version: self.local_member.version,
             member_digest: self.table.digest(),
             updates,
+            node: self.local_member.node.clone(),
         };
         (answer, effects)
     }
 
-    /// Handles the answer of `node` to a probe.
+    /// Handles the answer to a probe of `node`.
     pub fn on_probe_answer(
         &mut self,
         node: &str,
@@ -396,13 +397,21 @@
             self.pending_probes.remove(node);
             return effects;
         };
-        // An answer from an earlier incarnation says nothing about the current one.
-        if answer.incarnation >= known.incarnation {
+        if !is_probe_answer_of(answer, node) {
             self.pending_probes.remove(node);
-            self.table
-                .apply_local_event(node, MemberEvent::ProbeAnswered, now);
+            let event = MemberEvent::AddressTaken;
+            if self.table.apply_local_event(node, event, now) {
+                self.disseminate_decision(node, &mut effects);
+            }
+        } else {
+            // An answer from an earlier incarnation says nothing about the current one.
+            if answer.incarnation >= known.incarnation {
+                self.pending_probes.remove(node);
+                self.table
+                    .apply_local_event(node, MemberEvent::ProbeAnswered, now);
+            }
+            self.table.observe_version(node, answer.version);
         }
-        self.table.observe_version(node, answer.version);
         if answer.member_digest != self.table.digest() && self.next_sync_at.is_past(now) {
             self.next_sync_at = after_ms(now, self.settings.min_sync_interval_ms);
             let address = self
@@ -518,7 +527,14 @@
         for update in updates {
             if update.node == self.local_member.node {
                 self.refute(update, now, &mut effects);
-            } else if self.table.merge(update, now) == MergeOutcome::Applied {
+                continue;
+            }
+            if self.is_predecessor(update) && update.incarnation >= self.local_member.incarnation {
+                // The wall clock of the host that had the address before was ahead.
+                self.local_member.incarnation = update.incarnation.saturating_add(1);
+                self.disseminate_local_member(now, &mut effects);
+            }
+            if self.table.merge(update, now) == MergeOutcome::Applied {
                 applied_nodes.push(update.node.as_str());
             }
         }
@@ -535,12 +551,16 @@
     pub fn merge_member_list(&mut self, members: &[Member], now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
         for member in members {
-            if member.node != self.local_member.node {
-                self.table.merge(member, now);
-            } else if member.incarnation >= self.local_member.incarnation {
-                // From an earlier process of this host whose wall clock was ahead or equal.
+            let is_earlier_process = member.node == self.local_member.node;
+            if (is_earlier_process || self.is_predecessor(member))
+                && member.incarnation >= self.local_member.incarnation
+            {
+                // The wall clock of that process was ahead or equal.
                 self.local_member.incarnation = member.incarnation.saturating_add(1);
             }
+            if !is_earlier_process {
+                self.table.merge(member, now);
+            }
         }
         self.disseminate_local_member(now, &mut effects);
         effects.push(MemberEffect::ViewChanged);
@@ -610,6 +630,15 @@
         }
     }
 
+    /// Whether `update` lists a node of another name as live at the address of this node. Its host is
+    /// gone, since this node listens there.
+    fn is_predecessor(&self, update: &Member) -> bool {
+        update.node != self.local_member.node
+            && is_live(update.status())
+            && !update.control_address.is_empty()
+            && update.control_address == self.local_member.control_address
+    }
+
     fn disseminate_local_member(&mut self, now: Instant, effects: &mut Vec<MemberEffect>) {
         let local_member = self.local_member.clone();
         self.table.merge(&local_member, now);
@@ -663,6 +692,11 @@
     }
 }
 
+/// Whether `node` itself sent `answer`, and not another node that has its address by now.
+pub fn is_probe_answer_of(answer: &ProbeAnswer, node: &str) -> bool {
+    answer.node.is_empty() || answer.node == node
+}
+
 /// Whether `candidate` replaces `known` in the order that `charts/member.toml` defines.
 fn supersedes(candidate: &Member, known: &Member) -> bool {
     (candidate.incarnation, candidate.status) > (known.incarnation, known.status)
--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -7,7 +7,7 @@
 mod table;
 mod update_queue;
 
-pub use detector::{FailureDetector, MemberEffect};
+pub use detector::{FailureDetector, MemberEffect, is_probe_answer_of};
 pub use settings::MemberSettings;
 pub use table::{MemberEntry, MemberKey, MemberTable, MergeOutcome};
 pub(crate) use table::{after_ms, is_live};
--- a/crates/control/src/member/table.rs
+++ b/crates/control/src/member/table.rs
@@ -52,6 +52,9 @@
 /// status only follows `charts/member.toml`, in whatever order updates arrive. This also holds for
 /// removed nodes until their tombstone expires.
 ///
+/// Invariant: of two live entries with one control address, the one of the later incarnation stays
+/// live. The host of the other one is gone and its address is in use again.
+///
 /// Invariant: the digest of a domain is the XOR of the hashes of its live entries, so it depends
 /// neither on the order of updates nor on which entries were removed.
 #[derive(Clone, Debug, Default)]
@@ -59,6 +62,8 @@
     settings: MemberSettings,
     entries: SlotMap<MemberKey, MemberEntry>,
     keys_by_name: BTreeMap<String, MemberKey>,
+    /// The entry that joined last at each control address.
+    keys_by_address: BTreeMap<String, MemberKey>,
     keys_by_deadline: BTreeSet<(Instant, MemberKey)>,
     digests: BTreeMap<String, u64>,
     tombstones: BTreeMap<String, Tombstone>,
@@ -126,6 +131,7 @@
             };
             self.toggle_in_digest(key);
             self.apply_event(key, MemberEvent::IncarnationRaised, now);
+            self.claim_address(key, now);
         }
         self.apply_event(key, MemberEvent::received(update.status()), now);
         let current = &self.entries[key].member;
@@ -151,6 +157,41 @@
         self.keys_by_name.insert(update.node.clone(), key);
         self.toggle_in_digest(key);
         self.apply_event(key, MemberEvent::received(update.status()), now);
+        self.claim_address(key, now);
+    }
+
+    /// Makes `key` the entry at its control address if it is live and of a later incarnation than the
+    /// entry there, and the other one of the two dead.
+    fn claim_address(&mut self, key: MemberKey, now: Instant) {
+        let member = &self.entries[key].member;
+        if member.control_address.is_empty() || !is_live(member.status()) {
+            return;
+        }
+        let order = (member.incarnation, member.node.as_str());
+        let holder = self.keys_by_address.get(&member.control_address);
+        let live_holder = holder.copied().filter(|holder| {
+            let entry = self.entries.get(*holder);
+            *holder != key
+                && entry.is_some_and(|entry| {
+                    is_live(entry.member.status())
+                        && entry.member.control_address == member.control_address
+                })
+        });
+        let replaced = match live_holder {
+            Some(holder) => {
+                let other = &self.entries[holder].member;
+                let is_later = order > (other.incarnation, other.node.as_str());
+                Some(if is_later { holder } else { key })
+            }
+            None => None,
+        };
+        if replaced != Some(key) {
+            let address = member.control_address.clone();
+            self.keys_by_address.insert(address, key);
+        }
+        if let Some(replaced) = replaced {
+            self.apply_event(replaced, MemberEvent::AddressTaken, now);
+        }
     }
 
     /// Adds the entry to the digest of its domain, or removes it if included: XOR does both.
@@ -216,6 +257,9 @@
         if let Some(entry) = self.entries.remove(key) {
             let member = entry.member;
             self.keys_by_name.remove(&member.node);
+            if self.keys_by_address.get(&member.control_address) == Some(&key) {
+                self.keys_by_address.remove(&member.control_address);
+            }
             let tombstone = Tombstone {
                 expires_at: after_ms(now, self.settings.tombstone_retention_ms),
                 member,
--- a/crates/control/tests/membership_edge_cases.rs
+++ b/crates/control/tests/membership_edge_cases.rs
@@ -202,3 +202,90 @@
         [JoinEffect::Serve]
     );
 }
+
+/// A node that started `started_s` seconds after the test, on the host with this address.
+fn node_at(node: &str, address: &str, started_s: u64) -> Member {
+    Member {
+        incarnation: started_s * 1_000,
+        control_address: address.to_owned(),
+        ..member(node)
+    }
+}
+
+fn is_listed_live(detector: &FailureDetector, node: &str) -> bool {
+    detector.table().live().any(|member| member.node == node)
+}
+
+/// Guards against a node that is gone for good and stays listed because another host has its address:
+/// callers send its calls there, and the other node refuses them.
+#[parameterized(
+    old_entry_first = { true },
+    new_entry_first = { false },
+)]
+fn a_node_that_starts_at_the_address_of_another_replaces_it(old_first: bool) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = MemberSettings::default();
+    let mut detector = FailureDetector::new(&member("a"), &settings, Instant::default(), &mut rng);
+    let mut updates = vec![node_at("gone", "host-b", 5), node_at("new", "host-b", 9)];
+    if !old_first {
+        updates.reverse();
+    }
+    for update in &updates {
+        detector.merge_updates(std::slice::from_ref(update), Instant::default());
+    }
+    assert!(is_listed_live(&detector, "new"));
+    assert!(!is_listed_live(&detector, "gone"));
+    // A late copy of its entry does not bring it back.
+    detector.merge_updates(&[node_at("gone", "host-b", 5)], Instant::default());
+    assert!(!is_listed_live(&detector, "gone"));
+    assert!(is_listed_live(&detector, "new"));
+}
+
+/// Guards against a probe of a node that is gone which counts as answered by another node that
+/// listens at its address now.
+#[test]
+fn an_answer_of_another_node_at_the_address_ends_the_membership() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = MemberSettings::default();
+    let mut detector = FailureDetector::new(&member("a"), &settings, Instant::default(), &mut rng);
+    detector.merge_updates(&[node_at("gone", "host-b", 5)], Instant::default());
+    let answer = ProbeAnswer {
+        incarnation: 9_000,
+        node: "new".to_owned(),
+        ..ProbeAnswer::default()
+    };
+    let effects = detector.on_probe_answer("gone", &answer, Instant::default());
+    assert!(!is_listed_live(&detector, "gone"));
+    let is_broadcast = |effect: &MemberEffect| {
+        matches!(effect, MemberEffect::Broadcast(member)
+            if member.node == "gone" && member.status() == MemberStatus::Dead)
+    };
+    assert!(effects.iter().any(is_broadcast), "{effects:?}");
+}
+
+/// Guards against a node that the others take for dead because the wall clock of the host that had its
+/// address before was ahead of its own.
+#[parameterized(
+    by_an_update = { false },
+    by_the_list_of_a_join = { true },
+)]
+fn a_node_outlives_a_predecessor_at_its_address_with_a_later_clock(by_list: bool) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = MemberSettings::default();
+    let local_member = node_at("new", "host-b", 5);
+    let mut detector = FailureDetector::new(&local_member, &settings, Instant::default(), &mut rng);
+    let predecessor = node_at("gone", "host-b", 9);
+    let effects = if by_list {
+        detector.merge_member_list(std::slice::from_ref(&predecessor), Instant::default())
+    } else {
+        detector.merge_updates(std::slice::from_ref(&predecessor), Instant::default())
+    };
+    assert!(is_listed_live(&detector, "new"));
+    assert!(!is_listed_live(&detector, "gone"));
+    let announced = effects.iter().find_map(|effect| match effect {
+        MemberEffect::Broadcast(member) if member.node == "new" => Some(member),
+        _ => None,
+    });
+    let announced = announced.expect("the node announces its later incarnation");
+    assert!(announced.incarnation > predecessor.incarnation);
+}
--- a/crates/control/tests/pull.rs
+++ b/crates/control/tests/pull.rs
@@ -25,7 +25,7 @@
         status: MemberStatus::Alive.into(),
         region: format!("region-{region}"),
         domain: format!("domain-{region}-{domain}"),
-        control_address: "127.0.0.1:9".to_owned(),
+        control_address: node.to_owned(),
         ..Default::default()
     }
 }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agatedeck_control::is_probe_answer_of;
 use agatedeck_wire::{
     ControlPlane, ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord,
     IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer, OfferOutcome, Probe,
@@ -75,9 +76,13 @@
 impl ControlServer {
     /// Probes a node on behalf of one that could not reach it; `None` if this node gets no answer
     /// either.
-    async fn probe_indirectly(&self, probe: &IndirectProbe) -> Option<ControlPlaneResponse> {
+    /// Probes a node for another one. Returns whether that node itself answered.
+    async fn probe_indirectly(&self, request: &IndirectProbe) -> bool {
         let table = self.context.table();
-        let peer = PeerAddress::from_member(table.get(&probe.node)?)?;
+        let member = table.get(&request.node);
+        let Some(peer) = member.and_then(PeerAddress::from_member) else {
+            return false;
+        };
         let local_member = &self.context.local_member;
         let probe = Probe {
             node: local_member.node.clone(),
@@ -85,13 +90,10 @@
             version: self.context.served().snapshot.version(),
             ..Probe::default()
         };
-        let request = ControlPlaneRequest::Probe { probe };
+        let probe = ControlPlaneRequest::Probe { probe };
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        self.context
-            .transport
-            .send(&peer, request, deadline)
-            .await
-            .ok()
+        let answer = self.context.transport.send(&peer, probe, deadline).await;
+        matches!(answer, Ok(ControlPlaneResponse::Probe(answer)) if is_probe_answer_of(&answer, &request.node))
     }
 }
 
@@ -134,7 +136,7 @@
     }
 
     async fn probe_through(self, _: Context, probe: IndirectProbe) -> IndirectAnswer {
-        let reached = self.probe_indirectly(&probe).await.is_some();
+        let reached = self.probe_indirectly(&probe).await;
         IndirectAnswer { reached }
     }
 
