Retry a call that a node of another service refused without a retry token

Cause: the refusal of the node was counted like one of the target, as a delivered attempt. Its retry took a token, the tokens of the service ran out, and the target stayed the preferred one. Change: the node that has a target of another service reports a misdirected call, which has reached no target and counts against the listed one. The refusal by a target itself (wrong-target) stays delivered.

--- a/crates/calls/src/call/chart.rs
+++ b/crates/calls/src/call/chart.rs
@@ -46,6 +46,7 @@
     Refused,
     TargetFull,
     Declined,
+    Misdirected,
     AnsweredFailure,
     ConnectionLost,
     AnswerStarted,
--- a/crates/calls/src/call/machine.rs
+++ b/crates/calls/src/call/machine.rs
@@ -66,6 +66,8 @@
     TargetFull,
     /// The target received the call and reported that it did not run it.
     Declined,
+    /// The node at the address of the target's node has another target, and passed nothing on.
+    Misdirected,
     /// The target ran the call and answered with a failure. Raised only for a call that may run
     /// again; if it is not retried, its caller receives that answer.
     AnsweredFailure,
@@ -87,6 +89,7 @@
             Self::Refused => ChartEvent::Refused,
             Self::TargetFull => ChartEvent::TargetFull,
             Self::Declined => ChartEvent::Declined,
+            Self::Misdirected => ChartEvent::Misdirected,
             Self::AnsweredFailure => ChartEvent::AnsweredFailure,
             Self::ConnectionLost => ChartEvent::ConnectionLost,
             Self::AnswerStarted => ChartEvent::AnswerStarted,
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -1,8 +1,8 @@
 //! Outcome that is reported after each event of an attempt.
 
 use agatedeck_calls::{
-    AttemptEvent, CallEffect, CallEvent, CallMachine, CallOptions, CallOutcome, CallState,
-    PickedTarget, RetryDecision, RetryRefusal, TargetKey,
+    AttemptEvent, AttemptResult, CallEffect, CallEvent, CallMachine, CallOptions, CallOutcome,
+    CallState, PickedTarget, RetryDecision, RetryRefusal, TargetKey,
 };
 use agatedeck_clock::Instant;
 use yare::parameterized;
@@ -35,8 +35,8 @@
 }
 
 use AttemptEvent::{
-    AnswerEnded, AnswerStarted, AnswerTruncated, ConnectFailed, ConnectionLost, Refused,
-    SendStarted, TargetFull,
+    AnswerEnded, AnswerStarted, AnswerTruncated, ConnectFailed, ConnectionLost, Declined,
+    Misdirected, Refused, SendStarted, TargetFull,
 };
 use CallEvent::{Attempt, Cancelled, DeadlinePassed};
 use CallOutcome::{Answered, NotRun, Unknown};
@@ -48,6 +48,8 @@
     lost_before_first_byte = { &[Attempt(1, ConnectionLost)], NotRun },
     refused_by_node = { &[Attempt(1, SendStarted), Attempt(1, Refused)], NotRun },
     target_full = { &[Attempt(1, SendStarted), Attempt(1, TargetFull)], NotRun },
+    declined = { &[Attempt(1, SendStarted), Attempt(1, Declined)], NotRun },
+    misdirected = { &[Attempt(1, SendStarted), Attempt(1, Misdirected)], NotRun },
     lost_after_bytes = { &[Attempt(1, SendStarted), Attempt(1, ConnectionLost)], Unknown },
     deadline_before_bytes = { &[DeadlinePassed], NotRun },
     deadline_after_bytes = { &[Attempt(1, SendStarted), DeadlinePassed], Unknown },
@@ -142,3 +144,36 @@
     let effects = machine.handle(CallEvent::Started, Instant::default());
     assert_eq!(effects, [CallEffect::PickTarget]);
 }
+
+/// Guards against a call that is refused for want of a retry token although it has reached no target:
+/// a token pays for load on a second target.
+#[parameterized(
+    refused = { Refused, 0, AttemptResult::Refused },
+    target_full = { TargetFull, 0, AttemptResult::Full },
+    misdirected = { Misdirected, 0, AttemptResult::Failed },
+    declined = { Declined, 1, AttemptResult::Full },
+    connection_lost = { ConnectionLost, 1, AttemptResult::Failed },
+)]
+fn only_attempts_that_reached_a_target_count_as_delivered(
+    event: AttemptEvent,
+    delivered: u32,
+    recorded: AttemptResult,
+) {
+    let events = [
+        CallEvent::Started,
+        CallEvent::TargetPicked(any_target()),
+        Attempt(1, SendStarted),
+        Attempt(1, event),
+    ];
+    let (_, effects) = run_events(true, &events);
+    let decision = effects.iter().find_map(|effect| match effect {
+        CallEffect::DecideRetry(context) => Some(context.delivered_attempts),
+        _ => None,
+    });
+    assert_eq!(decision, Some(delivered));
+    let result = effects.iter().find_map(|effect| match effect {
+        CallEffect::RecordResult { result, .. } => Some(*result),
+        _ => None,
+    });
+    assert_eq!(result, Some(recorded));
+}
--- a/crates/node/src/calls/reason.rs
+++ b/crates/node/src/calls/reason.rs
@@ -43,8 +43,10 @@
     Unreachable,
     /// The target stated that it did not run the call.
     Declined,
-    /// A different target listens at the address.
+    /// The node at the address has a target of another service.
     Displaced,
+    /// The target stated that it is another one than the call is meant for.
+    WrongTarget,
     /// The store did not confirm the claim in time.
     StoreAway,
     /// The idempotency key was used with another request.
@@ -98,11 +100,12 @@
     }
 
     /// Event for the attempt that was refused for this reason. A target that is full or unreachable
-    /// or that declined the call is avoided for a short time; the other reasons concern only the
-    /// call.
+    /// or that declined the call is avoided for a short time, and one whose node has another target by
+    /// now counts as failed; the other reasons concern only the call.
     pub(super) fn attempt_event(self) -> AttemptEvent {
         match self {
-            Self::Declined | Self::Displaced => AttemptEvent::Declined,
+            Self::Declined | Self::WrongTarget => AttemptEvent::Declined,
+            Self::Displaced => AttemptEvent::Misdirected,
             Self::QueueFull
             | Self::Deadline
             | Self::Draining
@@ -131,7 +134,8 @@
             Self::Deadline => "the call cannot be answered by its deadline",
             Self::Unreachable => "the target cannot be reached",
             Self::Declined => "the target said that it did not run the call",
-            Self::Displaced => "another target than the one meant listens at the address",
+            Self::Displaced => "the node at the address has a target of another service",
+            Self::WrongTarget => "another target than the one meant listens at the address",
             Self::StoreAway => "the store did not confirm the claim in time",
             Self::KeyReused => "the idempotency key was used with another request",
             Self::ClaimContended => "other claims on the same key are being made",
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -115,7 +115,7 @@
     match kind {
         AnswerKind::Answered => {}
         AnswerKind::Declined => return Some((CallOutcome::NotRun, StopReason::Declined)),
-        AnswerKind::WrongTarget => return Some((CallOutcome::NotRun, StopReason::Displaced)),
+        AnswerKind::WrongTarget => return Some((CallOutcome::NotRun, StopReason::WrongTarget)),
         AnswerKind::Unusable => return Some((CallOutcome::Unknown, StopReason::AnswerUnusable)),
     }
     let is_delimited =
