--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -4,8 +4,8 @@
 
 use agatedeck_calls::CallOutcome;
 use axum::body::Body;
-use axum::http::Request;
 use axum::http::response::Parts;
+use axum::http::{HeaderMap, Request};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::expect_continue::defer_body;
-use super::headers::{EXPECTED_WAIT_MS, OUTCOME, REASON, header_number, header_text};
+use super::headers::{EXPECTED_WAIT_MS, LOAD, OUTCOME, REASON, header_number, header_text};
 use super::http_client::CallClient;
 use super::reason::StopReason;
 
@@ -22,9 +22,8 @@
 pub(super) enum AttemptOutcome {
     /// No connection could be opened, so nothing was sent.
     ConnectFailed,
-    /// The target's node refused the call, which was not run, and may state the queue wait that it
-    /// expects.
-    Refused(StopReason, Option<Duration>),
+    /// The target's node refused the call, which was not run.
+    Refused(AttemptRefusal),
     /// The request was sent and no answer arrived.
     NoAnswer(StopReason),
     /// The answer was truncated before any of it was forwarded.
@@ -38,6 +37,16 @@
     DeadlinePassed { sent: bool },
 }
 
+/// What the target's node states with a refusal.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptRefusal {
+    pub(super) reason: StopReason,
+    /// Expected wait until a slot is free.
+    pub(super) expected_wait: Option<Duration>,
+    /// Load of the target, as a fraction of its slots.
+    pub(super) load: Option<f64>,
+}
+
 /// Limits of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptOptions {
@@ -70,6 +79,12 @@
     })
 }
 
+/// Load of the target that its node states, as a fraction of its slots.
+pub(super) fn stated_load(headers: &HeaderMap) -> Option<f64> {
+    let thousandths = u32::try_from(header_number(headers, &LOAD)?).ok()?;
+    Some(f64::from(thousandths) / 1_000.0)
+}
+
 async fn exchange(
     client: &CallClient,
     request: Request<Body>,
@@ -89,12 +104,12 @@
     match outcome {
         Some(CallOutcome::Answered) => {}
         Some(CallOutcome::NotRun) => {
-            let expected_wait =
-                header_number(&parts.headers, &EXPECTED_WAIT_MS).map(Duration::from_millis);
-            return AttemptOutcome::Refused(
-                reason.unwrap_or(StopReason::Unreachable),
-                expected_wait,
-            );
+            let expected_wait_ms = header_number(&parts.headers, &EXPECTED_WAIT_MS);
+            return AttemptOutcome::Refused(AttemptRefusal {
+                reason: reason.unwrap_or(StopReason::Unreachable),
+                expected_wait: expected_wait_ms.map(Duration::from_millis),
+                load: stated_load(&parts.headers),
+            });
         }
         // An answer without the header does not come from a node, so the outcome is unknown.
         Some(CallOutcome::Unknown) | None => {
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -21,14 +21,14 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::answer_body::{AnswerBody, AnswerObserver};
-use super::attempt::{AttemptOptions, AttemptOutcome, send_attempt};
+use super::attempt::{AttemptOptions, AttemptOutcome, send_attempt, stated_load};
 use super::claim_actor::{ClaimLease, ClaimReply, ClaimResult, acquire_claim};
 use super::crash_actor::RecordCompletion;
 use super::drain_body::respond_after_drain;
 use super::gateway::GatewayContext;
 use super::headers::{
     ATTEMPT, CALLER_SERVICE, CLASS, DEADLINE_MS, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY,
-    REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, header_number, local_answer_for_caller,
+    REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, local_answer_for_caller,
     strip_hop_by_hop_headers,
 };
 use super::http_client::forwarded_uri;
@@ -75,7 +75,7 @@
     target_lease: Option<TargetLease>,
     claim_lease: Option<ClaimLease>,
     answer_record: Option<AnswerRecord>,
-    /// Load that the target's node reported with the answer, as a fraction of the target's slots.
+    /// Load that the target's node stated with its answer or refusal, as a fraction of the slots.
     reported_load: Option<f64>,
     /// Whether the target answered with a status of 500 or above. The caller receives the answer,
     /// but the load balancer counts it as a failure: a target that fails immediately looks fast and
@@ -320,10 +320,12 @@
                 self.handle_attempt_event(AttemptEvent::SendStarted);
                 return self.handle_deadline();
             }
-            AttemptOutcome::Refused(reason, expected_wait) => {
-                self.reason = reason;
-                self.expected_wait = self.expected_wait.into_iter().chain(expected_wait).min();
-                reason.attempt_event()
+            AttemptOutcome::Refused(refusal) => {
+                self.reason = refusal.reason;
+                let expected_waits = self.expected_wait.into_iter().chain(refusal.expected_wait);
+                self.expected_wait = expected_waits.min();
+                self.reported_load = refusal.load;
+                refusal.reason.attempt_event()
             }
             AttemptOutcome::NoAnswer(reason) => {
                 self.reason = reason;
@@ -405,8 +407,7 @@
 
     /// Records what the load balancer and the claim need from an answer.
     fn record_answer(&mut self, parts: &Parts, body: Option<&Bytes>) {
-        let load = header_number(&parts.headers, &LOAD).and_then(|load| u32::try_from(load).ok());
-        self.reported_load = load.map(|load| f64::from(load) / 1000.0);
+        self.reported_load = stated_load(&parts.headers);
         self.is_server_error = parts.status.is_server_error();
         if self.claim_lease.is_some() {
             let content_type = super::headers::header_text(&parts.headers, &header::CONTENT_TYPE);
--- a/crates/node/src/calls/inbound.rs
+++ b/crates/node/src/calls/inbound.rs
@@ -20,13 +20,13 @@
 use super::drain_body::respond_after_drain;
 use super::expect_continue::expects_continue;
 use super::headers::{
-    CLASS, EXPECTED_WAIT_MS, FINGERPRINT, PRIORITY, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE,
+    CLASS, EXPECTED_WAIT_MS, FINGERPRINT, LOAD, PRIORITY, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE,
     header_number, header_text, local_answer_for_peer, requested_timeout,
 };
 use super::latency_actor::{CountEvent, LatencyActor};
 use super::reason::StopReason;
 use super::slots::{BodyClient, SlotClient, SlotRefusal, SlotRequest};
-use super::target_call::{AdmittedCall, TargetCall, forward_to_target};
+use super::target_call::{AdmittedCall, TargetCall, forward_to_target, load_in_thousandths};
 use super::target_client::TargetClient;
 use crate::context::NodeContext;
 
@@ -68,15 +68,15 @@
             let call = TargetCall::new(Arc::clone(&context), admitted, open_token);
             forward_to_target(request, call).await
         }
-        Err(SlotRefusal {
-            reason,
-            expected_wait,
-        }) => {
-            let mut response = refuse(&context, reason);
-            let expected_wait_ms = u64::try_from(expected_wait.as_millis()).unwrap_or(u64::MAX);
-            response
-                .headers_mut()
-                .insert(EXPECTED_WAIT_MS, expected_wait_ms.into());
+        Err(refusal) => {
+            let mut response = refuse(&context, refusal.reason);
+            let expected_wait_ms = refusal.expected_wait.as_millis();
+            let expected_wait_ms = u64::try_from(expected_wait_ms).unwrap_or(u64::MAX);
+            let headers = response.headers_mut();
+            headers.insert(EXPECTED_WAIT_MS, expected_wait_ms.into());
+            if let Some(load) = refusal.load {
+                headers.insert(LOAD, load_in_thousandths(load).into());
+            }
             // Reading the body would send `100 Continue` to a sender that waits for it.
             let unread = (!waits_for_continue).then_some(body);
             respond_after_drain(response, unread).await
--- a/crates/node/src/calls/slots/actor.rs
+++ b/crates/node/src/calls/slots/actor.rs
@@ -138,6 +138,7 @@
                         let refusal = SlotRefusal {
                             reason: reason.into(),
                             expected_wait: self.queue.expected_queue_wait(waiting.priority, now),
+                            load: Some(self.load()),
                         };
                         let _ = waiting.reply.send(Err(refusal));
                     }
--- a/crates/node/src/calls/slots/body_admission.rs
+++ b/crates/node/src/calls/slots/body_admission.rs
@@ -221,6 +221,7 @@
                 SlotRefusal {
                     reason: StopReason::IntakeFull,
                     expected_wait: self.queue.expected_queue_wait(waiting.priority, now),
+                    load: None,
                 }
             });
             // If the sender is gone, its dropped lease removes the body here.
--- a/crates/node/src/calls/slots/slot_client.rs
+++ b/crates/node/src/calls/slots/slot_client.rs
@@ -125,6 +125,8 @@
 pub(crate) struct SlotRefusal {
     pub(crate) reason: StopReason,
     pub(crate) expected_wait: Duration,
+    /// Load of the target; `None` if the refusal does not depend on it.
+    pub(crate) load: Option<f64>,
 }
 
 impl SlotRefusal {
@@ -133,6 +135,7 @@
         Self {
             reason,
             expected_wait: Duration::ZERO,
+            load: None,
         }
     }
 }
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -134,7 +134,8 @@
     clippy::cast_sign_loss,
     reason = "the value is clamped to 0 to 8000"
 )]
-fn load_in_thousandths(load: f64) -> u16 {
+/// Value of the header [`LOAD`].
+pub(super) fn load_in_thousandths(load: f64) -> u16 {
     (load.clamp(0.0, MAX_REPORTED_LOAD) * 1000.0) as u16
 }
 
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod large_bodies;
+mod placement;
 mod support;
 
 use support::ReceivedAnswer;
