Avoid targets that have gone silent before the failure detector suspects them

Cause: a caller's node sent calls to a frozen near node until all 18 slots were in flight. The failure detector needs 1.5 to 2 s, and a failed call is known only at its deadline. Change: a target with calls in flight from which neither an answer nor a refusal has come for three times its measured latency, and 300 ms at least, is picked like a suspected one. The next word of it, or the end of its calls, ends that. Nothing that runs there is given up or sent again.

--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -110,6 +110,16 @@
     Cancelled,
 }
 
+impl AttemptResult {
+    /// Whether the target or its node has answered or refused the attempt.
+    fn is_word_of_target(self) -> bool {
+        match self {
+            Self::Answered | Self::Full | Self::Refused => true,
+            Self::Failed | Self::TimedOut | Self::Cancelled => false,
+        }
+    }
+}
+
 /// Criteria by which the target of an attempt is picked.
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
@@ -348,8 +358,7 @@
         service.pick_count += 1;
         let key = self.candidates[index.min(self.candidates.len() - 1)].key;
         let target = &mut self.targets[key];
-        target.in_flight += 1;
-        target.sent_since_report += 1;
+        target.start_call(now);
         let peer = target.peer;
         Ok(PickedTarget { key, peer })
     }
@@ -367,7 +376,7 @@
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
-        target.in_flight = target.in_flight.saturating_sub(1);
+        target.end_call(result.is_word_of_target(), now);
         target.fire_timers(now, &self.settings);
         match result {
             AttemptResult::Answered => {
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -18,6 +18,14 @@
 /// decay, a target that was slow once would never be picked, and so never be measured again.
 const AVERAGE_HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Multiple of the average latency without any answer after which a target with calls in flight counts
+/// as silent. Answers of targets that only run a few long calls come sooner.
+const SILENCE_LATENCY_FACTOR: f64 = 3.0;
+
+/// Shortest time without any answer after which a target counts as silent. Long enough for a lost packet
+/// to be sent again.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+
 /// Number of steps in which the slots of a warming target are opened.
 const WARM_UP_STEPS: u64 = 8;
 
@@ -34,6 +42,9 @@
     pub(super) warm_up_ms: u32,
     pub(super) state: TargetState,
     pub(super) in_flight: u32,
+    /// Time since which calls are in flight and neither an answer nor a refusal has come. Without calls
+    /// in flight it has no meaning.
+    pub(super) unanswered_since: Instant,
     pub(super) latency_us: f64,
     pub(super) failure_rate: f64,
     pub(super) reported_load: f64,
@@ -65,7 +76,7 @@
     FarBelowSpillThreshold,
     /// Fewer calls in flight than open slots, nearest tier first.
     BelowSlots(LocalityTier),
-    /// Suspected by the failure detector.
+    /// Suspected by the failure detector, or silent.
     Suspect,
     /// All open slots in use, or a call was refused a moment ago. The target's node decides whether
     /// to queue or refuse the call.
@@ -94,6 +105,7 @@
             warm_up_ms,
             state: TARGET_CHART.initial(),
             in_flight: 0,
+            unanswered_since: Instant::default(),
             // Lower than any real latency, so that a new target is measured soon. A cold target
             // has one open slot, so it gets one call at a time.
             latency_us: 0.0,
@@ -240,13 +252,41 @@
             PickPreference::AlreadyTried
         } else if self.in_flight >= slots || !self.backoff_until.is_past(now) {
             PickPreference::AtCapacity
-        } else if self.status == TargetStatus::Suspect {
+        } else if self.status == TargetStatus::Suspect || self.is_silent(now) {
             PickPreference::Suspect
         } else {
             self.load_preference(slots, settings, now)
         })
     }
 
+    /// Counts a call that is sent to the target.
+    pub(super) fn start_call(&mut self, now: Instant) {
+        if self.in_flight == 0 {
+            self.unanswered_since = now;
+        }
+        self.in_flight += 1;
+        self.sent_since_report += 1;
+    }
+
+    /// Counts the end of a call. `answered` is whether the target or its node said anything about it.
+    pub(super) fn end_call(&mut self, answered: bool, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if answered {
+            self.unanswered_since = now;
+        }
+    }
+
+    /// Whether calls are in flight and no word of the target or its node has come for unusually long, as
+    /// from a host that is frozen or cut off. The failure detector needs seconds to tell. Lasts until
+    /// the next answer, or until the calls in flight have ended.
+    fn is_silent(&self, now: Instant) -> bool {
+        if self.in_flight == 0 {
+            return false;
+        }
+        let usual = Duration::from_secs_f64(self.latency_us * SILENCE_LATENCY_FACTOR / 1e6);
+        now.since(self.unanswered_since) > usual.max(MIN_SILENCE)
+    }
+
     /// Preference by load and distance.
     fn load_preference(
         &self,
