Ask for a second announcement before a restarted node opens its target

Operators of similar systems: after a restart of one of the system's processes, a server that had left was in use again. Here too, shown by a test: a node acknowledged that its endpoint leaves, restarted, and a heartbeat that had been under way meanwhile opened the endpoint again (20 of 40 calls reached it). Cause: the order of announcements is kept in the process that received them. After a restart, the first one opened the target whatever its age. Change: the first announcement since the start of the node opens the target only once a health check at that start, or a second announcement, confirms that it has not left (chart states unconfirmed, announced). A target that has left fails its health check and sends no second one. Ruled out: to keep the state in the node's row of the store, which is written 0.3 s late and may be unreachable.

--- a/crates/calls/src/registration/chart.rs
+++ b/crates/calls/src/registration/chart.rs
@@ -10,6 +10,11 @@
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum RegistrationState {
+    /// No announcement was received since the node started, and no health check confirmed the target.
+    Unconfirmed,
+    /// One announcement was received since the node started. It may be a late one of a target that has
+    /// left.
+    Announced,
     /// No announcement was received, the last one has expired, or the target is unreachable.
     Absent,
     /// The target accepts calls.
@@ -28,6 +33,7 @@
     Deregistered,
     Expired,
     Unreachable,
+    Confirmed,
     RestartedReady,
     RestartedDraining,
 }
--- a/crates/calls/src/registration/target_registration.rs
+++ b/crates/calls/src/registration/target_registration.rs
@@ -78,7 +78,8 @@
 /// Invariants: of two starts of the target, the one with the later start time counts, unless it has
 /// become absent without deregistering; within one start, announcements are accepted only in the
 /// order of their sequence numbers, and after draining or deregistering the target gets no calls
-/// again.
+/// again. The first announcement since the node started opens the target only once a health check or a
+/// second one confirms it.
 #[derive(Debug)]
 pub struct TargetRegistration {
     settings: RegistrationSettings,
@@ -229,6 +230,11 @@
         self.advance(RegistrationEvent::Draining)
     }
 
+    /// Records that a health check since the node started has found the target serving and not leaving.
+    pub fn confirm(&mut self) -> Vec<RegistrationEffect> {
+        self.advance(RegistrationEvent::Confirmed)
+    }
+
     /// Records that connections to the target fail. Its next announcement opens it again.
     pub fn mark_unreachable(&mut self) -> Vec<RegistrationEffect> {
         self.advance(RegistrationEvent::Unreachable)
--- a/crates/calls/tests/announcement.rs
+++ b/crates/calls/tests/announcement.rs
@@ -11,7 +11,7 @@
 
 const ANNOUNCEMENT_TTL_MS: u64 = 6_000;
 
-fn registration() -> TargetRegistration {
+fn unconfirmed_registration() -> TargetRegistration {
     TargetRegistration::new(RegistrationSettings {
         service: "orders".to_owned(),
         address: "10.0.0.1:80".to_owned(),
@@ -19,6 +19,13 @@
     })
 }
 
+/// A registration whose target was found serving when the node started.
+fn registration() -> TargetRegistration {
+    let mut registration = unconfirmed_registration();
+    assert_eq!(registration.confirm(), []);
+    registration
+}
+
 fn announcement(
     id: &str,
     started_unix_ms: u64,
@@ -278,3 +285,42 @@
     assert_eq!(registration.mark_leaving("a"), []);
     assert_eq!(registration.state(), RegistrationState::Ready);
 }
+
+/// Guards against a node that restarts after it has acknowledged that its target leaves, and opens the
+/// target again on a late announcement.
+#[test]
+fn one_announcement_after_a_restart_does_not_open_the_target() {
+    let mut registration = unconfirmed_registration();
+    let late = announcement("a", 1, 4, TargetReadiness::Ready);
+    assert_eq!(announce(&mut registration, &late), Ok(Vec::new()));
+    assert_eq!(registration.state(), RegistrationState::Announced);
+    assert_eq!(
+        announce(&mut registration, &late),
+        Err(RegistrationError::Stale)
+    );
+    assert_eq!(registration.deregister("a", Instant::default()), []);
+    assert_eq!(registration.state(), RegistrationState::Gone);
+}
+
+/// Guards against a target that stays closed after a restart of its node although it goes on announcing
+/// itself, or its health check succeeds.
+#[parameterized(
+    by_a_second_announcement = { false },
+    by_a_health_check = { true },
+)]
+fn a_confirmed_announcement_opens_the_target(by_health_check: bool) {
+    let mut registration = unconfirmed_registration();
+    let first = announcement("a", 1, 4, TargetReadiness::Ready);
+    assert_eq!(announce(&mut registration, &first), Ok(Vec::new()));
+    let effects = if by_health_check {
+        registration.confirm()
+    } else {
+        let second = announcement("a", 1, 5, TargetReadiness::Ready);
+        announce(&mut registration, &second).expect("accepted")
+    };
+    assert_eq!(
+        effects,
+        [RegistrationEffect::Open, RegistrationEffect::Publish]
+    );
+    assert_eq!(registration.state(), RegistrationState::Ready);
+}
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -141,6 +141,21 @@
     }
 }
 
+/// The health check at the start of this node found the target serving.
+pub(crate) struct ConfirmTarget;
+
+impl Message<ConfirmTarget> for SlotActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ConfirmTarget: ConfirmTarget, ctx: &mut Context<Self, ()>) {
+        if let Some(registration) = &mut self.registration {
+            let effects = registration.confirm();
+            self.apply_registration_effects(effects, ctx.actor_ref())
+                .await;
+        }
+    }
+}
+
 /// The target with this identity has stated in an answer that it is leaving.
 pub(super) struct TargetLeaving(pub(super) Arc<str>);
 
--- a/crates/node/src/calls/startup_probe.rs
+++ b/crates/node/src/calls/startup_probe.rs
@@ -13,7 +13,7 @@
 use kameo::actor::ActorRef;
 use tokio::time::timeout;
 
-use super::slots::SlotActor;
+use super::slots::{ConfirmTarget, SlotActor};
 use super::target_client::TargetClient;
 use super::target_probe::probe_uri;
 use crate::context::NodeContext;
@@ -50,6 +50,8 @@
         );
         return;
     }
+    // The actor stops only when the node stops.
+    let _ = slots.tell(ConfirmTarget).await;
     if let Some(announcement) = build_announcement(&context, answer.headers()) {
         // `ask` instead of `tell`: an actor stops if the handler of a `tell` message fails.
         if let Err(error) = slots.ask(announcement).await {
