Take a target for silent only with three calls in flight

Cause: a target that runs one or two long calls of a class of 640 ms, beside classes of 40 and 110 ms, gives no word for three times its average latency. Change: with fewer than three calls in flight a target is not silent.

--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -26,6 +26,10 @@
 /// to be sent again.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
+/// Number of calls in flight from which a target can count as silent. With fewer, the calls may all be
+/// long ones.
+const MIN_SILENT_CALLS: u32 = 3;
+
 /// Number of steps in which the slots of a warming target are opened.
 const WARM_UP_STEPS: u64 = 8;
 
@@ -276,11 +280,11 @@
         }
     }
 
-    /// Whether calls are in flight and no word of the target or its node has come for unusually long, as
+    /// Whether several calls are in flight and no word of the target or its node has come for unusually long, as
     /// from a host that is frozen or cut off. The failure detector needs seconds to tell. Lasts until
     /// the next answer, or until the calls in flight have ended.
     fn is_silent(&self, now: Instant) -> bool {
-        if self.in_flight == 0 {
+        if self.in_flight < MIN_SILENT_CALLS {
             return false;
         }
         let usual = Duration::from_secs_f64(self.latency_us * SILENCE_LATENCY_FACTOR / 1e6);
