Log which targets refused a call, with the loads estimated and stated

Operators could not tell from the logs whether a refused call had found all targets full, or had been sent to four full ones while others were free; the line of a call named the last target only. Change: the line call has the field refusals: each refused attempt with its target, the reason, the load that the caller's node had estimated and the one that the other node stated. agatedeckctl explain prints it. Tests: request_is_explained_from_two_logs with the new field; all tests of ctl, calls and bench pass.

--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -210,13 +210,13 @@
     Ok(())
 }
 
-/// Probe answer of a node whose view equals the local one.
+/// Probe answer of a node whose view equals the local one; the name of the node is to be set.
 fn matching_probe_answer(fixture: &MembershipFixture) -> ProbeAnswer {
     ProbeAnswer {
         incarnation: fixture.local_member().incarnation,
         version: 1,
         member_digest: fixture.detector.table().digest(),
-        updates: Vec::new(),
+        ..Default::default()
     }
 }
 
@@ -236,13 +236,14 @@
         events,
         Some(PROBES_PER_DAY),
     );
-    let answer = matching_probe_answer(fixture);
+    let mut answer = matching_probe_answer(fixture);
     costs.push(probe_period.measure(
         |_| {
             fixture.advance_clock(Duration::from_secs(1));
             let effects = fixture.detector.tick(fixture.now, &mut fixture.rng);
             for effect in &effects {
                 if let MemberEffect::Probe { node, .. } = effect {
+                    answer.node.clone_from(node);
                     fixture.detector.on_probe_answer(node, &answer, fixture.now);
                 }
             }
--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -139,6 +139,8 @@
     pub key: TargetKey,
     /// Address of the target's node.
     pub peer: SocketAddr,
+    /// Estimated load of the target before the attempt, in percent of its slots.
+    pub load_percent: u32,
 }
 
 /// Why no target was picked.
@@ -358,9 +360,14 @@
         service.pick_count += 1;
         let key = self.candidates[index.min(self.candidates.len() - 1)].key;
         let target = &mut self.targets[key];
+        let load_percent = target.load_percent(&self.settings, now);
         target.start_call(now);
         let peer = target.peer;
-        Ok(PickedTarget { key, peer })
+        Ok(PickedTarget {
+            key,
+            peer,
+            load_percent,
+        })
     }
 
     /// Records the result of an attempt whose target was picked at `picked_at`.
--- a/crates/calls/tests/call.rs
+++ b/crates/calls/tests/call.rs
@@ -11,6 +11,7 @@
     PickedTarget {
         key: TargetKey::default(),
         peer: ([127, 0, 0, 1], 9_000).into(),
+        load_percent: 0,
     }
 }
 
--- a/crates/calls/tests/placement_model.rs
+++ b/crates/calls/tests/placement_model.rs
@@ -376,7 +376,9 @@
             workspace: "",
             priority: call.class.priority,
             class: call.class.name,
-            deadline: call.arrived_at.after(call.class.timeout - DEADLINE_MARGIN),
+            deadline: call
+                .arrived_at
+                .after(call.class.timeout.saturating_sub(DEADLINE_MARGIN)),
             useful_until: Some(call.arrived_at.after(call.class.useful)),
         };
         let effects = self.queues[target].admit(&request, self.now);
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -397,13 +397,7 @@
             self.pending_probes.remove(node);
             return effects;
         };
-        if !is_probe_answer_of(answer, node) {
-            self.pending_probes.remove(node);
-            let event = MemberEvent::AddressTaken;
-            if self.table.apply_local_event(node, event, now) {
-                self.disseminate_decision(node, &mut effects);
-            }
-        } else {
+        if is_probe_answer_of(answer, node) {
             // An answer from an earlier incarnation says nothing about the current one.
             if answer.incarnation >= known.incarnation {
                 self.pending_probes.remove(node);
@@ -411,6 +405,12 @@
                     .apply_local_event(node, MemberEvent::ProbeAnswered, now);
             }
             self.table.observe_version(node, answer.version);
+        } else {
+            self.pending_probes.remove(node);
+            let event = MemberEvent::AddressTaken;
+            if self.table.apply_local_event(node, event, now) {
+                self.disseminate_decision(node, &mut effects);
+            }
         }
         if answer.member_digest != self.table.digest() && self.next_sync_at.is_past(now) {
             self.next_sync_at = after_ms(now, self.settings.min_sync_interval_ms);
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -79,6 +79,9 @@
             "  class {class}, last target at {target} ({target_node})"
         )?;
     }
+    if !report.refusals.is_empty() {
+        writeln!(out, "  refused by: {}", report.refusals)?;
+    }
     print_events(out, node, &report.seen_by_caller)?;
     print_events(out, target_node, &report.seen_by_target)?;
     for attempt in &report.target_attempts {
--- a/crates/ctl/src/request_log.rs
+++ b/crates/ctl/src/request_log.rs
@@ -70,6 +70,8 @@
     pub target: String,
     /// Number of attempts.
     pub attempts: u32,
+    /// Attempts that the nodes of targets refused, with the loads that were estimated and stated.
+    pub refusals: String,
     /// Time from the arrival of the request to its end, in milliseconds.
     pub took_ms: serde_json::Value,
     /// Address at which the node accepts calls of other nodes.
@@ -136,6 +138,8 @@
     pub class: String,
     /// Number of attempts.
     pub attempts: u32,
+    /// Attempts that the nodes of targets refused, with the loads that were estimated and stated.
+    pub refusals: String,
     /// Time from the arrival of the request to its end, in milliseconds.
     pub took_ms: f64,
     /// Peer address of the node of the last target tried; empty if none was.
@@ -183,6 +187,7 @@
             reason: call.reason.clone(),
             class: call.class.clone(),
             attempts: call.attempts,
+            refusals: call.refusals.clone(),
             took_ms: call.took_ms(),
             target: call.target.clone(),
             target_node: target_node.map(str::to_owned),
--- a/crates/ctl/tests/commands/explain.rs
+++ b/crates/ctl/tests/commands/explain.rs
@@ -9,7 +9,7 @@
 10:00:00 node-a {"unix_us":1000000,"node":"node-a","event":"listening","message":"listening","peer":"10.0.0.1:80"}
 10:00:00 node-a {"unix_us":2000000,"node":"node-a","event":"in-force","message":"version 7 is in force"}
 10:00:00 node-a {"unix_us":2500000,"node":"node-a","event":"call","request":"r-2","outcome":"unknown","reason":"no-answer","attempts":1,"target":"10.0.0.9:80","took_ms":"80.5","class":"search","message":"call r-2: unknown"}
-10:00:00 node-a {"unix_us":3500000,"node":"node-a","event":"call","request":"r-1","outcome":"not-run","reason":"queue-full","attempts":3,"target":"10.0.0.2:80","took_ms":12.25,"class":"search","message":"call r-1: not-run"}
+10:00:00 node-a {"unix_us":3500000,"node":"node-a","event":"call","request":"r-1","outcome":"not-run","reason":"queue-full","attempts":3,"refusals":"10.0.0.9:80 queue-full estimated 50% stated 133%","target":"10.0.0.2:80","took_ms":12.25,"class":"search","message":"call r-1: not-run"}
 10:00:00 node-a {"unix_us":3600000,"node":"node-a","event":"in-force","message":"version 8 is in force"}
 "#;
 
@@ -46,6 +46,7 @@
     let expected = "\
 r-1 at node-a: not-run (queue-full), 3 attempts, 12.2 ms
   class search, last target at 10.0.0.2:80 (node-b)
+  refused by: 10.0.0.9:80 queue-full estimated 50% stated 133%
   node-a, by its own clock:
     1.500 s before  in-force: version 7 is in force
   node-b, by its own clock:
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -35,6 +35,7 @@
 use super::latency_actor::RecordCall;
 use super::plan::CallPlan;
 use super::reason::StopReason;
+use super::refusal_trail::RefusalTrail;
 use super::request_body::RequestBody;
 use super::router::{DecideRetry, PickTarget, RecordUnanswered, TargetLease};
 use crate::adapters::CallProtocol;
@@ -87,6 +88,9 @@
     expected_wait: Option<Duration>,
     /// Peer address of the node of the last target tried.
     last_target_address: String,
+    /// Estimated load of that target when it was picked, in percent of its slots.
+    estimated_load_percent: u32,
+    refusals: RefusalTrail,
     started_at: Instant,
     is_recorded: bool,
     /// Keeps the call in the tracker of open calls until the task is dropped.
@@ -122,6 +126,8 @@
             reason: StopReason::Cancelled,
             expected_wait: None,
             last_target_address: String::new(),
+            estimated_load_percent: 0,
+            refusals: RefusalTrail::default(),
             is_recorded: false,
             _open_token: open_token,
         }
@@ -284,6 +290,7 @@
         };
         let target = lease.target;
         self.last_target_address = lease.authority.to_string();
+        self.estimated_load_percent = target.load_percent;
         self.target_lease = Some(lease);
         self.handle_event(CallEvent::TargetPicked(target))
     }
@@ -325,6 +332,11 @@
                 let expected_waits = self.expected_wait.into_iter().chain(refusal.expected_wait);
                 self.expected_wait = expected_waits.min();
                 self.reported_load = refusal.load;
+                self.refusals.record(
+                    &self.last_target_address,
+                    self.estimated_load_percent,
+                    &refusal,
+                );
                 refusal.reason.attempt_event()
             }
             AttemptOutcome::NoAnswer(reason) => {
@@ -496,6 +508,7 @@
             target: std::mem::take(&mut self.last_target_address),
             outcome,
             attempts: self.machine.attempts(),
+            refusals: std::mem::take(&mut self.refusals).into_text(),
             reason: (!answered).then_some(self.reason),
             latency: now.since(self.started_at),
         };
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -137,6 +137,7 @@
         target: String::new(),
         outcome: CallOutcome::NotRun,
         attempts: 0,
+        refusals: String::new(),
         reason: Some(reason),
         latency: std::time::Duration::ZERO,
     };
--- a/crates/node/src/calls/latency_actor.rs
+++ b/crates/node/src/calls/latency_actor.rs
@@ -92,6 +92,7 @@
             class:% = call.class,
             attempts = call.attempts,
             target:% = call.target,
+            refusals:% = call.refusals,
             took_ms = call.latency.as_secs_f64() * 1e3;
             "call {}: {}",
             call.request_id,
@@ -110,6 +111,8 @@
     pub(super) target: String,
     pub(super) outcome: CallOutcome,
     pub(super) attempts: u32,
+    /// Attempts that the nodes of targets refused, with the loads that were estimated and stated.
+    pub(super) refusals: String,
     /// Why the call was not answered; `None` if it was.
     pub(super) reason: Option<StopReason>,
     pub(super) latency: Duration,
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -28,6 +28,7 @@
 mod native_protocol;
 mod plan;
 mod reason;
+mod refusal_trail;
 mod request_body;
 mod router;
 mod slots;
