--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -1,4 +1,4 @@
-//! SWIM failure detector of one node, with anti-entropy between member tables.
+//! SWIM failure detector of one node; anti-entropy between member tables is in `anti_entropy.rs`.
 //!
 //! Cost per node: one probe and its answer per period, in addition to the probes of delegates (see
 //! `delegate.rs`) and of reconnects. Each message piggybacks at most `max_updates_per_message`
@@ -12,7 +12,7 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_wire::{
-    IndirectAnswer, IndirectProbe, Member, MemberStatus, Probe, ProbeAnswer, Sync, SyncAnswer,
+    IndirectAnswer, IndirectProbe, Member, MemberStatus, Probe, ProbeAnswer, Sync,
 };
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -73,7 +73,7 @@
 pub struct FailureDetector {
     settings: MemberSettings,
     local_member: Member,
-    table: MemberTable,
+    pub(super) table: MemberTable,
     update_queue: UpdateQueue,
     seed_addresses: Vec<String>,
     /// Nodes of the domain not yet probed in this round, in random order.
@@ -436,90 +436,6 @@
         }
     }
 
-    /// Handles an anti-entropy request. The answer holds the entries of the domains whose digests
-    /// differ, and of the entries that the sender included those that are newer here.
-    pub fn on_sync(&mut self, sync: &Sync, now: Instant) -> (SyncAnswer, Vec<MemberEffect>) {
-        let mut entries = Vec::new();
-        if !sync.digests.is_empty() {
-            let differing_domains = self.table.differing_domains(&sync.digests);
-            let members = self.table.members();
-            entries.extend(
-                members
-                    .filter(|member| differing_domains.contains(&member.domain))
-                    .cloned(),
-            );
-        }
-        let effects = self.merge_updates(&sync.entries, now);
-        for entry in &sync.entries {
-            let latest_entry = self.table.latest_known(&entry.node);
-            push_if_absent(
-                &mut entries,
-                latest_entry.filter(|latest| supersedes(latest, entry)),
-            );
-        }
-        // An answer without digests ends the exchange.
-        let digests = if sync.digests.is_empty() {
-            Vec::new()
-        } else {
-            self.table.domain_digests()
-        };
-        let answer = SyncAnswer { digests, entries };
-        (answer, effects)
-    }
-
-    /// Handles the answer to an anti-entropy request and sends the entries that the answering node
-    /// lacks. The answer to that second request is merged without a further message, so that two
-    /// nodes that cannot agree on an entry send at most two requests per exchange.
-    pub fn on_sync_answer(
-        &mut self,
-        address: &str,
-        answer: &SyncAnswer,
-        now: Instant,
-    ) -> Vec<MemberEffect> {
-        if answer.digests.is_empty() {
-            return self.merge_updates(&answer.entries, now);
-        }
-        let remote_entries: BTreeMap<&str, &Member> = answer
-            .entries
-            .iter()
-            .map(|entry| (entry.node.as_str(), entry))
-            .collect();
-        let differing_domains = self.table.differing_domains(&answer.digests);
-        let mut entries: Vec<Member> = Vec::new();
-        for member in self
-            .table
-            .members()
-            .filter(|member| differing_domains.contains(&member.domain))
-        {
-            let peer_lacks = match remote_entries.get(member.node.as_str()) {
-                Some(entry) => supersedes(member, entry),
-                None => is_live(member.status()),
-            };
-            if peer_lacks {
-                entries.push(member.clone());
-            }
-        }
-        // The peer may list as live an entry that is a tombstone here.
-        for entry in &answer.entries {
-            let latest_entry = self.table.latest_known(&entry.node);
-            push_if_absent(
-                &mut entries,
-                latest_entry.filter(|latest| supersedes(latest, entry)),
-            );
-        }
-        let mut effects = self.merge_updates(&answer.entries, now);
-        if !entries.is_empty() {
-            effects.push(MemberEffect::Sync {
-                address: address.to_owned(),
-                sync: Sync {
-                    digests: Vec::new(),
-                    entries,
-                },
-            });
-        }
-        effects
-    }
-
     /// Merges received updates and refutes those about this node.
     pub fn merge_updates(&mut self, updates: &[Member], now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
@@ -697,12 +613,7 @@
     answer.node.is_empty() || answer.node == node
 }
 
-/// Whether `candidate` replaces `known` in the order that `charts/member.toml` defines.
-fn supersedes(candidate: &Member, known: &Member) -> bool {
-    (candidate.incarnation, candidate.status) > (known.incarnation, known.status)
-}
-
-fn push_if_absent(updates: &mut Vec<Member>, member: Option<&Member>) {
+pub(super) fn push_if_absent(updates: &mut Vec<Member>, member: Option<&Member>) {
     if let Some(member) = member
         && !updates.iter().any(|update| update.node == member.node)
     {
--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -1,5 +1,6 @@
 //! Cluster membership: the member table, failure detection and dissemination of updates.
 
+mod anti_entropy;
 mod chart;
 mod delegate;
 mod detector;
