--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -13,7 +13,7 @@
 use agatedeck_clock::Instant;
 use axum::body::Body;
 use axum::http::response::Parts;
-use axum::http::{HeaderValue, Request, StatusCode, header, request};
+use axum::http::{HeaderValue, Request, StatusCode, header};
 use axum::response::Response;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -22,34 +22,21 @@
 
 use super::answer_body::{AnswerBody, AnswerObserver};
 use super::attempt::{AttemptOptions, AttemptOutcome, send_attempt, stated_load};
+use super::attempt_request::{AttemptMetadata, CallRequest};
 use super::claim_actor::{ClaimLease, ClaimReply, ClaimResult, acquire_claim};
 use super::crash_actor::RecordCompletion;
 use super::drain_body::respond_after_drain;
 use super::gateway::GatewayContext;
 use super::headers::{
-    ATTEMPT, CALLER_SERVICE, CLASS, DEADLINE_MS, DEPTH, FINGERPRINT, LOAD, OUTCOME, PRIORITY,
-    REASON, SENT_AT, SERVICE, USEFUL_MS, WORKSPACE, local_answer_for_caller,
-    strip_hop_by_hop_headers,
+    FINGERPRINT, LOAD, OUTCOME, REASON, local_answer_for_caller, strip_hop_by_hop_headers,
 };
-use super::http_client::forwarded_uri;
 use super::latency_actor::RecordCall;
 use super::plan::CallPlan;
 use super::reason::StopReason;
 use super::refusal_trail::RefusalTrail;
-use super::request_body::RequestBody;
 use super::router::{DecideRetry, PickTarget, RecordUnanswered, TargetLease};
 use crate::adapters::CallProtocol;
 
-/// The caller's request, from which the request of each attempt is built.
-#[derive(Debug)]
-pub(super) struct CallRequest {
-    pub(super) parts: request::Parts,
-    pub(super) body: RequestBody,
-    /// BLAKE3 digest of the method, path and query, content length, and the buffered part of the
-    /// body.
-    pub(super) digest: [u8; 32],
-}
-
 /// An answer that has arrived and is not forwarded yet.
 enum ReadyAnswer {
     Complete(Response),
@@ -306,7 +293,7 @@
             self.reason = refusal.into();
             return self.handle_event(CallEvent::DeadlinePassed);
         }
-        let Some(attempt_request) = self.build_request(request) else {
+        let Some(attempt_request) = self.build_attempt(request) else {
             self.reason = StopReason::Unreachable;
             return self.handle_attempt_event(AttemptEvent::ConnectFailed);
         };
@@ -378,43 +365,15 @@
     }
 
     /// Builds the request of the current attempt; `None` if the body was already consumed.
-    fn build_request(&self, request: &mut CallRequest) -> Option<Request<Body>> {
+    fn build_attempt(&self, request: &mut CallRequest) -> Option<Request<Body>> {
         let authority = self.target_lease.as_ref()?.authority.clone();
-        let mut attempt_request = Request::new(request.body.attempt_body()?);
-        let parts = &request.parts;
-        *attempt_request.uri_mut() = forwarded_uri(&parts.uri, authority)?;
-        *attempt_request.method_mut() = parts.method.clone();
-        let mut headers = parts.headers.clone();
-        strip_hop_by_hop_headers(&mut headers);
-        let now = self.gateway.context.clock.now();
-        let remaining = self.plan.deadline.since(now);
-        headers.insert(DEADLINE_MS, millis_rounded_up(remaining).into());
-        headers.insert(DEPTH, (self.plan.depth + 1).into());
-        headers.insert(ATTEMPT, self.machine.attempts().into());
-        headers.insert(PRIORITY, self.plan.priority.into());
-        let sent_at = format!(
-            "{}/{}",
-            self.gateway.context.local_member.node,
-            now.as_micros()
-        );
-        headers.insert(SENT_AT, HeaderValue::from_str(&sent_at).ok()?);
-        if let Some(useful_until) = self.plan.useful_until {
-            headers.insert(
-                USEFUL_MS,
-                millis_rounded_down(useful_until.since(now)).into(),
-            );
-        }
-        headers.insert(SERVICE, HeaderValue::from_str(&self.plan.service).ok()?);
-        let caller_service = self.gateway.context.settings.service_name();
-        headers.insert(CALLER_SERVICE, HeaderValue::from_str(caller_service).ok()?);
-        headers.insert(WORKSPACE, HeaderValue::from_str(&self.plan.workspace).ok()?);
-        if let Ok(class) = HeaderValue::from_str(&self.plan.class) {
-            headers.insert(CLASS, class);
-        }
-        let fingerprint = self.fingerprint.to_string();
-        headers.insert(FINGERPRINT, HeaderValue::from_str(&fingerprint).ok()?);
-        *attempt_request.headers_mut() = headers;
-        Some(attempt_request)
+        let metadata = AttemptMetadata {
+            context: &self.gateway.context,
+            plan: &self.plan,
+            fingerprint: &self.fingerprint,
+            attempt: self.machine.attempts(),
+        };
+        request.build_attempt(&metadata, authority)
     }
 
     /// Records what the load balancer and the claim need from an answer.
@@ -552,15 +511,6 @@
     matches!(answer, ReadyAnswer::Streaming(..))
 }
 
-fn millis_rounded_down(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Milliseconds, rounded up so that a remaining time above zero is never sent as 0.
-fn millis_rounded_up(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
-}
-
 /// Builds the response to the caller from a target's answer.
 fn forwarded_response(protocol: &dyn CallProtocol, mut parts: Parts, body: Body) -> Response {
     strip_hop_by_hop_headers(&mut parts.headers);
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -13,8 +13,9 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use super::attempt_request::CallRequest;
 use super::call_drain::{DrainProgress, wait_for_cutoff};
-use super::call_task::{CallRequest, CallTask};
+use super::call_task::CallTask;
 use super::claim_actor::ClaimActor;
 use super::crash_actor::{CrashActor, CrashView};
 use super::drain_body::respond_after_drain;
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -13,6 +13,7 @@
 
 mod answer_body;
 mod attempt;
+mod attempt_request;
 mod call_drain;
 mod call_stream;
 mod call_task;
