--- a/crates/control/src/pull/machine.rs
+++ b/crates/control/src/pull/machine.rs
@@ -68,22 +68,14 @@
     /// start another pull.
     #[must_use]
     pub fn on_answer(&mut self, latest: u64) -> bool {
-        self.advance(if latest >= self.reported_version {
-            PullEvent::CaughtUp
-        } else {
-            PullEvent::Progressed
-        })
+        self.end_pull(latest, PullEvent::Progressed)
     }
 
     /// Handles a pull that none of its peers has answered with a newer version in time. Returns
     /// whether to start another pull.
     #[must_use]
     pub fn on_no_answer(&mut self, latest: u64) -> bool {
-        self.advance(if latest >= self.reported_version {
-            PullEvent::CaughtUp
-        } else {
-            PullEvent::Unanswered
-        })
+        self.end_pull(latest, PullEvent::Unanswered)
     }
 
     /// Records that the peer `node` did not answer a request.
@@ -98,6 +90,16 @@
         self.silent_until.keys().map(String::as_str).collect()
     }
 
+    /// Ends a pull with `event_if_behind`, unless this node holds all that was reported.
+    fn end_pull(&mut self, latest: u64, event_if_behind: PullEvent) -> bool {
+        let is_behind = latest < self.reported_version;
+        self.advance(if is_behind {
+            event_if_behind
+        } else {
+            PullEvent::CaughtUp
+        })
+    }
+
     fn advance(&mut self, event: PullEvent) -> bool {
         !PULL_CHART.advance(&mut self.state, event).is_empty()
     }
--- a/crates/node/src/calls/crash_actor.rs
+++ b/crates/node/src/calls/crash_actor.rs
@@ -8,16 +8,14 @@
     CrashSettings, CrashTracker, Fingerprint, MergeResult, RefusedRequest, TargetCrashReport,
 };
 use agatedeck_clock::Instant;
-use agatedeck_control::{DisseminationRequest, DisseminationScope};
 use agatedeck_wire::CrashReport;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use rand::Rng;
 use tokio::sync::watch;
 
 use crate::context::NodeContext;
-use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
+use crate::dissemination::{DisseminationRelay, StartDissemination};
 
 /// Interval at which expired reports are removed. It affects only memory use.
 const REPORT_EXPIRY_INTERVAL: Duration = Duration::from_secs(30);
@@ -99,20 +97,11 @@
         if added.is_empty() {
             return;
         }
-        let payload = DisseminationPayload::Rumor {
-            members: Vec::new(),
-            crashes: added.iter().map(TargetCrashReport::to_wire).collect(),
-        };
-        let request = DisseminationRequest {
-            salt: rand::rng().random(),
-            // A caller may resend the request through any node.
-            scope: DisseminationScope::AllRegions,
-        };
+        // To all regions, since a caller may resend the request through any node.
+        let crashes = added.iter().map(TargetCrashReport::to_wire).collect();
+        let dissemination = StartDissemination::of_rumor(Vec::new(), crashes);
         // The relay stops only when the node stops.
-        let _ = self
-            .relay
-            .tell(StartDissemination { request, payload })
-            .await;
+        let _ = self.relay.tell(dissemination).await;
     }
 }
 
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -11,6 +11,7 @@
 use futures::stream::FuturesUnordered;
 use kameo::Actor;
 use kameo::message::{Context, Message};
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::context::NodeContext;
@@ -97,6 +98,16 @@
             payload,
         }
     }
+
+    /// The dissemination of a rumor that begins at this node and goes to all regions.
+    pub(crate) fn of_rumor(members: Vec<Member>, crashes: Vec<CrashReport>) -> Self {
+        let request = DisseminationRequest {
+            salt: rand::rng().random(),
+            scope: DisseminationScope::AllRegions,
+        };
+        let payload = DisseminationPayload::Rumor { members, crashes };
+        Self { request, payload }
+    }
 }
 
 /// Owns the set of recently handled requests. Each hop is sent by a separate task.
--- a/crates/node/src/member/actor.rs
+++ b/crates/node/src/member/actor.rs
@@ -6,8 +6,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    DisseminationRequest, DisseminationScope, FailureDetector, FloorTable, JoinResponder,
-    MemberEffect, MemberSettings, MemberTable, ResponderSettings,
+    FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings, MemberTable,
+    ResponderSettings,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, IndirectAnswer, Join,
@@ -16,12 +16,11 @@
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
-use rand::Rng;
 use tokio::sync::watch;
 
 use crate::config::{ConfigActor, ObservePeerVersion};
 use crate::context::NodeContext;
-use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
+use crate::dissemination::{DisseminationRelay, StartDissemination};
 use crate::peer::PeerAddress;
 use crate::wire_answer::WireAnswer;
 
@@ -163,19 +162,9 @@
     }
 
     async fn broadcast(&self, member: Member) {
-        let payload = DisseminationPayload::Rumor {
-            members: vec![member],
-            crashes: Vec::new(),
-        };
-        let request = DisseminationRequest {
-            salt: rand::rng().random(),
-            scope: DisseminationScope::AllRegions,
-        };
+        let dissemination = StartDissemination::of_rumor(vec![member], Vec::new());
         // The send fails only while the node is stopping.
-        let _ = self
-            .relay
-            .tell(StartDissemination { request, payload })
-            .await;
+        let _ = self.relay.tell(dissemination).await;
     }
 
     async fn report_peer_version(&self, version: u64) {
--- a/crates/node/tests/calls/large_bodies.rs
+++ b/crates/node/tests/calls/large_bodies.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::assert_answer;
-use crate::support::{TestMesh, eventually, send_call};
+use crate::support::{TestMesh, send_call};
 use agatedeck_node::CallSettings;
 use agatedeck_standin::TargetBehaviour;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -145,24 +145,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_upload_to_a_full_target_is_not_run() {
     let mesh = TestMesh::start(&["waiverbox"]).await;
-    let behaviour = TargetBehaviour {
-        hang: true,
-        ..Default::default()
-    };
-    mesh.set_behaviour(0, behaviour).await;
-    // Fills four slots and four queue positions.
-    let calls: Vec<_> = (0..8)
-        .map(|_| {
-            tokio::spawn(send_call(
-                mesh.client.post(mesh.url(0, "/waivers")).body("form"),
-            ))
-        })
-        .collect();
-    eventually("the slots are taken", async || {
-        mesh.target(0).counters().await.started == 4
-    })
-    .await;
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let calls = mesh.fill_first_target("/waivers").await;
     for _ in 0..10 {
         let upload = mesh
             .client
--- a/crates/node/tests/calls/placement.rs
+++ b/crates/node/tests/calls/placement.rs
@@ -1,33 +1,13 @@
 //! What the nodes of callers learn about the load of targets.
 
-use std::time::Duration;
-
-use agatedeck_standin::TargetBehaviour;
-
-use crate::support::{TestMesh, eventually, send_call};
+use crate::support::TestMesh;
 
 /// Guards against callers' nodes that go on picking a full target: between two answers of it, only its
 /// refusals can tell them how full it is.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_states_the_load_of_the_target() {
     let mesh = TestMesh::start(&["waiverbox"]).await;
-    let behaviour = TargetBehaviour {
-        hang: true,
-        ..Default::default()
-    };
-    mesh.set_behaviour(0, behaviour).await;
-    // Fills four slots and four queue positions.
-    let calls: Vec<_> = (0..8)
-        .map(|_| {
-            let call = mesh.client.post(mesh.url(0, "/waivers")).body("form");
-            tokio::spawn(send_call(call))
-        })
-        .collect();
-    eventually("the slots are taken", async || {
-        mesh.target(0).counters().await.started == 4
-    })
-    .await;
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let calls = mesh.fill_first_target("/waivers").await;
     let request = mesh.client.post(mesh.peer_url(0, "/waivers")).body("form");
     let refusal = request.send().await.expect("the node answers");
     let header = |name| {
--- a/crates/node/tests/calls/support.rs
+++ b/crates/node/tests/calls/support.rs
@@ -12,6 +12,7 @@
 use reqwest::{Client, RequestBuilder};
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
 
 /// Records of the mesh. Calls under the policy `search` are idempotent, those under `charge` run at
 /// most once, those under `upload` are not retried, and `wide` has more slots than connections.
@@ -290,6 +291,27 @@
 
     /// Stops a target and waits until its address refuses connections, because a task closes its
     /// listener asynchronously.
+    /// Makes the first target hang, and sends it calls at `path` until its four slots are taken and the
+    /// four places of its queue.
+    pub(crate) async fn fill_first_target(&self, path: &str) -> Vec<JoinHandle<ReceivedAnswer>> {
+        let behaviour = TargetBehaviour {
+            hang: true,
+            ..Default::default()
+        };
+        self.set_behaviour(0, behaviour).await;
+        let calls = (0..8).map(|_| {
+            let call = self.client.post(self.url(0, path)).body("form");
+            tokio::spawn(send_call(call))
+        });
+        let calls = calls.collect();
+        eventually("the slots are taken", async || {
+            self.target(0).counters().await.started == 4
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        calls
+    }
+
     pub(crate) async fn kill_target(&mut self, index: usize) {
         let target = self.targets[index].take().expect("the target runs");
         let address = target.address();
