Do not pull a version again at once that this node refuses

Found in the last reading, before anyone saw it: a pull whose answer holds a version that the node cannot read left it behind, which counted as progress, and the next pull began at once, without end. Change: an answer after which the node holds no newer version counts as none; the next report starts the next pull. Test: a_refused_version_is_not_pulled_again_at_once fails with the rule of before, passes with this one.

--- a/crates/control/src/pull/machine.rs
+++ b/crates/control/src/pull/machine.rs
@@ -5,7 +5,7 @@
 
 use agatedeck_clock::Instant;
 
-use super::chart::{PULL_CHART, PullEvent, PullState};
+use super::chart::{PULL_CHART, PullAction, PullEvent, PullState};
 
 /// Settings of a [`PullMachine`].
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +33,8 @@
     state: PullState,
     /// Newest version that another node was reported to hold.
     reported_version: u64,
+    /// Latest version that this node held when the last pull started.
+    pulled_after: u64,
     /// Peers that did not answer, each with the time at which it is asked like any other again.
     silent_until: BTreeMap<String, Instant>,
 }
@@ -44,6 +46,7 @@
             settings,
             state: PULL_CHART.initial(),
             reported_version: 0,
+            pulled_after: 0,
             silent_until: BTreeMap::new(),
         }
     }
@@ -61,14 +64,23 @@
             return false;
         }
         self.reported_version = self.reported_version.max(version);
-        self.advance(PullEvent::NewerReported)
+        self.advance(PullEvent::NewerReported, latest)
     }
 
     /// Handles the first answer to a pull, after which this node holds `latest`. Returns whether to
-    /// start another pull.
+    /// start another pull. An answer whose versions this node refuses counts as none; otherwise it would
+    /// be requested again without pause.
     #[must_use]
     pub fn on_answer(&mut self, latest: u64) -> bool {
-        self.end_pull(latest, PullEvent::Progressed)
+        let has_progressed = latest > self.pulled_after;
+        self.end_pull(
+            latest,
+            if has_progressed {
+                PullEvent::Progressed
+            } else {
+                PullEvent::Unanswered
+            },
+        )
     }
 
     /// Handles a pull that none of its peers has answered with a newer version in time. Returns
@@ -93,14 +105,21 @@
     /// Ends a pull with `event_if_behind`, unless this node holds all that was reported.
     fn end_pull(&mut self, latest: u64, event_if_behind: PullEvent) -> bool {
         let is_behind = latest < self.reported_version;
-        self.advance(if is_behind {
+        let event = if is_behind {
             event_if_behind
         } else {
             PullEvent::CaughtUp
-        })
+        };
+        self.advance(event, latest)
     }
 
-    fn advance(&mut self, event: PullEvent) -> bool {
-        !PULL_CHART.advance(&mut self.state, event).is_empty()
+    /// Applies an event; returns whether to start a pull.
+    fn advance(&mut self, event: PullEvent, latest: u64) -> bool {
+        let actions = PULL_CHART.advance(&mut self.state, event);
+        let starts_pull = actions.contains(&PullAction::Pull);
+        if starts_pull {
+            self.pulled_after = latest;
+        }
+        starts_pull
     }
 }
--- a/crates/control/tests/pull.rs
+++ b/crates/control/tests/pull.rs
@@ -165,6 +165,16 @@
     assert!(machine.on_report(6, HELD_VERSION));
 }
 
+/// Guards against a node that requests a version which it refuses again and again without pause.
+#[test]
+fn a_refused_version_is_not_pulled_again_at_once() {
+    let mut machine = PullMachine::new(PullSettings::default());
+    assert!(machine.on_report(6, HELD_VERSION));
+    // The answer holds version 6, which this node cannot read.
+    assert!(!machine.on_answer(HELD_VERSION));
+    assert_eq!(machine.state(), PullState::Idle);
+}
+
 /// A version that arrived over the tree meanwhile is not pulled again.
 #[test]
 fn a_version_that_arrived_meanwhile_ends_the_pull() {
