--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -111,8 +111,8 @@
 }
 
 impl AttemptResult {
-    /// Whether the target or its node has answered or refused the attempt.
-    fn is_word_of_target(self) -> bool {
+    /// Whether the target has answered the attempt, or its node has refused it.
+    fn is_response(self) -> bool {
         match self {
             Self::Answered | Self::Full | Self::Refused => true,
             Self::Failed | Self::TimedOut | Self::Cancelled => false,
@@ -383,7 +383,7 @@
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
-        target.end_call(result.is_word_of_target(), now);
+        target.end_call(result.is_response(), now);
         target.fire_timers(now, &self.settings);
         match result {
             AttemptResult::Answered => {
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -272,17 +272,17 @@
         self.sent_since_report += 1;
     }
 
-    /// Counts the end of a call. `answered` is whether the target or its node said anything about it.
-    pub(super) fn end_call(&mut self, answered: bool, now: Instant) {
+    /// Counts the end of a call. `has_response` is whether the target answered it or its node refused it.
+    pub(super) fn end_call(&mut self, has_response: bool, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if answered {
+        if has_response {
             self.unanswered_since = now;
         }
     }
 
-    /// Whether several calls are in flight and no word of the target or its node has come for unusually long, as
-    /// from a host that is frozen or cut off. The failure detector needs seconds to tell. Lasts until
-    /// the next answer, or until the calls in flight have ended.
+    /// Whether several calls are in flight and none has had an answer or a refusal for unusually long, as
+    /// from a host that is frozen or cut off. The failure detector needs seconds to tell. Lasts until the
+    /// next answer or refusal, or until the calls in flight have ended.
     fn is_silent(&self, now: Instant) -> bool {
         if self.in_flight < MIN_SILENT_CALLS {
             return false;
--- a/crates/control/src/member/table.rs
+++ b/crates/control/src/member/table.rs
@@ -167,31 +167,27 @@
         if member.control_address.is_empty() || !is_live(member.status()) {
             return;
         }
-        let order = (member.incarnation, member.node.as_str());
-        let holder = self.keys_by_address.get(&member.control_address);
-        let live_holder = holder.copied().filter(|holder| {
-            let entry = self.entries.get(*holder);
-            *holder != key
-                && entry.is_some_and(|entry| {
-                    is_live(entry.member.status())
-                        && entry.member.control_address == member.control_address
-                })
-        });
-        let replaced = match live_holder {
-            Some(holder) => {
-                let other = &self.entries[holder].member;
-                let is_later = order > (other.incarnation, other.node.as_str());
-                Some(if is_later { holder } else { key })
+        let address = member.control_address.clone();
+        if let Some(holder) = self.other_live_holder(key, &address) {
+            let order = |key: MemberKey| {
+                let member = &self.entries[key].member;
+                (member.incarnation, member.node.as_str())
+            };
+            if order(holder) > order(key) {
+                self.apply_event(key, MemberEvent::AddressTaken, now);
+                return;
             }
-            None => None,
-        };
-        if replaced != Some(key) {
-            let address = member.control_address.clone();
-            self.keys_by_address.insert(address, key);
-        }
-        if let Some(replaced) = replaced {
-            self.apply_event(replaced, MemberEvent::AddressTaken, now);
+            self.apply_event(holder, MemberEvent::AddressTaken, now);
         }
+        self.keys_by_address.insert(address, key);
+    }
+
+    /// The live entry other than `key` at a control address.
+    fn other_live_holder(&self, key: MemberKey, address: &str) -> Option<MemberKey> {
+        let holder = *self.keys_by_address.get(address)?;
+        let member = &self.entries.get(holder)?.member;
+        let is_other = holder != key && member.control_address == address;
+        (is_other && is_live(member.status())).then_some(holder)
     }
 
     /// Adds the entry to the digest of its domain, or removes it if included: XOR does both.
