--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -130,10 +130,6 @@
     /// Whether the call may run more than once. Idempotent calls are preferred as probes after an
     /// ejection, because they can be retried if the answer is lost.
     pub idempotent: bool,
-    /// Whether a node has refused the last attempt. The next one goes to another region only if the
-    /// target there has room as far as known: under overload everywhere it would carry the request
-    /// between regions for one more refusal.
-    pub was_refused: bool,
 }
 
 /// Target picked for an attempt.
@@ -156,9 +152,6 @@
     /// All targets of the service are draining.
     #[display("all targets of the service are draining")]
     AllDraining,
-    /// The call was refused, and only targets in other regions are left, all of them full.
-    #[display("no other target is known to have room")]
-    AllFull,
 }
 
 /// State of one target, for status pages and tests.
@@ -331,8 +324,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service has no targets, if all of them are draining, or if the call was refused
-    /// and no other target is worth an attempt.
+    /// Fails if the service has no targets or all of them are draining.
     pub fn pick(
         &mut self,
         request: &PickRequest<'_>,
@@ -344,14 +336,9 @@
         };
         self.candidates.clear();
         let mut best: Option<PickPreference> = None;
-        let mut skips_full = false;
         for &key in &service.targets {
             let target = &mut self.targets[key];
             target.fire_timers(now, &self.settings);
-            if request.was_refused && target.is_far_and_full(&self.settings, now) {
-                skips_full = true;
-                continue;
-            }
             let Some(preference) = target.preference(key, request, &self.settings, now) else {
                 continue;
             };
@@ -364,10 +351,6 @@
                     .push(target.candidate(key, &self.settings, now));
             }
         }
-        // A target that has refused the call is no better than one that would.
-        if skips_full && best.is_none_or(|best| best >= PickPreference::AlreadyTried) {
-            return Err(PickError::AllFull);
-        }
         if self.candidates.is_empty() {
             return Err(PickError::AllDraining);
         }
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -291,13 +291,6 @@
         now.since(self.unanswered_since) > usual.max(MIN_SILENCE)
     }
 
-    /// Whether the target is in another region and has no room for a call that was refused nearer.
-    pub(super) fn is_far_and_full(&self, settings: &BalancerSettings, now: Instant) -> bool {
-        let full_percent = f64::from(settings.region_spill_percent);
-        self.tier == LocalityTier::OtherRegion
-            && self.load(self.open_slots(now), settings, now) * 100.0 >= full_percent
-    }
-
     /// Preference by load and distance.
     fn load_preference(
         &self,
