--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -447,7 +447,7 @@
             }
             if self.is_predecessor(update) && update.incarnation >= self.local_member.incarnation {
                 // The wall clock of the host that had the address before was ahead.
-                self.local_member.incarnation = update.incarnation.saturating_add(1);
+                self.raise_incarnation_above(update.incarnation);
                 self.disseminate_local_member(now, &mut effects);
             }
             if self.table.merge(update, now) == MergeOutcome::Applied {
@@ -472,7 +472,7 @@
                 && member.incarnation >= self.local_member.incarnation
             {
                 // The wall clock of that process was ahead or equal.
-                self.local_member.incarnation = member.incarnation.saturating_add(1);
+                self.raise_incarnation_above(member.incarnation);
             }
             if !is_earlier_process {
                 self.table.merge(member, now);
@@ -514,7 +514,7 @@
         self.local_member.slots = slots;
         self.local_member.warming = warming;
         // Entries of one incarnation may differ only in their status.
-        self.local_member.incarnation = self.local_member.incarnation.saturating_add(1);
+        self.raise_incarnation_above(self.local_member.incarnation);
         self.disseminate_local_member(now, &mut effects);
         effects.push(MemberEffect::ViewChanged);
         effects
@@ -541,11 +541,16 @@
         if update.incarnation > self.local_member.incarnation
             || same_incarnation && !has_left && (status_advances || address_differs)
         {
-            self.local_member.incarnation = update.incarnation.saturating_add(1);
+            self.raise_incarnation_above(update.incarnation);
             self.disseminate_local_member(now, effects);
         }
     }
 
+    /// Makes the entry of this node supersede those of the incarnations up to `incarnation`.
+    fn raise_incarnation_above(&mut self, incarnation: u64) {
+        self.local_member.incarnation = incarnation.saturating_add(1);
+    }
+
     /// Whether `update` lists a node of another name as live at the address of this node. Its host is
     /// gone, since this node listens there.
     fn is_predecessor(&self, update: &Member) -> bool {
