Do not take a peer for silent that had no time to answer a pull

What was wrong: when an earlier peer answered a pull, all peers without an answer were recorded as silent, also the one that had been asked a moment before.

Cause: the pull kept the peers without an answer, but not when each was asked.

Change: the requests of a pull are kept with their times in agatedeck-control, and only those count as silent that had the delay after which the next peer is asked. The new test states this; the code before had no such rule.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,7 +30,7 @@
     FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
     MergeOutcome, is_probe_answer_of,
 };
-pub use pull::{PullMachine, PullSettings, PullState, select_pull_peers};
+pub use pull::{PullMachine, PullRequests, PullSettings, PullState, select_pull_peers};
 pub use reader::{ReaderMachine, ReaderSettings, ReaderState, ScheduledRead};
 pub use rendezvous::{rank_candidates, rendezvous_score};
 pub use version::{
--- a/crates/control/src/pull/mod.rs
+++ b/crates/control/src/pull/mod.rs
@@ -7,7 +7,9 @@
 mod chart;
 mod machine;
 mod peers;
+mod requests;
 
 pub use chart::PullState;
 pub use machine::{PullMachine, PullSettings};
 pub use peers::select_pull_peers;
+pub use requests::PullRequests;
--- a/crates/control/tests/pull.rs
+++ b/crates/control/tests/pull.rs
@@ -5,7 +5,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    MemberSettings, MemberTable, PullMachine, PullSettings, PullState, select_pull_peers,
+    MemberSettings, MemberTable, PullMachine, PullRequests, PullSettings, PullState,
+    select_pull_peers,
 };
 use agatedeck_wire::{Member, MemberStatus};
 use rand::SeedableRng;
@@ -200,3 +201,19 @@
     let later = start.after(Duration::from_secs(6));
     assert!(machine.silent_peers(later).is_empty());
 }
+
+/// Guards against a healthy peer that is asked last for seconds because another one answered right
+/// after it was asked.
+#[test]
+fn a_peer_without_time_to_answer_is_not_silent() {
+    let answer_time = Duration::from_millis(200);
+    let start = Instant::default();
+    let answered_at = start.after(Duration::from_millis(210));
+    let mut requests = PullRequests::new(answer_time);
+    requests.record_request("frozen", start);
+    requests.record_request("slow", start.after(Duration::from_millis(1)));
+    requests.record_request("asked-last", start.after(answer_time));
+    requests.record_reply("slow");
+    let silent: Vec<&str> = requests.silent_peers(answered_at).collect();
+    assert_eq!(silent, ["frozen"]);
+}
--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -144,7 +144,7 @@
         tokio::spawn(async move {
             let answer = pull.first_answer().await;
             let is_unanswered = answer.is_none();
-            let silent_peers = pull.unanswered().map(str::to_owned).collect();
+            let silent_peers = pull.silent_peers().map(str::to_owned).collect();
             // The sends fail only while the node is stopping.
             let _ = actor
                 .tell(FirstPullAnswer {
--- a/crates/node/src/config/pull.rs
+++ b/crates/node/src/config/pull.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use agatedeck_control::select_pull_peers;
+use agatedeck_control::{PullRequests, select_pull_peers};
 use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member, Pull, PullAnswer};
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
@@ -29,7 +29,7 @@
     version: u64,
     peers: VecDeque<Member>,
     requests: FuturesUnordered<BoxFuture<'static, PeerReply>>,
-    unanswered: BTreeSet<String>,
+    unanswered: PullRequests,
 }
 
 impl PeerPull {
@@ -48,7 +48,7 @@
             context: context.clone(),
             version,
             requests: FuturesUnordered::new(),
-            unanswered: BTreeSet::new(),
+            unanswered: PullRequests::new(NEXT_PEER_DELAY),
         }
     }
 
@@ -86,19 +86,20 @@
         None
     }
 
-    /// Peers that were asked and have not answered.
-    pub(super) fn unanswered(&self) -> impl Iterator<Item = &str> {
-        self.unanswered.iter().map(String::as_str)
+    /// Peers that were asked, had time to answer and did not.
+    pub(super) fn silent_peers(&self) -> impl Iterator<Item = &str> {
+        self.unanswered.silent_peers(self.context.clock.now())
     }
 
     fn newer_answer(&mut self, (node, answer): PeerReply) -> Option<PullAnswer> {
         let answer = answer?;
-        self.unanswered.remove(&node);
+        self.unanswered.record_reply(&node);
         (answer.version > self.version).then_some(answer)
     }
 
     fn send_request(&mut self, peer: Member) {
-        self.unanswered.insert(peer.node.clone());
+        let now = self.context.clock.now();
+        self.unanswered.record_request(&peer.node, now);
         let request = request_versions(self.context.clone(), peer, self.version);
         self.requests.push(request.boxed());
     }
