--- a/crates/bench/src/slopes/call_decisions.rs
+++ b/crates/bench/src/slopes/call_decisions.rs
@@ -6,12 +6,12 @@
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionRequest, AdmissionSettings, AnswerView,
     AttemptResult, BalancerSettings, CallEnd, CallId, ClaimEffect, ClaimId, ClaimRequest,
-    ClaimSettings, ClaimTable, ClaimTime, LatencySettings, LatencyTable, LoadBalancer,
-    NodeLocality, PickRequest, TargetStatus, TargetView, TwoChoices, WriteOutcome,
+    ClaimSettings, ClaimTable, ClaimTime, LatencySettings, LatencyTable, LoadBalancer, PickRequest,
+    TargetStatus, TargetView, TwoChoices, WriteOutcome,
 };
 use agatedeck_clock::Instant;
 use agatedeck_records::{NEWEST_SCHEMA, SnapshotView};
-use agatedeck_wire::Member;
+use agatedeck_wire::{Member, NodeLocality};
 use miette::{IntoDiagnostic, Result, miette};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -86,14 +86,6 @@
     Ok(cost)
 }
 
-fn locality(member: &Member) -> NodeLocality<'_> {
-    NodeLocality {
-        node: &member.node,
-        domain: &member.domain,
-        region: &member.region,
-    }
-}
-
 fn measure_load_balancer(
     settings: &SlopeSettings,
     members: &[Member],
@@ -104,7 +96,7 @@
         .iter()
         .filter(|member| member.service == SERVICE_NAME)
         .map(|member| TargetView {
-            locality: locality(member),
+            locality: member.into(),
             peer: SocketAddr::from(([127, 0, 0, 1], 7_401)),
             generation: 1,
             slots: 20,
@@ -112,8 +104,8 @@
             status: TargetStatus::Alive,
         })
         .collect();
-    let callers: Vec<NodeLocality<'_>> = members.iter().map(locality).collect();
-    let local_node = locality(&members[0]);
+    let callers: Vec<NodeLocality<'_>> = members.iter().map(NodeLocality::from).collect();
+    let local_node = NodeLocality::from(&members[0]);
     let mut balancer = LoadBalancer::new(
         &local_node,
         BalancerSettings::default(),
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -39,7 +39,7 @@
     draw_retry_after, owns_retries,
 };
 pub use routing::{
-    AttemptResult, BalancePolicy, BalancerSettings, Candidate, LoadBalancer, NodeLocality,
-    PickError, PickRequest, PickedTarget, RoundRobin, SubsetSettings, TargetKey, TargetState,
-    TargetStatus, TargetSummary, TargetView, TwoChoices, choose_subset,
+    AttemptResult, BalancePolicy, BalancerSettings, Candidate, LoadBalancer, PickError,
+    PickRequest, PickedTarget, RoundRobin, SubsetSettings, TargetKey, TargetState, TargetStatus,
+    TargetSummary, TargetView, TwoChoices, choose_subset,
 };
--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
+use agatedeck_wire::{LocalityTier, NodeLocality};
 use derive_more::{Display, Error};
 use rand::RngCore;
 use slotmap::SlotMap;
@@ -16,7 +17,7 @@
 use super::chart::{TARGET_CHART, TargetEvent, TargetState};
 use super::policy::{BalancePolicy, Candidate};
 use super::subset::{SubsetSettings, choose_subset};
-use super::target::{LocalityTier, NodeLocality, TargetKey, TargetStatus, TargetView};
+use super::target::{TargetKey, TargetStatus, TargetView};
 use super::target_entry::{EWMA_SAMPLE_WEIGHT, PickPreference, TargetEntry};
 
 /// Multiple of the average latency after which a timed-out attempt counts as a failure.
--- a/crates/calls/src/routing/mod.rs
+++ b/crates/calls/src/routing/mod.rs
@@ -14,4 +14,4 @@
 };
 pub use policy::{BalancePolicy, Candidate, RoundRobin, TwoChoices};
 pub use subset::{SubsetSettings, choose_subset};
-pub use target::{NodeLocality, TargetKey, TargetStatus, TargetView};
+pub use target::{TargetKey, TargetStatus, TargetView};
--- a/crates/calls/src/routing/subset.rs
+++ b/crates/calls/src/routing/subset.rs
@@ -9,10 +9,9 @@
 
 use std::cmp::Reverse;
 
+use agatedeck_wire::{LocalityTier, NodeLocality};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::target::{LocalityTier, NodeLocality};
-
 /// Bounds on the connections between nodes and targets.
 #[derive(Clone, Copy, Debug)]
 pub struct SubsetSettings {
--- a/crates/calls/src/routing/target.rs
+++ b/crates/calls/src/routing/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use agatedeck_wire::NodeLocality;
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -9,17 +10,6 @@
     pub struct TargetKey;
 }
 
-/// Name and locality of a node.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NodeLocality<'a> {
-    /// Name of the node.
-    pub node: &'a str,
-    /// Failure domain of the node.
-    pub domain: &'a str,
-    /// Region of the node.
-    pub region: &'a str,
-}
-
 /// Status of the node of a target, from membership.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetStatus {
@@ -50,23 +40,3 @@
     /// Status from membership.
     pub status: TargetStatus,
 }
-
-/// Distance of a target from the caller's node, nearest first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum LocalityTier {
-    SameDomain,
-    SameRegion,
-    OtherRegion,
-}
-
-impl LocalityTier {
-    pub(crate) fn between(caller: &NodeLocality<'_>, target: &NodeLocality<'_>) -> Self {
-        if caller.region != target.region {
-            Self::OtherRegion
-        } else if caller.domain == target.domain {
-            Self::SameDomain
-        } else {
-            Self::SameRegion
-        }
-    }
-}
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
+use agatedeck_wire::LocalityTier;
 
 use super::chart::{TARGET_CHART, TargetAction, TargetEvent, TargetState};
 use super::load_balancer::{BalancerSettings, PickRequest};
 use super::policy::Candidate;
-use super::target::{LocalityTier, TargetKey, TargetStatus, TargetView};
+use super::target::{TargetKey, TargetStatus, TargetView};
 
 /// Weight of the newest sample in the exponentially weighted moving averages. At 0.2, about the last
 /// ten attempts count.
--- a/crates/calls/tests/common/mod.rs
+++ b/crates/calls/tests/common/mod.rs
@@ -2,7 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use agatedeck_calls::{NodeLocality, PickRequest, TargetKey, TargetStatus, TargetView};
+use agatedeck_calls::{PickRequest, TargetKey, TargetStatus, TargetView};
+use agatedeck_wire::NodeLocality;
 
 pub(crate) const LOCAL_NODE: NodeLocality<'static> = locality("caller", "d1", "r1");
 
--- a/crates/calls/tests/placement_model.rs
+++ b/crates/calls/tests/placement_model.rs
@@ -8,11 +8,12 @@
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionRequest, AdmissionSettings, AttemptResult,
-    BalancerSettings, CallId, CallOutcome, LoadBalancer, NodeLocality, PickRequest, RefusalReason,
-    RetryBudget, RetryContext, RetryDecision, RetrySettings, TargetKey, TargetStatus, TargetView,
-    TwoChoices, decide_retry,
+    BalancerSettings, CallId, CallOutcome, LoadBalancer, PickRequest, RefusalReason, RetryBudget,
+    RetryContext, RetryDecision, RetrySettings, TargetKey, TargetStatus, TargetView, TwoChoices,
+    decide_retry,
 };
 use agatedeck_clock::Instant;
+use agatedeck_wire::NodeLocality;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -3,11 +3,12 @@
 mod common;
 
 use agatedeck_calls::{
-    AttemptResult, BalancePolicy, BalancerSettings, LoadBalancer, NodeLocality, PickError,
-    PickedTarget, RoundRobin, SubsetSettings, TargetState, TargetStatus, TargetSummary, TargetView,
-    TwoChoices, choose_subset,
+    AttemptResult, BalancePolicy, BalancerSettings, LoadBalancer, PickError, PickedTarget,
+    RoundRobin, SubsetSettings, TargetState, TargetStatus, TargetSummary, TargetView, TwoChoices,
+    choose_subset,
 };
 use agatedeck_clock::Instant;
+use agatedeck_wire::NodeLocality;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use yare::parameterized;
--- a/crates/control/src/pull/peers.rs
+++ b/crates/control/src/pull/peers.rs
@@ -2,43 +2,23 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use agatedeck_wire::Member;
+use agatedeck_wire::{LocalityTier, Member};
 use rand::RngCore;
 use rand::seq::SliceRandom;
 
 use crate::member::MemberTable;
 
-/// Distance of a peer from the node that pulls.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum PeerDistance {
-    SameDomain,
-    SameRegion,
-    OtherRegion,
-}
-
 /// Distances in the order in which peers are asked. Nearest first, but not all in one failure domain
 /// or region, which may be frozen or cut off as a whole.
-const DISTANCE_ORDER: [PeerDistance; 6] = [
-    PeerDistance::SameDomain,
-    PeerDistance::SameRegion,
-    PeerDistance::OtherRegion,
-    PeerDistance::SameDomain,
-    PeerDistance::SameRegion,
-    PeerDistance::OtherRegion,
+const DISTANCE_ORDER: [LocalityTier; 6] = [
+    LocalityTier::SameDomain,
+    LocalityTier::SameRegion,
+    LocalityTier::OtherRegion,
+    LocalityTier::SameDomain,
+    LocalityTier::SameRegion,
+    LocalityTier::OtherRegion,
 ];
 
-impl PeerDistance {
-    fn between(local_member: &Member, peer: &Member) -> Self {
-        if peer.domain == local_member.domain {
-            Self::SameDomain
-        } else if peer.region == local_member.region {
-            Self::SameRegion
-        } else {
-            Self::OtherRegion
-        }
-    }
-}
-
 /// Selects up to six live peers of `local_member` that are asked for the versions after `version`,
 /// in this order.
 ///
@@ -83,15 +63,15 @@
         let mut peers: Vec<&Member> = peers
             .iter()
             .copied()
-            .filter(|peer| PeerDistance::between(local_member, peer) == distance)
+            .filter(|peer| LocalityTier::between(&local_member.into(), &(*peer).into()) == distance)
             .collect();
         peers.sort_by_key(|peer| peer.version <= version);
         VecDeque::from(peers)
     };
     let mut tiers = [
-        at_distance(PeerDistance::SameDomain),
-        at_distance(PeerDistance::SameRegion),
-        at_distance(PeerDistance::OtherRegion),
+        at_distance(LocalityTier::SameDomain),
+        at_distance(LocalityTier::SameRegion),
+        at_distance(LocalityTier::OtherRegion),
     ];
     let mut selected = Vec::with_capacity(DISTANCE_ORDER.len());
     for distance in DISTANCE_ORDER {
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -9,6 +9,7 @@
     RoundRobin, TargetKey, TwoChoices, UnansweredCall, decide_retry,
 };
 use agatedeck_clock::Instant;
+use agatedeck_wire::NodeLocality;
 use axum::http::uri::Authority;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -16,7 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::target_subset::{TargetSubset, locality_of};
+use super::target_subset::TargetSubset;
 use crate::context::NodeContext;
 use crate::settings::BalanceMode;
 
@@ -48,7 +49,7 @@
 
 impl CallRouter {
     pub(super) fn new(context: NodeContext) -> Self {
-        let locality = locality_of(&context.local_member);
+        let locality = NodeLocality::from(&*context.local_member);
         let calls = &context.settings.calls;
         let base_retry_settings = RetrySettings {
             budget_percent: calls.retry_percent,
--- a/crates/node/src/calls/target_subset.rs
+++ b/crates/node/src/calls/target_subset.rs
@@ -6,10 +6,10 @@
 
 use std::sync::Arc;
 
-use agatedeck_calls::{NodeLocality, SubsetSettings, TargetStatus, TargetView, choose_subset};
+use agatedeck_calls::{SubsetSettings, TargetStatus, TargetView, choose_subset};
 use agatedeck_control::MemberTable;
 use agatedeck_records::SnapshotView;
-use agatedeck_wire::{Member, MemberStatus};
+use agatedeck_wire::{Member, MemberStatus, NodeLocality};
 
 use crate::clock::unix_ms;
 use crate::context::NodeContext;
@@ -48,7 +48,7 @@
             targets.partition(|target| target.status == TargetStatus::Draining);
         let localities: Vec<_> = live.iter().map(|target| target.locality).collect();
         let callers = calling_nodes(&table, view, service);
-        let own_locality = locality_of(&context.local_member);
+        let own_locality = NodeLocality::from(&*context.local_member);
         let selection = choose_subset(
             &own_locality,
             &callers,
@@ -91,7 +91,7 @@
         // The initial incarnation is the Unix time in milliseconds at which the node started.
         let age_ms = unix_ms().saturating_sub(member.incarnation);
         Some(TargetView {
-            locality: locality_of(member),
+            locality: member.into(),
             peer: member.peer_address.parse().ok()?,
             // The incarnation also increases when a suspicion is refuted, so it does not identify
             // restarts. The node of a restarted target warms it up by opening slots gradually.
@@ -125,20 +125,11 @@
     let callers: Vec<_> = table
         .live()
         .filter(depends_on_service)
-        .map(locality_of)
+        .map(NodeLocality::from)
         .collect();
     if callers.is_empty() {
-        table.live().map(locality_of).collect()
+        table.live().map(NodeLocality::from).collect()
     } else {
         callers
     }
 }
-
-/// Returns the node, failure domain and region of a member.
-pub(super) fn locality_of(member: &Member) -> NodeLocality<'_> {
-    NodeLocality {
-        node: &member.node,
-        domain: &member.domain,
-        region: &member.region,
-    }
-}
