--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod table;
 mod update_queue;
+mod updates;
 
 pub use detector::{FailureDetector, MemberEffect, is_probe_answer_of};
 pub use settings::MemberSettings;
