--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -39,9 +39,6 @@
     /// over to another region. Above 100, calls rather wait for a slot in their region, which takes
     /// no longer than the round trip to another one and costs no traffic between regions.
     pub region_spill_percent: u32,
-    /// Load of a target in another region, in percent of its slots, from which a call that was
-    /// refused nearer is not sent there, but to a near target once more.
-    pub far_full_percent: u32,
     /// Consecutive failed attempts after which a target is ejected.
     pub failures_to_eject: u32,
     /// Failure rate, in percent, from which a target is ejected.
@@ -76,8 +73,6 @@
             subset: SubsetSettings::default(),
             spill_percent: 80,
             region_spill_percent: 80,
-            // At this load, most calls are refused after the round trip between regions.
-            far_full_percent: 120,
             failures_to_eject: 3,
             eject_failure_percent: 60,
             base_ejection_ms: 1_000,
@@ -136,8 +131,6 @@
     /// Whether the call may run more than once. Idempotent calls are preferred as probes after an
     /// ejection, because they can be retried if the answer is lost.
     pub idempotent: bool,
-    /// Whether the node of a target has refused the call because the target is full.
-    pub found_full: bool,
 }
 
 /// Target picked for an attempt.
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -86,12 +86,8 @@
     /// All open slots in use, or a call was refused a moment ago. The target's node decides whether
     /// to queue or refuse the call.
     AtCapacity,
-    /// In the caller's region, target of an earlier attempt of the call.
+    /// Target of an earlier attempt of the call.
     AlreadyTried,
-    /// In another region, target of an earlier attempt, or too full for a call that was refused
-    /// nearer. While all targets are full, such an attempt carries the request between regions for
-    /// one more refusal, and a near target may have a free slot again by then.
-    FarAndFull,
     /// Ejected, or probing and not available for this call.
     Ejected,
 }
@@ -257,13 +253,7 @@
             TargetState::Cold | TargetState::Warming | TargetState::Healthy => {}
         }
         let slots = self.open_slots(now);
-        let is_far = self.tier == LocalityTier::OtherRegion;
-        let is_tried = request.avoid.contains(&key);
-        let full_percent = f64::from(settings.far_full_percent);
-        let is_full = || self.load(slots, settings, now) * 100.0 >= full_percent;
-        Some(if is_far && (is_tried || request.found_full && is_full()) {
-            PickPreference::FarAndFull
-        } else if is_tried {
+        Some(if request.avoid.contains(&key) {
             PickPreference::AlreadyTried
         } else if self.in_flight >= slots || !self.backoff_until.is_past(now) {
             PickPreference::AtCapacity
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -259,7 +259,6 @@
             is_first_attempt: self.machine.attempts() == 1,
             tried_targets: self.machine.tried_targets().to_vec(),
             idempotent: self.plan.idempotent,
-            found_full: self.refusals.found_full(),
             fingerprint: self.fingerprint,
         };
         let picked = self.gateway.router.ask(request).await.ok();
--- a/crates/node/src/calls/reason.rs
+++ b/crates/node/src/calls/reason.rs
@@ -115,11 +115,6 @@
         }
     }
 
-    /// Whether the target has no room for the call, as far as its node knows.
-    pub(super) fn is_full_target(self) -> bool {
-        matches!(self, Self::QueueFull | Self::Deadline)
-    }
-
     /// Message in the body of the answer to the caller.
     pub fn message(self) -> &'static str {
         match self {
--- a/crates/node/src/calls/refusal_trail.rs
+++ b/crates/node/src/calls/refusal_trail.rs
@@ -1,4 +1,4 @@
-//! The refused attempts of a call, for its log line and for the pick of its next target.
+//! The refused attempts of a call, for its log line.
 
 use std::fmt::{Display, Formatter, Result};
 use std::net::SocketAddr;
@@ -32,12 +32,6 @@
             refusal: *refusal,
         });
     }
-
-    /// Whether any target had no room for the call.
-    pub(super) fn found_full(&self) -> bool {
-        let mut attempts = self.attempts.iter();
-        attempts.any(|attempt| attempt.refusal.reason.is_full_target())
-    }
 }
 
 impl Display for RefusedAttempt {
--- a/crates/node/src/calls/router.rs
+++ b/crates/node/src/calls/router.rs
@@ -186,8 +186,6 @@
     /// Targets of earlier attempts, which are avoided.
     pub(super) tried_targets: Vec<TargetKey>,
     pub(super) idempotent: bool,
-    /// Whether an earlier attempt was refused because its target is full.
-    pub(super) found_full: bool,
     pub(super) fingerprint: Fingerprint,
 }
 
@@ -222,7 +220,6 @@
             service: &request.service,
             avoid: &request.tried_targets,
             idempotent: request.idempotent,
-            found_full: request.found_full,
         };
         let picked = self.balancer.pick(&pick_request, now, &mut self.rng);
         let lease = picked.and_then(|target| {
