Write the entries that supersede received ones, and the tiers of a pull, once

on_sync and on_sync_answer had the same loop over received entries. The peers of a pull were filtered by distance three times over the whole member table; they are sorted and divided in one pass. Same order, same entries.

--- a/crates/control/src/member/anti_entropy.rs
+++ b/crates/control/src/member/anti_entropy.rs
@@ -24,13 +24,7 @@
             );
         }
         let effects = self.merge_updates(&sync.entries, now);
-        for entry in &sync.entries {
-            let latest_entry = self.table.latest_known(&entry.node);
-            push_if_absent(
-                &mut entries,
-                latest_entry.filter(|latest| supersedes(latest, entry)),
-            );
-        }
+        self.push_newer_entries(&sync.entries, &mut entries);
         // An answer without digests ends the exchange.
         let digests = if sync.digests.is_empty() {
             Vec::new()
@@ -74,13 +68,7 @@
             }
         }
         // The peer may list as live an entry that is a tombstone here.
-        for entry in &answer.entries {
-            let latest_entry = self.table.latest_known(&entry.node);
-            push_if_absent(
-                &mut entries,
-                latest_entry.filter(|latest| supersedes(latest, entry)),
-            );
-        }
+        self.push_newer_entries(&answer.entries, &mut entries);
         let mut effects = self.merge_updates(&answer.entries, now);
         if !entries.is_empty() {
             effects.push(MemberEffect::Sync {
@@ -93,6 +81,17 @@
         }
         effects
     }
+
+    /// Adds to `entries` those that this node knows and that supersede one of `received`.
+    fn push_newer_entries(&self, received: &[Member], entries: &mut Vec<Member>) {
+        for entry in received {
+            let latest_entry = self.table.latest_known(&entry.node);
+            push_if_absent(
+                entries,
+                latest_entry.filter(|latest| supersedes(latest, entry)),
+            );
+        }
+    }
 }
 
 /// Whether `candidate` replaces `known` in the order that `charts/member.toml` defines.
--- a/crates/control/src/pull/peers.rs
+++ b/crates/control/src/pull/peers.rs
@@ -59,20 +59,13 @@
     rng: &mut dyn RngCore,
 ) -> Vec<&'a Member> {
     peers.shuffle(rng);
-    let at_distance = |distance| {
-        let mut peers: Vec<&Member> = peers
-            .iter()
-            .copied()
-            .filter(|peer| LocalityTier::between(&local_member.into(), &(*peer).into()) == distance)
-            .collect();
-        peers.sort_by_key(|peer| peer.version <= version);
-        VecDeque::from(peers)
-    };
-    let mut tiers = [
-        at_distance(LocalityTier::SameDomain),
-        at_distance(LocalityTier::SameRegion),
-        at_distance(LocalityTier::OtherRegion),
-    ];
+    // Stable, so that the order within a distance stays random.
+    peers.sort_by_key(|peer| peer.version <= version);
+    let mut tiers: [VecDeque<&Member>; 3] = Default::default();
+    for peer in peers {
+        let tier = LocalityTier::between(&local_member.into(), &peer.into());
+        tiers[tier as usize].push_back(peer);
+    }
     let mut selected = Vec::with_capacity(DISTANCE_ORDER.len());
     for distance in DISTANCE_ORDER {
         let peer = tiers[distance as usize].pop_front();
