Take the load of a picked target from its candidate

A pick computed the load of the chosen target once more for the log, on the hot path, although the candidate holds it; a refused attempt copied two fields of the picked target in place of keeping it. The speeds of the targets stood twice in the placement model. No change of behaviour.

--- a/crates/calls/src/routing/load_balancer.rs
+++ b/crates/calls/src/routing/load_balancer.rs
@@ -359,15 +359,13 @@
             .policy
             .choose(service.pick_count, &self.candidates, rng);
         service.pick_count += 1;
-        let key = self.candidates[index.min(self.candidates.len() - 1)].key;
-        let target = &mut self.targets[key];
-        let load_percent = target.load_percent(&self.settings, now);
+        let chosen = &self.candidates[index.min(self.candidates.len() - 1)];
+        let target = &mut self.targets[chosen.key];
         target.start_call(now);
-        let peer = target.peer;
         Ok(PickedTarget {
-            key,
-            peer,
-            load_percent,
+            key: chosen.key,
+            peer: target.peer,
+            load_percent: chosen.load_percent(),
         })
     }
 
--- a/crates/calls/src/routing/policy.rs
+++ b/crates/calls/src/routing/policy.rs
@@ -27,6 +27,16 @@
 }
 
 impl Candidate {
+    /// Load in whole percent, for reports.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a load is not negative and far below 2^32 percent"
+    )]
+    pub fn load_percent(&self) -> u32 {
+        (self.load * 100.0).round() as u32
+    }
+
     /// Expected cost of one more call at the target; lower is better.
     pub fn cost(&self) -> f64 {
         let load = self.load + 1.0 / f64::from(self.slots.max(1));
--- a/crates/calls/src/routing/target_entry.rs
+++ b/crates/calls/src/routing/target_entry.rs
@@ -330,17 +330,6 @@
         local + settings.report_weight * others
     }
 
-    /// Estimated load in whole percent, for reports.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a load is not negative and far below 2^32 percent"
-    )]
-    pub(super) fn load_percent(&self, settings: &BalancerSettings, now: Instant) -> u32 {
-        let slots = self.open_slots(now);
-        (self.load(slots, settings, now) * 100.0).round() as u32
-    }
-
     pub(super) fn candidate(
         &self,
         key: TargetKey,
--- a/crates/calls/tests/placement_model.rs
+++ b/crates/calls/tests/placement_model.rs
@@ -192,6 +192,10 @@
     -rng.random_range(1e-9_f64..1.0).ln() / rate
 }
 
+fn target_speeds(count: usize) -> Vec<f64> {
+    TARGET_SPEEDS.into_iter().cycle().take(count).collect()
+}
+
 impl Mesh {
     fn new(settings: PlaySettings) -> Self {
         let mut nodes = Vec::new();
@@ -223,9 +227,7 @@
             .collect();
         let mut mesh = Self {
             settings,
-            speeds: (0..target_nodes.len())
-                .map(|index| TARGET_SPEEDS[index % 4])
-                .collect(),
+            speeds: target_speeds(target_nodes.len()),
             queues,
             balancers: Vec::new(),
             calls: HashMap::new(),
@@ -486,10 +488,7 @@
 /// Share of the calls that one queue before all slots would not answer by their deadline.
 fn shared_queue_refusals(settings: PlaySettings) -> f64 {
     let mut rng = SmallRng::seed_from_u64(settings.seed);
-    let target_count = 6 * settings.targets_per_domain;
-    let speeds: Vec<f64> = (0..target_count)
-        .map(|index| TARGET_SPEEDS[index % 4])
-        .collect();
+    let speeds = target_speeds(6 * settings.targets_per_domain);
     // End of the call in each slot, with the speed of the slot.
     let mut slots: Vec<(f64, f64)> = speeds
         .iter()
--- a/crates/node/src/calls/refusal_trail.rs
+++ b/crates/node/src/calls/refusal_trail.rs
@@ -1,7 +1,6 @@
 //! The refused attempts of a call, for its log line.
 
 use std::fmt::{Display, Formatter, Result};
-use std::net::SocketAddr;
 
 use agatedeck_calls::PickedTarget;
 
@@ -10,9 +9,7 @@
 /// An attempt that the target's node refused.
 #[derive(Debug)]
 struct RefusedAttempt {
-    peer: SocketAddr,
-    /// Load that the caller's node estimated when it picked the target, in percent of its slots.
-    estimated_percent: u32,
+    target: PickedTarget,
     refusal: AttemptRefusal,
 }
 
@@ -27,8 +24,7 @@
     /// Adds an attempt at `target`.
     pub(super) fn record(&mut self, target: &PickedTarget, refusal: &AttemptRefusal) {
         self.attempts.push(RefusedAttempt {
-            peer: target.peer,
-            estimated_percent: target.load_percent,
+            target: *target,
             refusal: *refusal,
         });
     }
@@ -36,8 +32,14 @@
 
 impl Display for RefusedAttempt {
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
-        let (peer, estimated, reason) = (self.peer, self.estimated_percent, self.refusal.reason);
-        write!(f, "{peer} {reason} estimated {estimated}%")?;
+        let PickedTarget {
+            peer, load_percent, ..
+        } = self.target;
+        write!(
+            f,
+            "{peer} {} estimated {load_percent}%",
+            self.refusal.reason
+        )?;
         if let Some(load) = self.refusal.load {
             write!(f, " stated {:.0}%", load * 100.0)?;
         }
