--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -74,9 +74,8 @@
 }
 
 impl ControlServer {
-    /// Probes a node on behalf of one that could not reach it; `None` if this node gets no answer
-    /// either.
-    /// Probes a node for another one. Returns whether that node itself answered.
+    /// Probes a node on behalf of one that could not reach it. Returns whether the node itself
+    /// answered.
     async fn probe_indirectly(&self, request: &IndirectProbe) -> bool {
         let table = self.context.table();
         let member = table.get(&request.node);
