--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,104 @@
+"""A node restarts beside an endpoint that has left, and two late heartbeats of it arrive."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(FOLDER))
+import standins
+from standins import TROUBLE, http_request
+
+DRAIN_S = standins.BOUNDS["drainMs"] / 1000
+TOUCH_S = standins.BOUNDS["stableWindowMs"] / 1000
+# For how long the endpoint serves after its leaving was acknowledged.
+SERVES_S = 9.0
+
+
+async def send_requests(case, machine, until):
+    """A client of `machine`, which sends a request every 20 ms until `until`."""
+    number, statuses = 0, {}
+
+    async def send(number):
+        headers = {"Host": "desk.example", "Request-Id": f"{number:016x}", "Deadline-Ms": "2000"}
+        try:
+            status, _, _ = await http_request(machine.outbound, "GET", "/quotes/1", headers, b"", 2)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            status = "none"
+        statuses[status] = statuses.get(status, 0) + 1
+
+    tasks = []
+    while case.record.now() < until():
+        tasks.append(asyncio.create_task(send(number)))
+        number += 1
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*tasks)
+    case.record.write(f"answers to the client of {machine.name}: {statuses}")
+
+
+async def play(case):
+    desk = case.add_machine("kol-a", "kolkata", "desk")
+    case.add_machine("kol-b", "kolkata", "desk")
+    stays = case.add_machine("kol-b", "kolkata", "quotes")
+    leaves = case.add_machine("kol-a", "kolkata", "quotes")
+    await case.put_config(
+        [{"name": "r-1", "hostname": "desk.example", "prefix": "/quotes/", "kind": "idempotent",
+          "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1, "service": "quotes",
+          "retryAttempts": 2}],
+        ["desk", "quotes"])
+    endpoints = [standins.Endpoint(case, machine) for machine in case.machines]
+    leaving = endpoints[3]
+    await case.start_all(endpoints)
+
+    end_at = [float("inf")]
+    client = asyncio.create_task(send_requests(case, desk, lambda: end_at[0]))
+    await asyncio.sleep(1.5)
+
+    # The endpoint's last two heartbeats are under way for some seconds.
+    leaving.beating = False
+    leaving.beats.cancel()
+    late_beats = []
+    for _ in range(2):
+        late_beats.append(leaving.beat_body("ready"))
+        sent_at = case.record.now()
+        case.record.write(f"{leaving.id} sends heartbeat {leaving.seq} (ready)")
+        await asyncio.sleep(1.5)
+    # It leaves without having reported `draining`.
+    leaving.healthy = False
+    status = await leaving.leave()
+    ack_at = case.record.now()
+    case.record.write(f"{leaving.id} sends DELETE: {status}")
+    if status != 200:
+        raise standins.CannotRun("the leaving was not acknowledged")
+    restarted_at = None
+    if TROUBLE:
+        await asyncio.sleep(0.2)
+        await leaves.kill()
+        case.record.write(f"SIGKILL to the node {leaves.name}")
+        await asyncio.sleep(0.5)
+        await leaves.start()
+        restarted_at = case.record.now()
+        case.record.write(f"the node {leaves.name} starts again")
+    await asyncio.sleep(max(0, ack_at + 1.9 - case.record.now()))
+    for body in late_beats:
+        status = await leaving.send_beat(body)
+        case.record.write(f"a late heartbeat of {leaving.id} arrives: {status}")
+    await asyncio.sleep(ack_at + SERVES_S - case.record.now())
+    leaving.server.close()
+    case.record.write(f"{leaving.id} ends")
+    end_at[0] = case.record.now()
+    await client
+
+    # The node that was killed is in touch again after `stableWindowMs`.
+    judged_from = max(ack_at + DRAIN_S, (restarted_at or 0) + TOUCH_S)
+    late = [at for at, _ in leaving.arrivals if at > judged_from]
+    case.record.write(f"{len(late)} requests reached {leaving.id} later than {judged_from:.3f} s"
+                      + (f", from {late[0]:.3f} s to {late[-1]:.3f} s" if late else ""))
+    if not any(at < ack_at for at, _ in leaving.arrivals):
+        raise standins.CannotRun("no request reached the endpoint before it left")
+    return not late
+
+
+standins.main(FOLDER, play)
