Add a review case: a node stands still while its log is not read

CONFIG: log lines are written to standard output by the only thread of the node, which blocks once the pipe is full.

--- a/review/standins.py
+++ b/review/standins.py
@@ -258,6 +258,8 @@
         self.control = (self.ip, 8306)
         self.process = None
         self.starts = 0
+        # File descriptor that takes the node's standard output in place of a file.
+        self.log = None
         self.settings = {
             "node": self.name, "role": "node", "machineClass": "sidecar", "serves": ["sidecar"],
             "ip": self.ip, "zone": zone, "region": region, "portRange": [7620, 7635], "seeds": [],
@@ -285,9 +287,11 @@
         log = open(os.path.join(self.case.folder, f"{self.name}-{self.starts}.log"), "wb")
         environment = {"PATH": os.environ.get("PATH", ""), "AGATEDECK_BOOT": path}
         self.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=environment, stdout=log, stderr=log,
-            stdin=asyncio.subprocess.DEVNULL)
+            *words, cwd=ROOT, env=environment, stderr=log,
+            stdout=log if self.log is None else self.log, stdin=asyncio.subprocess.DEVNULL)
         log.close()
+        if self.log is not None:
+            os.close(self.log)
 
     def send(self, number):
         self.process.send_signal(number)
@@ -393,7 +397,7 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="agatedeck-review-")
-        self.net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
+        self.net = "127.{}.{}".format(*random.SystemRandom().sample(range(20, 250), 2))
         self.store = Store(f"{self.net}.250")
         self.machines = []
         self.config_version = 0
