Open a target only by a health check of the running process

Cause: announcements were taken as evidence that a target has not left, the second one whatever its age, and the first one after a fixed time. Nothing bounds how late they arrive, and no process knows what an earlier one acknowledged.

Ruled out: the views of other nodes (all calls went through the reopened node); a longer time or a third announcement (covers only the lateness of a trial); a record of departures in the store or at other nodes (an acknowledgement would wait for them, and both may be away).

Change: a start of the target opens once a health check that this process sent after the last departure is answered positively under the announced ID. Announcements of a start that is not verified cause such a check and nothing else. The states `unconfirmed` and `announced` and the time after a deregistration are gone. On related paths: an announcement that arrives after the DELETE of a start that the node had not heard of opened it as a later start; a target whose clock stepped back stayed closed after its predecessor had deregistered.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -30,8 +30,8 @@
 };
 pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use registration::{
-    RegistrationEffect, RegistrationError, RegistrationSettings, RegistrationState,
-    TargetAnnouncement, TargetReadiness, TargetRegistration, UNKNOWN_START,
+    HealthCheckTicket, HealthReport, RegistrationEffect, RegistrationError, RegistrationSettings,
+    RegistrationState, TargetAnnouncement, TargetReadiness, TargetRegistration,
 };
 pub use retry::{
     CallOutcome, ClientRetryTable, OutcomeError, RefusedCall, RetryAfterSettings, RetryBudget,
--- a/crates/calls/src/registration/chart.rs
+++ b/crates/calls/src/registration/chart.rs
@@ -10,12 +10,7 @@
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum RegistrationState {
-    /// No announcement was received since the node started, and no health check confirmed the target.
-    Unconfirmed,
-    /// One announcement was received since the node started. It may be a late one of a target that has
-    /// left.
-    Announced,
-    /// No announcement was received, the last one has expired, or the target is unreachable.
+    /// No start of the target is verified, its last announcement has expired, or it is unreachable.
     Absent,
     /// The target accepts calls.
     Ready,
@@ -33,8 +28,7 @@
     Deregistered,
     Expired,
     Unreachable,
-    Confirmed,
-    RestartedReady,
+    Verified,
     RestartedDraining,
 }
 
--- a/crates/calls/src/registration/mod.rs
+++ b/crates/calls/src/registration/mod.rs
@@ -9,6 +9,6 @@
 
 pub use chart::RegistrationState;
 pub use target_registration::{
-    RegistrationEffect, RegistrationError, RegistrationSettings, TargetAnnouncement,
-    TargetReadiness, TargetRegistration, UNKNOWN_START,
+    HealthCheckTicket, HealthReport, RegistrationEffect, RegistrationError, RegistrationSettings,
+    TargetAnnouncement, TargetReadiness, TargetRegistration,
 };
--- a/crates/calls/src/registration/target_registration.rs
+++ b/crates/calls/src/registration/target_registration.rs
@@ -8,7 +8,7 @@
 use super::chart::{REGISTRATION_CHART, RegistrationAction, RegistrationEvent, RegistrationState};
 
 /// Start time, in Unix milliseconds, of a target whose start time is not known.
-pub const UNKNOWN_START: u64 = 0;
+const UNKNOWN_START: u64 = 0;
 
 /// Whether a target accepts new calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,6 +60,25 @@
     Close,
     /// Publish the state of the target to the other nodes.
     Publish,
+    /// Send the target a health check and report a positive answer to
+    /// [`TargetRegistration::verify`] with this ticket.
+    Check(HealthCheckTicket),
+}
+
+/// Orders a health check with respect to the messages by which targets leave.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HealthCheckTicket {
+    /// Departures that the registration had seen when the health check began.
+    departures: u64,
+}
+
+/// Positive answer of the target to a health check.
+#[derive(Clone, Copy, Debug)]
+pub struct HealthReport<'a> {
+    /// Instance ID that the answer states, if the protocol of the target has one.
+    pub id: Option<&'a str>,
+    /// Calls that the target runs concurrently; 0 if the answer does not state it.
+    pub slots: u32,
 }
 
 /// Settings of a [`TargetRegistration`].
@@ -73,26 +92,56 @@
     pub announcement_ttl_ms: u64,
 }
 
-/// Registration of the target of a node.
-///
-/// Invariants: of two starts of the target, the one with the later start time counts, unless it has
-/// become absent without deregistering; within one start, announcements are accepted only in the
-/// order of their sequence numbers, and after draining or deregistering the target gets no calls
-/// again. The first announcement since the node started opens the target only once a health check or a
-/// second one confirms it.
-#[derive(Debug)]
-pub struct TargetRegistration {
-    settings: RegistrationSettings,
-    state: RegistrationState,
+/// One start of a target, as of its last announcement.
+#[derive(Clone, Debug, Default)]
+struct TargetStart {
+    /// Instance ID; empty if no start is known.
     id: String,
     started_unix_ms: u64,
     sequence: u64,
     slots: u32,
     warm_up_ends_at: Instant,
+}
+
+impl TargetStart {
+    fn new(announcement: &TargetAnnouncement<'_>, now: Instant) -> Self {
+        Self {
+            id: announcement.id.to_owned(),
+            started_unix_ms: announcement.started_unix_ms,
+            sequence: announcement.sequence,
+            slots: announcement.slots,
+            warm_up_ends_at: now.after(announcement.warm_up_left),
+        }
+    }
+
+    fn is_known(&self) -> bool {
+        !self.id.is_empty()
+    }
+
+    fn sent(&self, announcement: &TargetAnnouncement<'_>) -> bool {
+        self.id == announcement.id && self.started_unix_ms == announcement.started_unix_ms
+    }
+}
+
+/// Registration of the target of a node.
+///
+/// Invariants: a start of the target gets calls only once a health check that this process sent after
+/// the last departure has found it serving. Within one start, announcements are accepted only in the
+/// order of their sequence numbers, and after draining or deregistering the target gets no calls again.
+/// A health check and not a number of announcements decides, because any number of them may arrive late,
+/// and a node that has restarted knows neither the departures that it acknowledged before nor the
+/// sequence numbers that it had seen.
+#[derive(Clone, Debug)]
+pub struct TargetRegistration {
+    settings: RegistrationSettings,
+    state: RegistrationState,
+    /// The start that was verified last, or that has left since.
+    current: TargetStart,
+    /// Another start that has announced that it is ready, and that no health check has verified.
+    candidate: Option<TargetStart>,
     expires_at: Option<Instant>,
-    /// Until when announcements with the ID of the registered target are stale, because the target
-    /// deregistered and a late announcement cannot be told from one of a later start.
-    same_id_stale_until: Option<Instant>,
+    /// Number of messages by which a target has left.
+    departures: u64,
 }
 
 impl TargetRegistration {
@@ -101,13 +150,10 @@
         Self {
             settings,
             state: REGISTRATION_CHART.initial(),
-            id: String::new(),
-            started_unix_ms: UNKNOWN_START,
-            sequence: 0,
-            slots: 0,
-            warm_up_ends_at: Instant::default(),
+            current: TargetStart::default(),
+            candidate: None,
             expires_at: None,
-            same_id_stale_until: None,
+            departures: 0,
         }
     }
 
@@ -116,19 +162,19 @@
         self.state
     }
 
-    /// Instance ID of the target from its last announcement; empty before the first.
+    /// Instance ID of the registered target; empty if there is none.
     pub fn id(&self) -> &str {
-        &self.id
+        &self.current.id
     }
 
     /// Calls that the target runs concurrently.
     pub fn slots(&self) -> u32 {
-        self.slots
+        self.current.slots
     }
 
     /// Time at which the warm-up of the target ends.
     pub fn warm_up_ends_at(&self) -> Instant {
-        self.warm_up_ends_at
+        self.current.warm_up_ends_at
     }
 
     /// Time at which [`Self::tick`] must be called.
@@ -151,90 +197,150 @@
         {
             return Err(RegistrationError::WrongTarget);
         }
-        if self.is_late_after_deregistration(announcement, now) {
+        if self.is_of_current_start(announcement) {
+            return self.refresh_current(announcement, now);
+        }
+        // The system clock may have stepped back between two starts, so their order counts only as long
+        // as the current start serves.
+        if self.state == RegistrationState::Ready
+            && announcement.started_unix_ms <= self.current.started_unix_ms
+        {
             return Err(RegistrationError::Stale);
         }
-        let restarted = self.is_later_start(announcement)?;
-        self.id.clear();
-        self.id.push_str(announcement.id);
-        self.started_unix_ms = announcement.started_unix_ms;
-        self.sequence = announcement.sequence;
-        self.slots = announcement.slots;
-        self.warm_up_ends_at = now.after(announcement.warm_up_left);
-        self.expires_at = Some(now.after(Duration::from_millis(self.settings.announcement_ttl_ms)));
-        self.same_id_stale_until = None;
-        let event = match (restarted, announcement.readiness) {
-            (false, TargetReadiness::Ready) => RegistrationEvent::Ready,
-            (false, TargetReadiness::Draining) => RegistrationEvent::Draining,
-            (true, TargetReadiness::Ready) => RegistrationEvent::RestartedReady,
-            (true, TargetReadiness::Draining) => RegistrationEvent::RestartedDraining,
-        };
-        Ok(self.advance(event))
+        match announcement.readiness {
+            TargetReadiness::Ready => self.set_candidate(announcement, now),
+            TargetReadiness::Draining => Ok(self.replace_by_departing(announcement, now)),
+        }
     }
 
-    fn is_late_after_deregistration(
-        &self,
+    /// Whether the announcement is of the current start.
+    ///
+    /// An ID alone is ambiguous, as a target may start again under the one that it had. It is enough for
+    /// a start that a health check has found, whose start time the next announcement tells, until that
+    /// start leaves.
+    fn is_of_current_start(&self, announcement: &TargetAnnouncement<'_>) -> bool {
+        self.current.sent(announcement)
+            || self.current.started_unix_ms == UNKNOWN_START
+                && self.current.id == announcement.id
+                && !self.has_left()
+    }
+
+    fn has_left(&self) -> bool {
+        matches!(
+            self.state,
+            RegistrationState::Draining | RegistrationState::Gone
+        )
+    }
+
+    fn refresh_current(
+        &mut self,
         announcement: &TargetAnnouncement<'_>,
         now: Instant,
-    ) -> bool {
-        let stale_until = self.same_id_stale_until;
-        announcement.id == self.id && stale_until.is_some_and(|until| !until.is_past(now))
+    ) -> Result<Vec<RegistrationEffect>, RegistrationError> {
+        let is_same_start = self.current.sent(announcement);
+        if is_same_start && announcement.sequence <= self.current.sequence {
+            return Err(RegistrationError::Stale);
+        }
+        self.current = TargetStart::new(announcement, now);
+        self.expires_at = Some(self.expiry_after(now));
+        match announcement.readiness {
+            TargetReadiness::Ready => Ok(self.advance(RegistrationEvent::Ready)),
+            TargetReadiness::Draining => {
+                self.departures += 1;
+                Ok(self.advance(RegistrationEvent::Draining))
+            }
+        }
     }
 
-    /// Whether the announcement is from a later start of the target than the registered one.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the announcement is older than one accepted before.
-    fn is_later_start(
-        &self,
+    fn set_candidate(
+        &mut self,
         announcement: &TargetAnnouncement<'_>,
-    ) -> Result<bool, RegistrationError> {
-        let is_registered = !self.id.is_empty();
-        if announcement.started_unix_ms > self.started_unix_ms {
-            return Ok(is_registered);
+        now: Instant,
+    ) -> Result<Vec<RegistrationEffect>, RegistrationError> {
+        let known = self.candidate.as_ref();
+        if known.is_some_and(|candidate| {
+            candidate.sent(announcement) && announcement.sequence <= candidate.sequence
+        }) {
+            return Err(RegistrationError::Stale);
         }
-        let is_same_start =
-            announcement.started_unix_ms == self.started_unix_ms && announcement.id == self.id;
-        // The system clock may have stepped back between two starts. If the registered target is
-        // absent without having deregistered, another start replaces it whatever its start time.
-        if is_registered && !is_same_start && self.state == RegistrationState::Absent {
-            return Ok(true);
+        self.candidate = Some(TargetStart::new(announcement, now));
+        Ok(vec![self.check()])
+    }
+
+    /// Replaces the current start by another one, which is leaving already.
+    fn replace_by_departing(
+        &mut self,
+        announcement: &TargetAnnouncement<'_>,
+        now: Instant,
+    ) -> Vec<RegistrationEffect> {
+        self.forget_candidate(announcement.id);
+        self.departures += 1;
+        self.current = TargetStart::new(announcement, now);
+        self.expires_at = Some(self.expiry_after(now));
+        self.advance(RegistrationEvent::RestartedDraining)
+    }
+
+    /// Records that the target has answered the health check with this ticket that it serves and is not
+    /// leaving. Such an answer opens the start that it names.
+    pub fn verify(
+        &mut self,
+        ticket: HealthCheckTicket,
+        report: &HealthReport<'_>,
+        now: Instant,
+    ) -> Vec<RegistrationEffect> {
+        // The target may have answered before it left.
+        if ticket != self.ticket() {
+            return match self.candidate {
+                Some(_) => vec![self.check()],
+                None => Vec::new(),
+            };
         }
-        if is_registered && (!is_same_start || announcement.sequence <= self.sequence) {
-            return Err(RegistrationError::Stale);
+        let Some(start) = self.take_verified_start(report) else {
+            return Vec::new();
+        };
+        self.current = start;
+        self.expires_at = Some(self.expiry_after(now));
+        self.advance(RegistrationEvent::Verified)
+    }
+
+    /// Returns the start that the answer to a health check opens, if any.
+    fn take_verified_start(&mut self, report: &HealthReport<'_>) -> Option<TargetStart> {
+        let is_named = |candidate: &mut TargetStart| report.id.is_none_or(|id| candidate.id == id);
+        if let Some(candidate) = self.candidate.take_if(is_named) {
+            return Some(candidate);
         }
-        Ok(false)
+        let id = report.id?;
+        // The target serves already when its node starts, and need not wait for its next announcement.
+        (!self.current.is_known()).then(|| TargetStart {
+            id: id.to_owned(),
+            started_unix_ms: UNKNOWN_START,
+            slots: report.slots,
+            ..TargetStart::default()
+        })
     }
 
     /// Deregisters the target if its instance ID is `id` or if none is registered.
-    pub fn deregister(&mut self, id: &str, now: Instant) -> Vec<RegistrationEffect> {
-        if self.id != id && !self.id.is_empty() {
+    pub fn deregister(&mut self, id: &str) -> Vec<RegistrationEffect> {
+        self.departures += 1;
+        self.forget_candidate(id);
+        if self.current.id != id && self.current.is_known() {
             return Vec::new();
         }
-        id.clone_into(&mut self.id);
+        id.clone_into(&mut self.current.id);
         self.expires_at = None;
-        if self.started_unix_ms == UNKNOWN_START {
-            let ttl = Duration::from_millis(self.settings.announcement_ttl_ms);
-            self.same_id_stale_until = Some(now.after(ttl));
-        }
         self.advance(RegistrationEvent::Deregistered)
     }
 
     /// Records that the target `id` has stated in an answer that it is leaving. As after a draining
     /// announcement, it gets no calls before its next start.
     pub fn mark_leaving(&mut self, id: &str) -> Vec<RegistrationEffect> {
-        if self.id != id {
+        if self.current.id != id || self.has_left() {
             return Vec::new();
         }
+        self.departures += 1;
         self.advance(RegistrationEvent::Draining)
     }
 
-    /// Records that a health check since the node started has found the target serving and not leaving.
-    pub fn confirm(&mut self) -> Vec<RegistrationEffect> {
-        self.advance(RegistrationEvent::Confirmed)
-    }
-
     /// Records that connections to the target fail. Its next announcement opens it again.
     pub fn mark_unreachable(&mut self) -> Vec<RegistrationEffect> {
         self.advance(RegistrationEvent::Unreachable)
@@ -252,6 +358,24 @@
         self.advance(RegistrationEvent::Expired)
     }
 
+    fn check(&self) -> RegistrationEffect {
+        RegistrationEffect::Check(self.ticket())
+    }
+
+    fn ticket(&self) -> HealthCheckTicket {
+        HealthCheckTicket {
+            departures: self.departures,
+        }
+    }
+
+    fn forget_candidate(&mut self, id: &str) {
+        self.candidate.take_if(|candidate| candidate.id == id);
+    }
+
+    fn expiry_after(&self, now: Instant) -> Instant {
+        now.after(Duration::from_millis(self.settings.announcement_ttl_ms))
+    }
+
     fn advance(&mut self, event: RegistrationEvent) -> Vec<RegistrationEffect> {
         let actions = REGISTRATION_CHART.advance(&mut self.state, event);
         let effects = actions.iter().map(|action| match action {
--- a/crates/calls/tests/announcement.rs
+++ b/crates/calls/tests/announcement.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use agatedeck_calls::{
-    RegistrationEffect, RegistrationError, RegistrationSettings, RegistrationState,
-    TargetAnnouncement, TargetReadiness, TargetRegistration,
+    HealthCheckTicket, HealthReport, RegistrationEffect, RegistrationError, RegistrationSettings,
+    RegistrationState, TargetAnnouncement, TargetReadiness, TargetRegistration,
 };
 use agatedeck_clock::Instant;
 use yare::parameterized;
 
 const ANNOUNCEMENT_TTL_MS: u64 = 6_000;
 
-fn unconfirmed_registration() -> TargetRegistration {
+fn registration() -> TargetRegistration {
     TargetRegistration::new(RegistrationSettings {
         service: "orders".to_owned(),
         address: "10.0.0.1:80".to_owned(),
@@ -19,13 +19,6 @@
     })
 }
 
-/// A registration whose target was found serving when the node started.
-fn registration() -> TargetRegistration {
-    let mut registration = unconfirmed_registration();
-    assert_eq!(registration.confirm(), []);
-    registration
-}
-
 fn announcement(
     id: &str,
     started_unix_ms: u64,
@@ -51,31 +44,78 @@
     registration.announce(announcement, Instant::default())
 }
 
-/// Guards against calls to a target that has not announced that it accepts them.
+/// The ticket of the health check that these effects consist of.
+fn requested_check(
+    effects: Result<Vec<RegistrationEffect>, RegistrationError>,
+) -> HealthCheckTicket {
+    match effects.expect("accepted")[..] {
+        [RegistrationEffect::Check(ticket)] => ticket,
+        ref effects => panic!("{effects:?} instead of a health check"),
+    }
+}
+
+/// Reports that the target has answered a health check under this ID.
+fn verify(
+    registration: &mut TargetRegistration,
+    ticket: HealthCheckTicket,
+    id: &str,
+) -> Vec<RegistrationEffect> {
+    let report = HealthReport {
+        id: Some(id),
+        slots: 8,
+    };
+    registration.verify(ticket, &report, Instant::default())
+}
+
+/// Opens the target by an announcement and the health check that it causes.
+fn open(registration: &mut TargetRegistration, announcement: &TargetAnnouncement<'_>) {
+    let ticket = requested_check(announce(registration, announcement));
+    assert_eq!(
+        verify(registration, ticket, announcement.id),
+        [RegistrationEffect::Open, RegistrationEffect::Publish]
+    );
+    assert_eq!(registration.state(), RegistrationState::Ready);
+    assert_eq!(registration.id(), announcement.id);
+}
+
+/// Guards against calls to a target that has not announced that it accepts them, or that no health check
+/// has found serving.
 #[test]
-fn first_announcement_opens_the_target() {
+fn announcement_opens_the_target_once_a_health_check_verifies_it() {
     let mut registration = registration();
     assert_eq!(registration.state(), RegistrationState::Absent);
-    let effects = announce(
-        &mut registration,
-        &announcement("a", 1, 0, TargetReadiness::Ready),
-    );
+    let first = announcement("a", 1, 0, TargetReadiness::Ready);
+    let ticket = requested_check(announce(&mut registration, &first));
+    assert_eq!(registration.state(), RegistrationState::Absent);
     assert_eq!(
-        effects,
-        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
+        verify(&mut registration, ticket, "a"),
+        [RegistrationEffect::Open, RegistrationEffect::Publish]
     );
     assert_eq!((registration.id(), registration.slots()), ("a", 12));
 }
 
+/// Guards against a target that waits for its next announcement although it serves when its node starts.
+#[test]
+fn health_check_opens_a_target_that_serves_when_its_node_starts() {
+    let mut registration = registration();
+    assert_eq!(
+        verify(&mut registration, HealthCheckTicket::default(), "a"),
+        [RegistrationEffect::Open, RegistrationEffect::Publish]
+    );
+    assert_eq!((registration.id(), registration.slots()), ("a", 8));
+    let next = announcement("a", 1, 4, TargetReadiness::Ready);
+    assert_eq!(announce(&mut registration, &next), Ok(Vec::new()));
+    assert_eq!(registration.slots(), 12);
+}
+
 /// Guards against a drain that is undone by an announcement sent before it and received after it.
 #[test]
 fn late_announcement_does_not_undo_a_drain() {
     let mut registration = registration();
-    announce(
+    open(
         &mut registration,
         &announcement("a", 1, 4, TargetReadiness::Ready),
-    )
-    .expect("accepted");
+    );
     let effects = announce(
         &mut registration,
         &announcement("a", 1, 6, TargetReadiness::Draining),
@@ -101,13 +141,12 @@
 #[test]
 fn deregistered_target_stays_gone_until_it_restarts() {
     let mut registration = registration();
-    announce(
+    open(
         &mut registration,
         &announcement("a", 1, 0, TargetReadiness::Ready),
-    )
-    .expect("accepted");
+    );
     assert_eq!(
-        registration.deregister("a", Instant::default()),
+        registration.deregister("a"),
         [RegistrationEffect::Close, RegistrationEffect::Publish]
     );
     let late = announce(
@@ -117,53 +156,36 @@
     assert_eq!(late, Ok(Vec::new()));
     assert_eq!(registration.state(), RegistrationState::Gone);
     // The same instance ID may start again, with sequence numbers from 0.
-    let effects = announce(
+    open(
         &mut registration,
         &announcement("a", 2, 0, TargetReadiness::Ready),
     );
-    assert_eq!(
-        effects,
-        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
-    );
 }
 
 /// Guards against calls to a target that has deregistered at a node that never learned its start
-/// time, because the node has just restarted: a late announcement looks like one of a later start.
+/// time, because the node has just restarted: a late announcement looks like one of a later start,
+/// however late it is.
 #[parameterized(
     unknown_target = { false },
-    target_known_from_a_probe = { true },
+    target_known_from_a_health_check = { true },
 )]
-fn late_announcement_does_not_undo_a_deregistration(is_probed: bool) {
+fn late_announcement_does_not_undo_a_deregistration(is_checked: bool) {
     let mut registration = registration();
-    if is_probed {
-        let probed = announcement("a", 0, 0, TargetReadiness::Ready);
-        announce(&mut registration, &probed).expect("accepted");
+    if is_checked {
+        verify(&mut registration, HealthCheckTicket::default(), "a");
     }
-    registration.deregister("a", Instant::default());
-    let late = announcement("a", 7, 3, TargetReadiness::Ready);
-    let late_at = Instant::from_millis(ANNOUNCEMENT_TTL_MS - 1);
-    assert_eq!(
-        registration.announce(&late, late_at),
-        Err(RegistrationError::Stale)
-    );
-    assert_eq!(registration.state(), RegistrationState::Gone);
-    // Another target may take the address at once, and the same ID once no announcement can be late.
-    let successor = announcement("b", 8, 0, TargetReadiness::Ready);
-    let opened = Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish]);
-    assert_eq!(registration.announce(&successor, late_at), opened);
-}
-
-/// Guards against rejecting a target that starts again under the ID of one that has deregistered at
-/// a node that did not know its start time.
-#[test]
-fn same_id_starts_again_once_no_announcement_can_be_late() {
-    let mut registration = registration();
-    registration.deregister("a", Instant::default());
-    let restarted = announcement("a", 7, 3, TargetReadiness::Ready);
-    let restarted_at = Instant::from_millis(ANNOUNCEMENT_TTL_MS);
-    assert_eq!(
-        registration.announce(&restarted, restarted_at),
-        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
+    registration.deregister("a");
+    for (sequence, at_ms) in [(3, 10), (4, 2 * ANNOUNCEMENT_TTL_MS), (5, 3_600_000)] {
+        let late = announcement("a", 7, sequence, TargetReadiness::Ready);
+        let late_at = Instant::from_millis(at_ms);
+        let effects = registration.announce(&late, late_at);
+        requested_check(effects);
+        assert_eq!(registration.state(), RegistrationState::Gone);
+    }
+    // Another target may take the address, and the same ID may start again, once they answer.
+    open(
+        &mut registration,
+        &announcement("b", 8, 0, TargetReadiness::Ready),
     );
 }
 
@@ -171,18 +193,17 @@
 #[test]
 fn announcement_of_an_earlier_start_is_rejected() {
     let mut registration = registration();
-    announce(
+    open(
         &mut registration,
         &announcement("b", 20, 0, TargetReadiness::Ready),
-    )
-    .expect("accepted");
+    );
     let late = announce(
         &mut registration,
         &announcement("a", 10, 9, TargetReadiness::Draining),
     );
     assert_eq!(late, Err(RegistrationError::Stale));
     assert_eq!(registration.id(), "b");
-    assert_eq!(registration.deregister("a", Instant::default()), []);
+    assert_eq!(registration.deregister("a"), []);
     assert_eq!(registration.state(), RegistrationState::Ready);
 }
 
@@ -191,11 +212,10 @@
 #[test]
 fn start_after_a_backward_clock_step_is_accepted_once_the_earlier_target_is_absent() {
     let mut registration = registration();
-    announce(
+    open(
         &mut registration,
         &announcement("a", 5_000, 3, TargetReadiness::Ready),
-    )
-    .expect("accepted");
+    );
     let early = announce(
         &mut registration,
         &announcement("b", 3_000, 0, TargetReadiness::Ready),
@@ -205,14 +225,10 @@
         registration.mark_unreachable(),
         [RegistrationEffect::Close, RegistrationEffect::Publish]
     );
-    let effects = announce(
+    open(
         &mut registration,
         &announcement("b", 3_000, 1, TargetReadiness::Ready),
     );
-    assert_eq!(
-        effects,
-        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
-    );
 }
 
 /// Guards against calls to a target whose last announcement has expired, and against a tick that
@@ -220,11 +236,10 @@
 #[test]
 fn expired_announcement_closes_the_target() {
     let mut registration = registration();
-    announce(
+    open(
         &mut registration,
         &announcement("a", 1, 0, TargetReadiness::Ready),
-    )
-    .expect("accepted");
+    );
     assert_eq!(
         registration.tick(Instant::from_millis(ANNOUNCEMENT_TTL_MS - 1)),
         []
@@ -269,7 +284,7 @@
 fn a_target_that_states_that_it_is_leaving_is_closed_until_its_next_start() {
     let mut registration = registration();
     let ready = |id, started, sequence| announcement(id, started, sequence, TargetReadiness::Ready);
-    announce(&mut registration, &ready("a", 1, 0)).unwrap();
+    open(&mut registration, &ready("a", 1, 0));
     assert_eq!(registration.mark_leaving("other"), []);
     assert_eq!(
         registration.mark_leaving("a"),
@@ -278,49 +293,66 @@
     assert_eq!(announce(&mut registration, &ready("a", 1, 1)), Ok(vec![]));
     assert_eq!(registration.state(), RegistrationState::Draining);
     assert_eq!(registration.mark_leaving("a"), []);
-    assert_eq!(
-        announce(&mut registration, &ready("b", 2, 0)),
-        Ok(vec![RegistrationEffect::Open, RegistrationEffect::Publish])
-    );
+    open(&mut registration, &ready("b", 2, 0));
     assert_eq!(registration.mark_leaving("a"), []);
     assert_eq!(registration.state(), RegistrationState::Ready);
 }
 
 /// Guards against a node that restarts after it has acknowledged that its target leaves, and opens the
-/// target again on a late announcement.
+/// target again on late announcements, of which any number may arrive.
 #[test]
-fn one_announcement_after_a_restart_does_not_open_the_target() {
-    let mut registration = unconfirmed_registration();
-    let late = announcement("a", 1, 4, TargetReadiness::Ready);
-    assert_eq!(announce(&mut registration, &late), Ok(Vec::new()));
-    assert_eq!(registration.state(), RegistrationState::Announced);
-    assert_eq!(
-        announce(&mut registration, &late),
-        Err(RegistrationError::Stale)
-    );
-    assert_eq!(registration.deregister("a", Instant::default()), []);
+fn no_number_of_announcements_after_a_restart_opens_the_target() {
+    let mut registration = registration();
+    for sequence in 4..8 {
+        let late = announcement("a", 1, sequence, TargetReadiness::Ready);
+        requested_check(announce(&mut registration, &late));
+        assert_eq!(
+            announce(&mut registration, &late),
+            Err(RegistrationError::Stale)
+        );
+    }
+    assert_eq!(registration.state(), RegistrationState::Absent);
+    assert_eq!(registration.deregister("a"), []);
     assert_eq!(registration.state(), RegistrationState::Gone);
 }
 
-/// Guards against a target that stays closed after a restart of its node although it goes on announcing
-/// itself, or its health check succeeds.
+/// Guards against a target that is opened by a health check which it answered before it left, and against
+/// one that is not checked again for the start that follows.
 #[parameterized(
-    by_a_second_announcement = { false },
-    by_a_health_check = { true },
+    deregistered = { false },
+    draining = { true },
 )]
-fn a_confirmed_announcement_opens_the_target(by_health_check: bool) {
-    let mut registration = unconfirmed_registration();
-    let first = announcement("a", 1, 4, TargetReadiness::Ready);
-    assert_eq!(announce(&mut registration, &first), Ok(Vec::new()));
-    let effects = if by_health_check {
-        registration.confirm()
+fn answer_to_a_health_check_from_before_a_departure_opens_nothing(is_draining: bool) {
+    let mut registration = registration();
+    let ready = announcement("a", 1, 4, TargetReadiness::Ready);
+    let ticket = requested_check(announce(&mut registration, &ready));
+    if is_draining {
+        let draining = announcement("a", 1, 5, TargetReadiness::Draining);
+        announce(&mut registration, &draining).expect("accepted");
     } else {
-        let second = announcement("a", 1, 5, TargetReadiness::Ready);
-        announce(&mut registration, &second).expect("accepted")
-    };
-    assert_eq!(
-        effects,
-        [RegistrationEffect::Open, RegistrationEffect::Publish]
-    );
+        registration.deregister("a");
+    }
+    assert_eq!(verify(&mut registration, ticket, "a"), []);
+    assert_ne!(registration.state(), RegistrationState::Ready);
+    let successor = announcement("b", 2, 0, TargetReadiness::Ready);
+    requested_check(announce(&mut registration, &successor));
+    let repeated = verify(&mut registration, ticket, "b");
+    let ticket = requested_check(Ok(repeated));
+    verify(&mut registration, ticket, "b");
     assert_eq!(registration.state(), RegistrationState::Ready);
 }
+
+/// Guards against a late announcement that is taken for the target that answers at its address.
+#[test]
+fn health_check_opens_only_the_target_that_it_names() {
+    let mut registration = registration();
+    open(
+        &mut registration,
+        &announcement("a", 1, 0, TargetReadiness::Ready),
+    );
+    registration.deregister("a");
+    let late = announcement("b", 2, 3, TargetReadiness::Ready);
+    let ticket = requested_check(announce(&mut registration, &late));
+    assert_eq!(verify(&mut registration, ticket, "c"), []);
+    assert_eq!(registration.state(), RegistrationState::Gone);
+}
--- a/crates/ctl/src/request_log.rs
+++ b/crates/ctl/src/request_log.rs
@@ -35,7 +35,7 @@
     "target",
     "target-crashed",
     "target-limit",
-    "first-look",
+    "health-check",
     "heartbeat-passed",
     "stopping",
     "draining",
--- a/crates/node/src/calls/slots/actor.rs
+++ b/crates/node/src/calls/slots/actor.rs
@@ -6,7 +6,7 @@
 
 use agatedeck_calls::{
     AdmissionEffect, AdmissionQueue, AdmissionRequest, AdmissionSettings, CallId, DelayDetector,
-    Fingerprint, InFlightTable, TargetRegistration,
+    Fingerprint, HealthCheckTicket, InFlightTable, TargetRegistration,
 };
 use agatedeck_clock::Instant;
 use agatedeck_records::SnapshotView;
@@ -55,6 +55,8 @@
     /// Registration of the target; `None` if the target does not announce itself.
     pub(super) registration: Option<TargetRegistration>,
     pub(super) target_id: Arc<str>,
+    /// Ticket of the health check that was requested last.
+    pub(super) health_checks: watch::Sender<HealthCheckTicket>,
     pub(super) members: ActorRef<MemberActor>,
     /// Whether the policy of the service has been known at any time.
     pub(super) has_policy: bool,
@@ -73,6 +75,7 @@
         context: NodeContext,
         members: ActorRef<MemberActor>,
         crash_actor: ActorRef<CrashActor>,
+        health_checks: watch::Sender<HealthCheckTicket>,
         drained_sender: watch::Sender<bool>,
     ) -> Self {
         let local_member = &context.local_member;
@@ -90,6 +93,7 @@
             delay_detector: DelayDetector::default(),
             registration,
             target_id: Arc::default(),
+            health_checks,
             members,
             context,
             queue,
--- a/crates/node/src/calls/slots/mod.rs
+++ b/crates/node/src/calls/slots/mod.rs
@@ -13,5 +13,5 @@
 
 pub(crate) use actor::{DrainSlots, PolicyChanged, ProbeResult, SlotActor};
 pub(crate) use body_admission::BodyClient;
-pub(crate) use registration::{ConfirmTarget, DeregisterTarget};
+pub(crate) use registration::{DeregisterTarget, ReadRegistration, VerifyTarget};
 pub(crate) use slot_client::{CallCompletion, SlotClient, SlotLease, SlotRefusal, SlotRequest};
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use agatedeck_calls::{
-    RegistrationEffect, RegistrationError, RegistrationSettings, RegistrationState,
-    TargetAnnouncement, TargetRegistration,
+    HealthCheckTicket, HealthReport, RegistrationEffect, RegistrationError, RegistrationSettings,
+    RegistrationState, TargetAnnouncement, TargetRegistration,
 };
 use agatedeck_clock::Instant;
 use kameo::actor::ActorRef;
@@ -39,10 +39,26 @@
                     self.apply_effects(effects, actor);
                 }
                 RegistrationEffect::Publish => self.publish_target(now).await,
+                RegistrationEffect::Check(ticket) => {
+                    self.health_checks.send_replace(ticket);
+                }
             }
         }
     }
 
+    /// Follows the registration after a start of the target has been registered.
+    fn adopt_registration(&mut self, now: Instant, actor: &ActorRef<Self>) {
+        let Some(registration) = &self.registration else {
+            return;
+        };
+        if *self.target_id != *registration.id() {
+            self.target_id = Arc::from(registration.id());
+        }
+        if let Some(deadline) = registration.next_deadline() {
+            actor.tell(CheckExpiry).send_after(deadline.since(now));
+        }
+    }
+
     async fn publish_target(&self, now: Instant) {
         let Some(registration) = &self.registration else {
             return;
@@ -108,13 +124,7 @@
             warm_up_left: received.warm_up_left,
         };
         let effects = registration.announce(&announcement, now)?;
-        if *self.target_id != *registration.id() {
-            self.target_id = Arc::from(registration.id());
-        }
-        if let Some(deadline) = registration.next_deadline() {
-            let wait = deadline.since(now);
-            ctx.actor_ref().tell(CheckExpiry).send_after(wait);
-        }
+        self.adopt_registration(now, ctx.actor_ref());
         self.apply_registration_effects(effects, ctx.actor_ref())
             .await;
         Ok(())
@@ -132,27 +142,54 @@
         DeregisterTarget(id): DeregisterTarget,
         ctx: &mut Context<Self, ()>,
     ) {
-        let now = self.context.clock.now();
         if let Some(registration) = &mut self.registration {
-            let effects = registration.deregister(&id, now);
+            let effects = registration.deregister(&id);
             self.apply_registration_effects(effects, ctx.actor_ref())
                 .await;
         }
     }
 }
 
-/// The health check at the start of this node found the target serving.
-pub(crate) struct ConfirmTarget;
+/// Returns the state of the registration; `None` if the target does not announce itself.
+pub(crate) struct ReadRegistration;
 
-impl Message<ConfirmTarget> for SlotActor {
+impl Message<ReadRegistration> for SlotActor {
+    type Reply = Option<RegistrationState>;
+
+    async fn handle(
+        &mut self,
+        ReadRegistration: ReadRegistration,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        self.registration.as_ref().map(TargetRegistration::state)
+    }
+}
+
+/// The target answered a health check of this node that it serves and is not leaving.
+pub(crate) struct VerifyTarget {
+    pub(crate) ticket: HealthCheckTicket,
+    /// Identity that the answer states, if any.
+    pub(crate) id: Option<String>,
+    /// Number of calls that the target runs concurrently; 0 if the answer does not state it.
+    pub(crate) slots: u32,
+}
+
+impl Message<VerifyTarget> for SlotActor {
     type Reply = ();
 
-    async fn handle(&mut self, ConfirmTarget: ConfirmTarget, ctx: &mut Context<Self, ()>) {
-        if let Some(registration) = &mut self.registration {
-            let effects = registration.confirm();
-            self.apply_registration_effects(effects, ctx.actor_ref())
-                .await;
-        }
+    async fn handle(&mut self, verified: VerifyTarget, ctx: &mut Context<Self, ()>) {
+        let now = self.context.clock.now();
+        let Some(registration) = &mut self.registration else {
+            return;
+        };
+        let report = HealthReport {
+            id: verified.id.as_deref(),
+            slots: verified.slots,
+        };
+        let effects = registration.verify(verified.ticket, &report, now);
+        self.adopt_registration(now, ctx.actor_ref());
+        self.apply_registration_effects(effects, ctx.actor_ref())
+            .await;
     }
 }
 
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatedeck_calls::HealthCheckTicket;
 use agatedeck_chart::ChartError;
 use axum::Router;
 use derive_more::{Display, Error, From};
@@ -18,12 +19,12 @@
 use super::claim_actor::ClaimActor;
 use super::crash_actor::{CrashActor, RemoveExpiredReports};
 use super::gateway::{GatewayContext, gateway_router};
+use super::health_check::check_health;
 use super::http_client::{CallClient, ClientLimits, new_call_client};
 use super::inbound::{InboundContext, LocalTarget, inbound_router};
 use super::latency_actor::{FlushMetrics, LatencyActor};
 use super::router::{CallRouter, TopologyChanged};
 use super::slots::{BodyClient, PolicyChanged, SlotActor, SlotClient};
-use super::startup_probe::probe_at_startup;
 use super::target_client::TargetClient;
 use super::target_probe::{ProbeActor, ProbeTarget};
 use crate::context::NodeContext;
@@ -87,6 +88,21 @@
     (peer_client, target_client)
 }
 
+/// Starts the probes of a target that does not announce itself.
+async fn probe_target(context: NodeContext, client: TargetClient, slots: ActorRef<SlotActor>) {
+    let Some(target) = &context.settings.target else {
+        return;
+    };
+    let probe_actor = ProbeActor::spawn(ProbeActor {
+        target: target.address,
+        context: context.clone(),
+        client,
+        slots,
+        was_refused: false,
+    });
+    let _ = probe_actor.tell(ProbeTarget).await;
+}
+
 impl CallSystem {
     pub(crate) fn start(
         context: &NodeContext,
@@ -97,6 +113,7 @@
         let (crash_view_sender, crash_view) = watch::channel(Arc::default());
         let (drain_progress, drain_receiver) = watch::channel(DrainProgress::default());
         let (drained_sender, drained) = watch::channel(false);
+        let (health_checks, health_check_requests) = watch::channel(HealthCheckTicket::default());
         let open_calls = TaskTracker::new();
         let (peer_client, target_client) = new_clients(settings);
 
@@ -113,6 +130,7 @@
                 context.clone(),
                 members,
                 crash_actor.clone(),
+                health_checks,
                 drained_sender,
             );
             SlotActor::spawn_with_mailbox(slot_actor, mailbox::unbounded())
@@ -137,25 +155,15 @@
                 bodies: BodyClient::start(context, slots.clone()),
             });
         }
-        if let (Some(settings), Some(slots)) = (&context.settings.target, &slots)
-            && settings.announces
-        {
-            tasks.push(tokio::spawn(probe_at_startup(
-                context.clone(),
-                target_client.clone(),
-                slots.clone(),
-            )));
-        } else if let (Some(settings), Some(slots)) = (&context.settings.target, &slots) {
-            let probe_actor = ProbeActor::spawn(ProbeActor {
-                context: context.clone(),
-                client: target_client.clone(),
-                target: settings.address,
-                slots: slots.clone(),
-                was_refused: false,
-            });
-            tasks.push(tokio::spawn(async move {
-                let _ = probe_actor.tell(ProbeTarget).await;
-            }));
+        if let (Some(settings), Some(slots)) = (&context.settings.target, &slots) {
+            let client = target_client.clone();
+            let checks = if settings.announces {
+                let (context, slots) = (context.clone(), slots.clone());
+                tokio::spawn(check_health(context, client, slots, health_check_requests))
+            } else {
+                tokio::spawn(probe_target(context.clone(), client, slots.clone()))
+            };
+            tasks.push(checks);
         }
         let gateway_context = GatewayContext {
             context: context.clone(),
--- a/crates/node/src/registrar.rs
+++ b/crates/node/src/registrar.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use agatedeck_calls::{RegistrationError, TargetReadiness};
+use agatedeck_calls::{RegistrationError, RegistrationState, TargetReadiness};
 use derive_more::{Display, Error};
 use kameo::actor::ActorRef;
 
-use crate::calls::{DeregisterTarget, SlotActor};
+use crate::calls::{DeregisterTarget, ReadRegistration, SlotActor};
 
 /// An announcement of the local target.
 #[derive(Clone, Debug)]
@@ -76,4 +76,9 @@
         let result = slots.ask(DeregisterTarget(id.to_owned())).await;
         result.map_err(|_| AnnounceError::Unavailable)
     }
+
+    /// State of the registration; `None` if the node has no target that announces itself, or is stopping.
+    pub async fn state(&self) -> Option<RegistrationState> {
+        self.slots.as_ref()?.ask(ReadRegistration).await.ok()?
+    }
 }
