Let callers read their answers to the end when a node stops

Cause: a call counts as ended once its answer is in the buffers of the HTTP server; the servers then had 300 ms to close. Ruled out: deadlines, timeouts and endpoints.

Change: the servers of calls may close until the end of the drain, also the one for other nodes, whose callers may read as slowly.

--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -49,8 +49,7 @@
 /// Time allowed for the last messages of a leaving node to reach other nodes.
 const LEAVE_GRACE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time allowed for connections to close when the node stops. All calls have ended by then, so that
-/// only buffered bytes remain to be written.
+/// Time allowed for the connections of operators to close when the node stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Why a node did not start.
@@ -117,7 +116,10 @@
     drain_timeout: Duration,
     drain_notice: Duration,
     stop_sender: watch::Sender<bool>,
-    servers: Vec<JoinHandle<()>>,
+    /// Servers of calls. A call counts as ended once its answer is buffered, which its caller may still be
+    /// reading.
+    call_servers: Vec<JoinHandle<()>>,
+    operator_servers: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -363,14 +365,18 @@
             crash_actor: calls.crash_actor.clone(),
         };
         let (stop_sender, stop_receiver) = watch::channel(false);
-        let mut servers = vec![
-            serve_http(listeners.admin, admin_router(admin), stop_receiver.clone()),
+        let call_servers = vec![
             serve_http(listeners.calls, calls.gateway, stop_receiver.clone()),
             serve_http(listeners.peer, calls.inbound_router, stop_receiver.clone()),
         ];
+        let mut operator_servers = vec![serve_http(
+            listeners.admin,
+            admin_router(admin),
+            stop_receiver.clone(),
+        )];
         if let Some(listener) = listeners.metrics {
             let router = metrics_router(context.metrics.clone());
-            servers.push(serve_http(listener, router, stop_receiver));
+            operator_servers.push(serve_http(listener, router, stop_receiver));
         }
         tasks.push(tokio::spawn(serve_control(listeners.control, server)));
         tasks.extend(calls.tasks);
@@ -406,7 +412,8 @@
             drain_timeout,
             drain_notice,
             stop_sender,
-            servers,
+            call_servers,
+            operator_servers,
             tasks,
         })
     }
@@ -486,12 +493,9 @@
             tokio::time::sleep(LEAVE_GRACE_PERIOD)
         );
         self.stop_sender.send_replace(true);
-        let deadline = Instant::now() + CLOSE_TIMEOUT;
-        for mut server in self.servers {
-            if timeout_at(deadline, &mut server).await.is_err() {
-                server.abort();
-            }
-        }
+        let close_deadline = Instant::now() + CLOSE_TIMEOUT;
+        await_servers(self.call_servers, deadline.max(close_deadline)).await;
+        await_servers(self.operator_servers, close_deadline).await;
         for task in &self.tasks {
             task.abort();
         }
@@ -499,6 +503,15 @@
     }
 }
 
+/// Waits until the servers have closed their connections, and ends those that have not at `deadline`.
+async fn await_servers(servers: Vec<JoinHandle<()>>, deadline: Instant) {
+    for mut server in servers {
+        if timeout_at(deadline, &mut server).await.is_err() {
+            server.abort();
+        }
+    }
+}
+
 /// Reports whether the node takes calls of local callers.
 #[derive(Clone, Debug)]
 pub struct NodeReadiness {
