Do not wait for the reader of the log

Cause: a log line is written by the thread that logs it, which runs all tasks of the node. Ruled out: memory and the calls themselves; the process was blocked in `write`.

Change: standard output is written only as far as it is writable; up to 256 kB of lines are kept and written with later ones, lines beyond that are left out and counted in `lines-left-out`.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -57,7 +57,9 @@
         println!("{}: the settings are valid", file.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    let result = run(settings);
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:?}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod dissemination;
 mod listeners;
+mod log_output;
 mod logging;
 mod member;
 mod metrics;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,11 +1,14 @@
 //! Logging as JSON lines on standard output.
 
+use std::io::Write;
+
 use derive_more::{Display, Error};
 use log::kv::{Error as FieldError, Key, Value as FieldValue, VisitSource};
 use log::{Level, LevelFilter};
 use serde_json::{Map, Value};
 
 use crate::clock::unix_us;
+use crate::log_output::LogOutput;
 
 /// Prefix of the modules to which the level of the settings applies. Of other modules, only
 /// warnings and errors are written.
@@ -16,12 +19,14 @@
 #[display("cannot start logging: {_0}")]
 pub struct LogError(log::SetLoggerError);
 
-/// Sets the logger of the process, which writes to standard output. `node` is added to each line.
+/// Sets the logger of the process, which writes to standard output and leaves lines out rather than wait
+/// for its reader. `node` is added to each line.
 ///
 /// # Errors
 ///
 /// Fails if the process already has a logger.
 pub fn start_logging(node: &str, level: LevelFilter) -> Result<(), LogError> {
+    let output: Box<dyn Write + Send> = Box::new(LogOutput::new(node));
     let node = node.to_owned();
     fern::Dispatch::new()
         .format(move |out, message, record| {
@@ -44,7 +49,7 @@
             let is_own_module = metadata.target().starts_with(OWN_MODULE_PREFIX);
             is_own_module && metadata.level() <= level || metadata.level() <= Level::Warn
         })
-        .chain(std::io::stdout())
+        .chain(output)
         .apply()
         .map_err(LogError)
 }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -383,21 +383,8 @@
         let drain_timeout = context.settings.calls.drain_timeout();
         let drain_notice = context.settings.calls.drain_notice;
         tasks.push(spawn_version_reader(&context, config, relay, heartbeats));
-        tasks.extend([
-            tokio::spawn(report_gauges(context.clone(), meters.clone())),
-            tokio::spawn(run_detector(context.clone(), members.clone())),
-            tokio::spawn(run_join(join.clone())),
-            tokio::spawn(run_directory(
-                context.clone(),
-                join.clone(),
-                members.clone(),
-            )),
-            tokio::spawn(forward_active_version(
-                context.config.clone(),
-                members.clone(),
-                join.clone(),
-            )),
-        ]);
+        tasks.push(tokio::spawn(report_gauges(context.clone(), meters.clone())));
+        tasks.extend(spawn_membership_tasks(&context, &members, &join));
         addresses.log();
         Ok(Self {
             addresses,
@@ -564,6 +551,28 @@
     }))
 }
 
+/// Starts the tasks that drive membership and the join.
+fn spawn_membership_tasks(
+    context: &NodeContext,
+    members: &ActorRef<MemberActor>,
+    join: &ActorRef<JoinActor>,
+) -> [JoinHandle<()>; 4] {
+    [
+        tokio::spawn(run_detector(context.clone(), members.clone())),
+        tokio::spawn(run_join(join.clone())),
+        tokio::spawn(run_directory(
+            context.clone(),
+            join.clone(),
+            members.clone(),
+        )),
+        tokio::spawn(forward_active_version(
+            context.config.clone(),
+            members.clone(),
+            join.clone(),
+        )),
+    ]
+}
+
 /// Forwards the active version to the actors that depend on it.
 async fn forward_active_version(
     mut config: watch::Receiver<ServedConfig>,
