Log how a version reached a node, what a read returned, and how pulls end

The logs could not tell its hypotheses apart: `in-force` did not say whether a version was read, came over the tree or was pulled, no line told what an answer of the feed held, and pulls left none. New: the fields `origin` and `waited_ms` of `in-force`, the events `version-read`, `pulled` and `pull-unanswered`, and counters of versions by origin, of pulls, and of the configurations and bytes that the feed sent. A feed returns its answer with these counts.

No decision changes.

--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -11,7 +11,8 @@
 use agatedeck_control::{
     ConfigReplica, DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope,
     FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings, MemberTable,
-    ReplicaSettings, ResponderSettings, TreeDissemination, VersionEffect, select_witnesses,
+    ReplicaSettings, ResponderSettings, TreeDissemination, VersionEffect, VersionOrigin,
+    select_witnesses,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, FloorRecord, Join, Member, MemberStatus, Offer, Probe, ProbeAnswer, Sync,
@@ -534,7 +535,7 @@
     let mut replicas = Vec::new();
     for _ in 0..REPLICA_COPY_COUNT {
         let mut replica = new_replica()?;
-        replica.offer(1, delta, Instant::default());
+        replica.offer(1, delta, VersionOrigin::Tree, Instant::default());
         replica.on_witnesses_recorded(1);
         replicas.push(replica);
     }
@@ -577,7 +578,7 @@
     let now = Instant::default();
     let mut apply_change = |number: usize| {
         let version = u64::try_from(number + 1).unwrap_or(u64::MAX);
-        let (_, effects) = replica.offer(version, &deltas[number], now);
+        let (_, effects) = replica.offer(version, &deltas[number], VersionOrigin::Tree, now);
         let records_floor = effects
             .iter()
             .any(|effect| matches!(effect, VersionEffect::RecordFloor { .. }));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,5 +35,5 @@
 pub use rendezvous::{rank_candidates, rendezvous_score};
 pub use version::{
     ActivationState, ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect,
-    check_activation_chart,
+    VersionOrigin, check_activation_chart,
 };
--- a/crates/control/src/version/mod.rs
+++ b/crates/control/src/version/mod.rs
@@ -4,4 +4,6 @@
 mod replica;
 
 pub use activation::{ActivationState, check_activation_chart};
-pub use replica::{ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect};
+pub use replica::{
+    ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect, VersionOrigin,
+};
--- a/crates/control/src/version/replica.rs
+++ b/crates/control/src/version/replica.rs
@@ -9,6 +9,7 @@
 use agatedeck_clock::Instant;
 use agatedeck_records::{ConfigSnapshot, SnapshotView, compress, decompress, delta_base_version};
 use agatedeck_wire::Delta;
+use derive_more::Display;
 
 use super::activation::{
     self, ActivationAction, ActivationChart, ActivationEvent, ActivationState,
@@ -39,6 +40,22 @@
     }
 }
 
+/// How a version reached the node.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum VersionOrigin {
+    /// Read by this node from the configuration feed.
+    Feed,
+    /// Read by this node from the store.
+    Store,
+    /// Committed by this node.
+    Commit,
+    /// Received over the dissemination tree.
+    Tree,
+    /// Pulled from another node.
+    Pull,
+}
+
 /// Result of offering a version to a [`ConfigReplica`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OfferResult {
@@ -64,7 +81,14 @@
         deadline: Instant,
     },
     /// Serve calls by this snapshot from now on.
-    Activate(Arc<ConfigSnapshot>),
+    Activate {
+        /// The version that is now active.
+        snapshot: Arc<ConfigSnapshot>,
+        /// How it reached this node.
+        origin: VersionOrigin,
+        /// When it was validated.
+        validated_at: Instant,
+    },
     /// Pull the versions after this one from a node that is ahead.
     PullAfter(u64),
 }
@@ -83,6 +107,8 @@
 struct CandidateVersion {
     snapshot: Arc<ConfigSnapshot>,
     state: ActivationState,
+    origin: VersionOrigin,
+    validated_at: Instant,
     deadline: Instant,
 }
 
@@ -92,14 +118,16 @@
 struct DecodedDelta {
     message: Delta,
     compressed: Vec<u8>,
+    origin: VersionOrigin,
 }
 
 impl DecodedDelta {
-    fn decode(bytes: &[u8]) -> Result<Self, String> {
+    fn decode(bytes: &[u8], origin: VersionOrigin) -> Result<Self, String> {
         let message = decompress::<Delta>(bytes).map_err(|error| error.to_string())?;
         Ok(Self {
             message,
             compressed: bytes.to_vec(),
+            origin,
         })
     }
 }
@@ -191,13 +219,14 @@
         &mut self,
         version: u64,
         delta: &[u8],
+        origin: VersionOrigin,
         now: Instant,
     ) -> (OfferResult, Vec<VersionEffect>) {
         let latest = self.latest().version();
         if version <= latest {
             return (OfferResult::Stale, Vec::new());
         }
-        match DecodedDelta::decode(delta) {
+        match DecodedDelta::decode(delta, origin) {
             Ok(delta) => self.offer_decoded(delta, now),
             Err(reason) => (self.refuse_offer(version, reason), Vec::new()),
         }
@@ -228,7 +257,7 @@
         let mut effects = Vec::new();
         for bytes in deltas {
             let latest = self.latest().version();
-            match DecodedDelta::decode(bytes) {
+            match DecodedDelta::decode(bytes, VersionOrigin::Pull) {
                 Ok(delta) if delta.message.version <= latest => {}
                 Ok(delta) => effects.extend(self.offer_decoded(delta, now).1),
                 Err(reason) => self.record_refusal(latest + 1, &reason),
@@ -277,18 +306,19 @@
         let validated = validated.and_then(|snapshot| self.require_readable(snapshot));
         match validated {
             Ok(snapshot) => {
+                let origin = delta.origin;
                 self.retain_delta(delta);
-                self.stage_candidate(snapshot, now, effects);
+                self.stage_candidate(snapshot, origin, now, effects);
                 OfferResult::Held
             }
             Err(reason) => self.refuse_offer(delta.message.version, reason),
         }
     }
 
-    /// Offers a complete version read from the store. Returns the compressed delta from the latest
+    /// Offers a complete version read from the feed. Returns the compressed delta from the latest
     /// version before it, for the nodes that hold that version; `None` if the snapshot is not newer
     /// or is refused.
-    pub fn offer_from_store(
+    pub fn offer_from_feed(
         &mut self,
         snapshot: &ConfigSnapshot,
         now: Instant,
@@ -301,6 +331,7 @@
         let delta = DecodedDelta {
             message,
             compressed: compressed.clone(),
+            origin: VersionOrigin::Feed,
         };
         let (result, effects) = self.offer_decoded(delta, now);
         let compressed = (result == OfferResult::Held).then_some(compressed);
@@ -349,6 +380,7 @@
     fn stage_candidate(
         &mut self,
         snapshot: ConfigSnapshot,
+        origin: VersionOrigin,
         now: Instant,
         effects: &mut Vec<VersionEffect>,
     ) {
@@ -367,6 +399,8 @@
         self.candidates.push_back(CandidateVersion {
             snapshot,
             state,
+            origin,
+            validated_at: now,
             deadline,
         });
     }
@@ -376,6 +410,7 @@
         &mut self,
         bytes: &[u8],
         digest: &[u8],
+        origin: VersionOrigin,
         now: Instant,
     ) -> (OfferResult, Vec<VersionEffect>) {
         let decoded = ConfigSnapshot::decode(bytes, digest).map_err(|error| error.to_string());
@@ -388,7 +423,7 @@
                 // The retained deltas end at the previous version, so the chain would have a gap.
                 self.retained_deltas.clear();
                 let mut effects = Vec::new();
-                self.stage_candidate(snapshot, now, &mut effects);
+                self.stage_candidate(snapshot, origin, now, &mut effects);
                 self.stage_buffered(now, &mut effects);
                 (OfferResult::Held, effects)
             }
@@ -437,13 +472,14 @@
             };
             let actions = self.chart.advance(&mut candidate.state, event);
             if actions.contains(&ActivationAction::Activate) {
-                self.activate(candidate.snapshot, &mut effects);
+                self.activate(candidate, &mut effects);
             }
         }
         effects
     }
 
-    fn activate(&mut self, snapshot: Arc<ConfigSnapshot>, effects: &mut Vec<VersionEffect>) {
+    fn activate(&mut self, candidate: CandidateVersion, effects: &mut Vec<VersionEffect>) {
+        let snapshot = candidate.snapshot;
         if snapshot.version() <= self.current.version() {
             return;
         }
@@ -456,7 +492,11 @@
         }
         self.current = Arc::clone(&snapshot);
         self.compressed_current = OnceCell::new();
-        effects.push(VersionEffect::Activate(snapshot));
+        effects.push(VersionEffect::Activate {
+            snapshot,
+            origin: candidate.origin,
+            validated_at: candidate.validated_at,
+        });
     }
 
     /// The deltas or the snapshot by which a node that holds version `held` reaches the active
--- a/crates/control/tests/model/cluster.rs
+++ b/crates/control/tests/model/cluster.rs
@@ -7,7 +7,7 @@
     CommitAction, CommitEvent, CommitOutcome, ConfigReplica, DisseminationHop, DisseminationPolicy,
     DisseminationRequest, DisseminationScope, FloorTable, JoinEffect, JoinMachine, JoinResponder,
     JoinSettings, MemberTable, PullReply, ReplicaSettings, ResponderSettings, TreeDissemination,
-    VersionEffect, select_witnesses,
+    VersionEffect, VersionOrigin, select_witnesses,
 };
 use agatedeck_records::{compress, decompress};
 use agatedeck_wire::{
@@ -397,7 +397,7 @@
                         self.on_witness_answer(host, version, 0);
                     }
                 }
-                VersionEffect::Activate(snapshot) => {
+                VersionEffect::Activate { snapshot, .. } => {
                     let version = snapshot.version();
                     process.local_member.version = version;
                     process.table.observe_version(&node_name(host), version);
@@ -564,11 +564,11 @@
 
     fn offer_version(&mut self, host: usize, version: u64, delta: &[u8]) -> bool {
         let now = self.now;
-        let (result, effects) = self
-            .process(host)
-            .unwrap()
-            .replica
-            .offer(version, delta, now);
+        let (result, effects) =
+            self.process(host)
+                .unwrap()
+                .replica
+                .offer(version, delta, VersionOrigin::Tree, now);
         self.apply_effects(host, effects);
         !matches!(result, agatedeck_control::OfferResult::Refused(_))
     }
@@ -612,7 +612,9 @@
         } else {
             let now = self.now;
             let replica = &mut self.process(host).unwrap().replica;
-            let (_, effects) = replica.offer_snapshot(&answer.snapshot, &answer.digest, now);
+            let origin = VersionOrigin::Pull;
+            let (_, effects) =
+                replica.offer_snapshot(&answer.snapshot, &answer.digest, origin, now);
             self.apply_effects(host, effects);
         }
     }
--- a/crates/node/src/adapters.rs
+++ b/crates/node/src/adapters.rs
@@ -18,21 +18,29 @@
 
 use crate::calls::StopReason;
 
+/// Answer of a configuration feed.
+#[derive(Clone, Debug, Default)]
+pub struct FeedAnswer {
+    /// The newest version in the answer; `None` if it has none.
+    pub newest: Option<ConfigSnapshot>,
+    /// Number of configurations in the answer, older versions included.
+    pub configurations: u64,
+    /// Size of these configurations as sent.
+    pub bytes: u64,
+}
+
 /// A source of complete configuration versions that are written outside the mesh, such as by the
 /// operators of a platform.
 pub trait ConfigFeed: Debug + Send + Sync {
-    /// Reads the newest version; `None` if none was written yet.
+    /// Reads the newest version. The answer is empty if none was written yet.
     ///
     /// # Errors
     ///
     /// Fails if the source cannot be read by `deadline`.
-    fn newest(
-        &self,
-        deadline: Instant,
-    ) -> BoxFuture<'_, Result<Option<ConfigSnapshot>, StoreError>>;
+    fn newest(&self, deadline: Instant) -> BoxFuture<'_, Result<FeedAnswer, StoreError>>;
 
-    /// Waits up to `wait` for a version newer than the last one that this feed returned. Returns
-    /// `None` if none was written in that time.
+    /// Waits up to `wait` for a version newer than the last one that this feed returned. The answer
+    /// is empty if none was written in that time.
     ///
     /// # Errors
     ///
@@ -41,7 +49,7 @@
         &self,
         wait: Duration,
         deadline: Instant,
-    ) -> BoxFuture<'_, Result<Option<ConfigSnapshot>, StoreError>>;
+    ) -> BoxFuture<'_, Result<FeedAnswer, StoreError>>;
 }
 
 /// Call options that a local caller states in the headers of its request.
--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -6,7 +6,7 @@
 use agatedeck_clock::Instant;
 use agatedeck_control::{
     ConfigReplica, OfferResult, PullMachine, PullReply, PullSettings, ReplicaSettings,
-    VersionEffect, select_witnesses,
+    VersionEffect, VersionOrigin, select_witnesses,
 };
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_wire::{
@@ -74,10 +74,13 @@
                 VersionEffect::RecordFloor { version, deadline } => {
                     self.record_floor(version, deadline, actor);
                 }
-                VersionEffect::Activate(snapshot) => {
+                VersionEffect::Activate {
+                    snapshot,
+                    origin,
+                    validated_at,
+                } => {
                     self.publish();
-                    let version = snapshot.version();
-                    log::info!(event = "in-force", version; "version {version} is in force");
+                    self.report_activation(snapshot.version(), origin, validated_at);
                 }
                 // The version after the held one exists; which one is not known.
                 VersionEffect::PullAfter(version) => self.observe_version(version + 1, actor),
@@ -85,6 +88,18 @@
         }
     }
 
+    fn report_activation(&self, version: u64, origin: VersionOrigin, validated_at: Instant) {
+        let waited = self.context.clock.now().since(validated_at);
+        log::info!(
+            event = "in-force",
+            version,
+            origin:% = origin,
+            waited_ms = waited.as_millis();
+            "version {version} is in force"
+        );
+        self.context.metrics.count_version(origin);
+    }
+
     fn witnesses(&self) -> Vec<PeerAddress> {
         let table = self.context.table();
         let members = select_witnesses(&table, &self.context.local_member, WITNESS_COUNT);
@@ -143,6 +158,7 @@
         let actor = actor.clone();
         tokio::spawn(async move {
             let answer = pull.first_answer().await;
+            pull.report_first_answer(answer.as_ref());
             let is_unanswered = answer.is_none();
             let silent_peers = pull.silent_peers().map(str::to_owned).collect();
             // The sends fail only while the node is stopping.
@@ -170,27 +186,33 @@
             let effects = self.replica.offer_pulled(&pulled.deltas, now);
             self.apply_effects(effects, actor);
         } else {
-            let (_, effects) = self
-                .replica
-                .offer_snapshot(&pulled.snapshot, &pulled.digest, now);
+            let (_, effects) = self.replica.offer_snapshot(
+                &pulled.snapshot,
+                &pulled.digest,
+                VersionOrigin::Pull,
+                now,
+            );
             self.apply_effects(effects, actor);
         }
     }
 }
 
 /// Offers a version as a delta that another node sent, the store returned, or this node committed.
-pub(crate) struct OfferVersion(pub(crate) Offer);
+pub(crate) struct OfferVersion {
+    pub(crate) offer: Offer,
+    pub(crate) origin: VersionOrigin,
+}
 
 impl Message<OfferVersion> for ConfigActor {
     type Reply = WireAnswer<OfferAnswer>;
 
     async fn handle(
         &mut self,
-        OfferVersion(offer): OfferVersion,
+        OfferVersion { offer, origin }: OfferVersion,
         context: &mut Context<Self, WireAnswer<OfferAnswer>>,
     ) -> WireAnswer<OfferAnswer> {
         let now = self.context.clock.now();
-        let (result, effects) = self.replica.offer(offer.version, &offer.delta, now);
+        let (result, effects) = self.replica.offer(offer.version, &offer.delta, origin, now);
         self.apply_effects(effects, context.actor_ref());
         let (outcome, reason) = match result {
             OfferResult::Held => (OfferOutcome::Held, String::new()),
@@ -232,7 +254,7 @@
         context: &mut Context<Self, FeedDelta>,
     ) -> FeedDelta {
         let now = self.context.clock.now();
-        let (delta, effects) = self.replica.offer_from_store(&snapshot, now);
+        let (delta, effects) = self.replica.offer_from_feed(&snapshot, now);
         self.apply_effects(effects, context.actor_ref());
         FeedDelta(delta)
     }
@@ -249,9 +271,10 @@
 
     async fn handle(&mut self, offer: OfferSnapshot, context: &mut Context<Self, ()>) {
         let now = self.context.clock.now();
-        let (result, effects) = self
-            .replica
-            .offer_snapshot(&offer.bytes, &offer.digest, now);
+        let origin = VersionOrigin::Store;
+        let (result, effects) =
+            self.replica
+                .offer_snapshot(&offer.bytes, &offer.digest, origin, now);
         if let OfferResult::Refused(reason) = result {
             log::warn!(event = "snapshot-refused"; "snapshot was refused: {reason}");
         }
--- a/crates/node/src/config/pull.rs
+++ b/crates/node/src/config/pull.rs
@@ -30,6 +30,8 @@
     peers: VecDeque<Member>,
     requests: FuturesUnordered<BoxFuture<'static, PeerReply>>,
     unanswered: PullRequests,
+    started_at: Instant,
+    asked_peers: u32,
 }
 
 impl PeerPull {
@@ -49,6 +51,8 @@
             version,
             requests: FuturesUnordered::new(),
             unanswered: PullRequests::new(NEXT_PEER_DELAY),
+            started_at: Instant::now(),
+            asked_peers: 0,
         }
     }
 
@@ -86,6 +90,31 @@
         None
     }
 
+    /// Logs and counts the end of the wait for the first answer; `None` if no peer had a newer version.
+    pub(super) fn report_first_answer(&self, answer: Option<&PullAnswer>) {
+        let (held, asked) = (self.version, self.asked_peers);
+        let took_ms = self.started_at.elapsed().as_millis();
+        match answer {
+            Some(answer) => log::info!(
+                event = "pulled",
+                held,
+                version = answer.version,
+                asked,
+                took_ms,
+                snapshot = !answer.snapshot.is_empty();
+                "pulled version {} from another node", answer.version
+            ),
+            None => log::info!(
+                event = "pull-unanswered",
+                held,
+                asked,
+                took_ms;
+                "no peer returned a version newer than {held}"
+            ),
+        }
+        self.context.metrics.count_pull(answer.is_some());
+    }
+
     /// Peers that were asked, had time to answer and did not.
     pub(super) fn silent_peers(&self) -> impl Iterator<Item = &str> {
         self.unanswered.silent_peers(self.context.clock.now())
@@ -100,6 +129,7 @@
     fn send_request(&mut self, peer: Member) {
         let now = self.context.clock.now();
         self.unanswered.record_request(&peer.node, now);
+        self.asked_peers += 1;
         let request = request_versions(self.context.clone(), peer, self.version);
         self.requests.push(request.boxed());
     }
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -210,7 +210,9 @@
     feed: &dyn ConfigFeed,
     config: &ActorRef<ConfigActor>,
 ) -> Result<Option<Head>, CatchUpError> {
-    let Some(snapshot) = feed.newest(context.store_deadline()).await? else {
+    let answer = feed.newest(context.store_deadline()).await?;
+    context.metrics.count_feed_answer(&answer);
+    let Some(snapshot) = answer.newest else {
         return Ok(None);
     };
     let version = snapshot.version();
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use agatedeck_calls::CallOutcome;
+use agatedeck_control::VersionOrigin;
 use cadence::StatsdClient;
 use cadence::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -17,6 +18,7 @@
 use prometheus_client::registry::{Metric, Registry};
 
 use super::statsd::statsd_client;
+use crate::adapters::FeedAnswer;
 use crate::calls::StopReason;
 
 /// Prefix of metric names in the `OpenMetrics` text.
@@ -50,6 +52,16 @@
     class: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OriginLabel {
+    origin: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ResultLabel {
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct NameLabel {
     name: String,
@@ -66,6 +78,10 @@
     claims: Family<VerdictLabel, Counter>,
     retries: Counter,
     omitted_lines: Counter,
+    versions: Family<OriginLabel, Counter>,
+    pulls: Family<ResultLabel, Counter>,
+    feed_configurations: Counter,
+    feed_bytes: Counter,
     latency: Family<ClassLabel, Histogram>,
     gauges: Family<NameLabel, Gauge>,
 }
@@ -121,6 +137,19 @@
         let help = "Log lines on calls beyond the budget of lines";
         let omitted_lines =
             register_metric(&mut registry, "lines_left_out", help, Counter::default());
+        let help = "Versions put in force, by how they reached the node";
+        let versions = register_metric(&mut registry, "versions", help, Family::default());
+        let help = "Pulls of missing versions";
+        let pulls = register_metric(&mut registry, "pulls", help, Family::default());
+        let help = "Configurations in the answers of the feed";
+        let feed_configurations = register_metric(
+            &mut registry,
+            "feed_configurations",
+            help,
+            Counter::default(),
+        );
+        let help = "Size of the answers of the feed";
+        let feed_bytes = register_metric(&mut registry, "feed_bytes", help, Counter::default());
         let help = "Time to the answer of calls that were answered";
         let latency = register_metric(&mut registry, "call_latency_seconds", help, latency);
         let gauges = register_metric(
@@ -138,6 +167,10 @@
             claims,
             retries,
             omitted_lines,
+            versions,
+            pulls,
+            feed_configurations,
+            feed_bytes,
             latency,
             gauges,
         }))
@@ -201,6 +234,32 @@
         self.0.omitted_lines.inc_by(lines);
     }
 
+    /// Counts a version that was put in force.
+    pub(crate) fn count_version(&self, origin: VersionOrigin) {
+        let origin = origin.to_string();
+        self.send_count(&format!("versions.{origin}"), 1);
+        self.0.versions.get_or_create(&OriginLabel { origin }).inc();
+    }
+
+    /// Counts a pull whose peers returned a newer version, or did not.
+    pub(crate) fn count_pull(&self, is_answered: bool) {
+        let result = if is_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.send_count(&format!("pulls.{result}"), 1);
+        self.0.pulls.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Counts an answer of the configuration feed.
+    pub(crate) fn count_feed_answer(&self, answer: &FeedAnswer) {
+        self.send_count("feed.configurations", answer.configurations);
+        self.send_count("feed.bytes", answer.bytes);
+        self.0.feed_configurations.inc_by(answer.configurations);
+        self.0.feed_bytes.inc_by(answer.bytes);
+    }
+
     /// Records the latency of an answered call.
     pub(crate) fn observe_latency(&self, class: &str, latency: Duration) {
         let _ = self.0.statsd.time("calls.latency", latency);
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agatedeck_control::is_probe_answer_of;
+use agatedeck_control::{VersionOrigin, is_probe_answer_of};
 use agatedeck_wire::{
     ControlPlane, ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord,
     IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer, OfferOutcome, Probe,
@@ -106,7 +106,10 @@
             StartDissemination::from_message(offer.version, offer.scope(), offer.position, payload);
         let answer = self
             .config
-            .ask(OfferVersion(offer))
+            .ask(OfferVersion {
+                offer,
+                origin: VersionOrigin::Tree,
+            })
             .await
             .unwrap_or_default()
             .0;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -537,7 +537,11 @@
 ) -> JoinHandle<()> {
     let context = context.clone();
     let source: Arc<dyn VersionSource> = match context.feed.clone() {
-        Some(feed) => Arc::new(FeedSource { feed, config }),
+        Some(feed) => Arc::new(FeedSource {
+            feed,
+            config,
+            metrics: context.metrics.clone(),
+        }),
         None => Arc::new(HeadSource {
             context: context.clone(),
             config,
--- a/crates/node/src/store/catch_up.rs
+++ b/crates/node/src/store/catch_up.rs
@@ -1,6 +1,6 @@
 //! Catches up with the head of the store.
 
-use agatedeck_control::{DELTA_KEY_PREFIX, HEAD_KEY, delta_key, snapshot_key};
+use agatedeck_control::{DELTA_KEY_PREFIX, HEAD_KEY, VersionOrigin, delta_key, snapshot_key};
 use agatedeck_store::{StoreError, StoredRow};
 use agatedeck_wire::{Head, Offer, OfferOutcome, SpreadScope};
 use derive_more::{Display, Error, From};
@@ -119,7 +119,8 @@
         scope,
         position: 0,
     };
-    let answer = config.ask(OfferVersion(offer)).await;
+    let origin = VersionOrigin::Store;
+    let answer = config.ask(OfferVersion { offer, origin }).await;
     let WireAnswer(answer) = answer.map_err(|_| CatchUpError::Stopping)?;
     if answer.outcome() == OfferOutcome::Refused {
         return Err(CatchUpError::Corrupt(format!(
--- a/crates/node/src/store/commit_actor.rs
+++ b/crates/node/src/store/commit_actor.rs
@@ -4,8 +4,8 @@
 
 use agatedeck_control::{
     CommitAction, CommitEvent, CommitMachine, CommitOutcome, DisseminationRequest,
-    DisseminationScope, HEAD_KEY, SNAPSHOT_INTERVAL_VERSIONS, change_key, delta_key, snapshot_key,
-    unreadable_nodes,
+    DisseminationScope, HEAD_KEY, SNAPSHOT_INTERVAL_VERSIONS, VersionOrigin, change_key, delta_key,
+    snapshot_key, unreadable_nodes,
 };
 use agatedeck_records::{PlannedChange, compress, plan_change};
 use agatedeck_store::{RowCondition, RowWrite, StoreError, StoreTransaction, TransactionOutcome};
@@ -101,7 +101,8 @@
             .relay
             .tell(StartDissemination { request, payload })
             .await;
-        let _ = self.config.ask(OfferVersion(offer)).await;
+        let origin = VersionOrigin::Commit;
+        let _ = self.config.ask(OfferVersion { offer, origin }).await;
     }
 }
 
--- a/crates/node/src/store/version_source.rs
+++ b/crates/node/src/store/version_source.rs
@@ -11,9 +11,10 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::catch_up::{CatchUpError, catch_up, latest_version, read_head};
-use crate::adapters::ConfigFeed;
+use crate::adapters::{ConfigFeed, FeedAnswer};
 use crate::config::{ConfigActor, FeedDelta, OfferFeedSnapshot};
 use crate::context::NodeContext;
+use crate::metrics::NodeMetrics;
 
 /// Delay before a version found in the store is read, so that it can arrive over the dissemination
 /// tree. Without the delay, most changes would be sent through each region twice.
@@ -47,9 +48,26 @@
 pub(crate) struct FeedSource {
     pub(crate) feed: Arc<dyn ConfigFeed>,
     pub(crate) config: ActorRef<ConfigActor>,
+    pub(crate) metrics: NodeMetrics,
 }
 
 impl FeedSource {
+    fn report_answer(&self, answer: &FeedAnswer, started_at: Instant) {
+        self.metrics.count_feed_answer(answer);
+        let Some(newest) = &answer.newest else {
+            return;
+        };
+        let version = newest.version();
+        log::info!(
+            event = "version-read",
+            version,
+            configurations = answer.configurations,
+            bytes = answer.bytes,
+            took_ms = started_at.elapsed().as_millis();
+            "read version {version} from the feed"
+        );
+    }
+
     async fn offer(&self, snapshot: ConfigSnapshot) -> Result<Vec<NewVersion>, CatchUpError> {
         let version = snapshot.version();
         let offered = self.config.ask(OfferFeedSnapshot(snapshot)).await;
@@ -67,7 +85,10 @@
     ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>> {
         let source = self.clone();
         Box::pin(async move {
-            match source.feed.next(wait, deadline).await? {
+            let started_at = Instant::now();
+            let answer = source.feed.next(wait, deadline).await?;
+            source.report_answer(&answer, started_at);
+            match answer.newest {
                 Some(snapshot) => source.offer(snapshot).await,
                 None => Ok(Vec::new()),
             }
--- a/tests/trace_replay.rs
+++ b/tests/trace_replay.rs
@@ -13,7 +13,7 @@
 use agatedeck_control::{
     CommitAction, CommitMachine, CommitOutcome, ConfigReplica, JoinEffect, JoinMachine,
     JoinSettings, MemberTable, OfferResult, PullReply, ReplicaSettings, VersionEffect,
-    unreadable_nodes,
+    VersionOrigin, unreadable_nodes,
 };
 use agatedeck_records::{ConfigSnapshot, PlannedChange, compress, plan_change};
 use agatedeck_wire::record_form::Body;
@@ -324,7 +324,7 @@
     fn record_activations(&mut self, node: &str, effects: &[VersionEffect]) {
         let activations = self.activations.entry(node.to_owned()).or_default();
         for effect in effects {
-            if let VersionEffect::Activate(snapshot) = effect {
+            if let VersionEffect::Activate { snapshot, .. } = effect {
                 let version = snapshot.version();
                 let accepted = &self.plans[version_index(version)].snapshot;
                 assert_eq!(
@@ -408,7 +408,9 @@
                 if *damaged {
                     delta.puts.clear();
                 }
-                let (result, effects) = self.replica(node).offer(*version, &compress(&delta), now);
+                let bytes = compress(&delta);
+                let replica = self.replica(node);
+                let (result, effects) = replica.offer(*version, &bytes, VersionOrigin::Tree, now);
                 assert_matches_trace(offer_result_name(&result), expect.as_str(), step_label);
                 self.record_activations(node, &effects);
             }
@@ -420,7 +422,8 @@
                 let snapshot = self.plans[version_index(*version)].snapshot.clone();
                 let (bytes, digest) = (snapshot.compressed(), snapshot.digest());
                 let replica = self.replica(node);
-                let (result, effects) = replica.offer_snapshot(&bytes, digest.as_bytes(), now);
+                let (result, effects) =
+                    replica.offer_snapshot(&bytes, digest.as_bytes(), VersionOrigin::Store, now);
                 assert_matches_trace(offer_result_name(&result), expect.as_str(), step_label);
                 self.record_activations(node, &effects);
             }
@@ -623,7 +626,8 @@
             PullReply::Snapshot(bytes) => {
                 assert_matches_trace("snapshot", expected, step_label);
                 let replica = self.replica(node);
-                let (_, effects) = replica.offer_snapshot(&bytes, digest.as_bytes(), now);
+                let digest = digest.as_bytes();
+                let (_, effects) = replica.offer_snapshot(&bytes, digest, VersionOrigin::Pull, now);
                 self.record_activations(node, &effects);
             }
         }
