Keep what a read of the feed returned until it is disseminated

Seen in versions_of_reads_that_end_together_reach_the_other_nodes: of two reads that end together, the second version stays at the reader, and the others pull it, which takes rounds of half a second in a mesh of hundreds of nodes.

Cause: a read had effects before it ended. It raised the position of the watch and offered the version to the config actor, inside a future that the reading task drops when another read has ended or its role has. What was left to do was lost with it, and the next read began behind it. The class: state that says that work is done is changed before the work is, in a task that may be cancelled in between.

Ruled out: a read whose answer has not been taken from its connection moves no position, so it is read again.

Change: a read has no effect until its answer reaches the reading task. The position is part of the answer and belongs to that task; the watch of the platform holds no state. What an answer brings is offered and disseminated by a future of the task that is never dropped. The join tells the task the position of its read, so that it isn't repeated. The same cause in native nodes: a catch-up with the store that failed or ran out of time halfway kept the versions that it had read, and did not disseminate them; it does now.

--- a/crates/node/src/adapters.rs
+++ b/crates/node/src/adapters.rs
@@ -18,9 +18,15 @@
 
 use crate::calls::StopReason;
 
+/// Position in a configuration feed: all changes up to it have been read.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct FeedPosition(pub u64);
+
 /// Answer of a configuration feed.
 #[derive(Clone, Debug, Default)]
 pub struct FeedAnswer {
+    /// Position from which to read on.
+    pub position: FeedPosition,
     /// The newest version in the answer; `None` if it has none.
     pub newest: Option<ConfigSnapshot>,
     /// Number of configurations in the answer, older versions included.
@@ -39,14 +45,15 @@
     /// Fails if the source cannot be read by `deadline`.
     fn newest(&self, deadline: Instant) -> BoxFuture<'_, Result<FeedAnswer, StoreError>>;
 
-    /// Waits up to `wait` for a version newer than the last one that this feed returned. The answer
-    /// is empty if none was written in that time.
+    /// Waits up to `wait` for a version that was written after `after`. The answer is empty if there
+    /// was none in that time.
     ///
     /// # Errors
     ///
     /// Fails if the source cannot be read by `deadline`.
     fn next(
         &self,
+        after: FeedPosition,
         wait: Duration,
         deadline: Instant,
     ) -> BoxFuture<'_, Result<FeedAnswer, StoreError>>;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,8 +25,8 @@
 mod wire_answer;
 
 pub use adapters::{
-    AnswerKind, CallProtocol, CallerMetadata, ConfigFeed, FeedAnswer, LocalAnswer, NodeAdapters,
-    TargetLoad, TargetMetadata,
+    AnswerKind, CallProtocol, CallerMetadata, ConfigFeed, FeedAnswer, FeedPosition, LocalAnswer,
+    NodeAdapters, TargetLoad, TargetMetadata,
 };
 pub use calls::{CallSystemError, NativeProtocol, StopReason, parse_rate_limit};
 pub use daemon::{BAD_INPUT_EXIT_CODE, node_runtime, read_settings, run_daemon};
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -19,7 +19,7 @@
 use crate::config::{ConfigActor, OfferFeedSnapshot, PullFromPeers, RaiseFloor, ReadLatest};
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
-use crate::store::{CatchUpError, catch_up, read_head};
+use crate::store::{CatchUpError, ReaderMessage, ReaderSender, catch_up, read_head};
 
 /// Timeout of a join request or floor query.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -44,6 +44,7 @@
     rng: SmallRng,
     config: ActorRef<ConfigActor>,
     members: ActorRef<MemberActor>,
+    reader: ReaderSender,
     phase_sender: watch::Sender<JoinState>,
 }
 
@@ -52,6 +53,7 @@
         context: NodeContext,
         config: ActorRef<ConfigActor>,
         members: ActorRef<MemberActor>,
+        reader: ReaderSender,
         phase_sender: watch::Sender<JoinState>,
     ) -> Self {
         let seeds: Vec<String> = context
@@ -76,6 +78,7 @@
             phase_sender,
             config,
             members,
+            reader,
         }
     }
 
@@ -108,10 +111,10 @@
 
     fn read_head(&self, actor: &ActorRef<Self>) {
         let (context, actor) = (self.context.clone(), actor.clone());
-        let config = self.config.clone();
+        let (config, reader) = (self.config.clone(), self.reader.clone());
         tokio::spawn(async move {
             let head = match &context.feed {
-                Some(feed) => read_feed(&context, &**feed, &config).await,
+                Some(feed) => read_feed(&context, &**feed, &config, &reader).await,
                 None => read_head(&context).await.map(|(head, _)| Some(head)),
             };
             let head = match head {
@@ -191,8 +194,10 @@
                 && context.feed.is_none()
                 && let Some(head) = head
             {
-                match catch_up(&context, &config, &head).await {
-                    Ok(_) => version = head.version,
+                // The other nodes have these versions, or read them by themselves.
+                let mut fetched = Vec::new();
+                match catch_up(&context, &config, &head, &mut fetched).await {
+                    Ok(()) => version = head.version,
                     Err(error) => {
                         log::warn!(event = "fetch-failed", version = floor; "could not fetch version {floor}: {error}");
                     }
@@ -209,6 +214,7 @@
     context: &NodeContext,
     feed: &dyn ConfigFeed,
     config: &ActorRef<ConfigActor>,
+    reader: &ReaderSender,
 ) -> Result<Option<Head>, CatchUpError> {
     let answer = feed.newest(context.store_deadline()).await?;
     context.metrics.count_feed_answer(&answer);
@@ -218,6 +224,8 @@
     let version = snapshot.version();
     let offered = config.ask(OfferFeedSnapshot(snapshot)).await;
     offered.map_err(|_| CatchUpError::Stopping)?;
+    // Without the position, the reading task reads the same version again.
+    let _ = reader.try_send(ReaderMessage::PositionReached(answer.position));
     Ok(Some(Head {
         version,
         ..Head::default()
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -26,7 +26,7 @@
     RecordFloor,
 };
 use crate::peer::PeerAddress;
-use crate::store::HeartbeatSender;
+use crate::store::{ReaderMessage, ReaderSender};
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -39,7 +39,7 @@
     pub(crate) members: ActorRef<MemberActor>,
     pub(crate) relay: ActorRef<DisseminationRelay>,
     pub(crate) crash_actor: ActorRef<CrashActor>,
-    pub(crate) heartbeats: HeartbeatSender,
+    pub(crate) reader: ReaderSender,
 }
 
 /// Accepts connections until the task is aborted. Each connection is served by a separate task.
@@ -186,8 +186,8 @@
             },
         );
         let _ = self.relay.tell(dissemination).await;
-        // A full queue holds heartbeats that the reading task has yet to handle.
-        let _ = self.heartbeats.try_send(node);
+        // A full queue holds other heartbeats that the reading task has yet to handle.
+        let _ = self.reader.try_send(ReaderMessage::Heartbeat { node });
         if version > self.context.served().snapshot.version() {
             let _ = self.config.tell(ObservePeerVersion { version }).await;
         }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -42,8 +42,8 @@
 use crate::registrar::TargetRegistrar;
 use crate::settings::{DisseminationMode, EmulationSettings, NodeSettings};
 use crate::store::{
-    CommitActor, FeedSource, HeadSource, HeartbeatReceiver, VersionReader, VersionSource,
-    run_reader,
+    CommitActor, FeedSource, HeadSource, ReaderReceiver, ReaderSender, VersionReader,
+    VersionSource, run_reader,
 };
 
 /// Time allowed for the last messages of a leaving node to reach other nodes.
@@ -93,8 +93,8 @@
 /// request is billed.
 const FEED_STANDBY_WAIT: Duration = Duration::from_secs(5);
 
-/// Maximum number of reader heartbeats that wait for the reading task.
-const MAX_QUEUED_HEARTBEATS: usize = 16;
+/// Maximum number of messages that wait for the reading task.
+const MAX_QUEUED_READER_MESSAGES: usize = 16;
 
 fn served_version(served: &ServedConfig) -> Option<u64> {
     served.may_serve.then(|| served.snapshot.version())
@@ -255,7 +255,11 @@
 }
 
 impl ControlActors {
-    fn spawn(context: &NodeContext, senders: StateSenders) -> Result<Self, ChartError> {
+    fn spawn(
+        context: &NodeContext,
+        senders: StateSenders,
+        reader: ReaderSender,
+    ) -> Result<Self, ChartError> {
         let config = ConfigActor::new(context.clone(), senders.config)?;
         let config = ConfigActor::spawn(config);
         let relay = DisseminationRelay::spawn(DisseminationRelay::new(context.clone()));
@@ -274,6 +278,7 @@
             context.clone(),
             config.clone(),
             members.clone(),
+            reader,
             senders.phase,
         ));
         Ok(Self {
@@ -324,13 +329,14 @@
         let addresses = listeners.addresses().map_err(listen_error)?;
         let meters = ConnectionMeters::default();
         let (senders, context) = node_context(settings, &addresses, adapters, &meters);
+        let (reader_sender, reader_receiver) = mpsc::channel(MAX_QUEUED_READER_MESSAGES);
         let ControlActors {
             config,
             relay,
             members,
             commit_actor,
             join,
-        } = ControlActors::spawn(&context, senders)?;
+        } = ControlActors::spawn(&context, senders, reader_sender.clone())?;
         let calls = CallSystem::start(&context, relay.clone(), members.clone())?;
         let (failure_sender, failure_receiver) = watch::channel(false);
         let mut tasks = vec![
@@ -347,14 +353,13 @@
                 failure_sender,
             ));
         }
-        let (heartbeat_sender, heartbeats) = mpsc::channel(MAX_QUEUED_HEARTBEATS);
         let server = ControlServer {
             context: context.clone(),
             config: config.clone(),
             members: members.clone(),
             relay: relay.clone(),
             crash_actor: calls.crash_actor.clone(),
-            heartbeats: heartbeat_sender,
+            reader: reader_sender,
         };
         let admin = AdminState {
             context: context.clone(),
@@ -382,7 +387,12 @@
         tasks.extend(calls.tasks);
         let drain_timeout = context.settings.calls.drain_timeout();
         let drain_notice = context.settings.calls.drain_notice;
-        tasks.push(spawn_version_reader(&context, config, relay, heartbeats));
+        tasks.push(spawn_version_reader(
+            &context,
+            config,
+            relay,
+            reader_receiver,
+        ));
         tasks.push(tokio::spawn(report_gauges(context.clone(), meters.clone())));
         tasks.extend(spawn_membership_tasks(&context, &members, &join));
         addresses.log();
@@ -533,7 +543,7 @@
     context: &NodeContext,
     config: ActorRef<ConfigActor>,
     relay: ActorRef<DisseminationRelay>,
-    heartbeats: HeartbeatReceiver,
+    messages: ReaderReceiver,
 ) -> JoinHandle<()> {
     let context = context.clone();
     let source: Arc<dyn VersionSource> = match context.feed.clone() {
@@ -551,7 +561,7 @@
         context,
         source,
         relay,
-        heartbeats,
+        messages,
     }))
 }
 
--- a/crates/node/src/store/catch_up.rs
+++ b/crates/node/src/store/catch_up.rs
@@ -34,6 +34,14 @@
     Stopping,
 }
 
+/// A version that was read and offered to the config actor.
+#[derive(Clone, Debug)]
+pub(crate) struct NewVersion {
+    pub(crate) version: u64,
+    /// Compressed delta from the version before it.
+    pub(crate) delta: Vec<u8>,
+}
+
 /// Reads the head row; the revision is 0 if there is no such row yet.
 pub(crate) async fn read_head(context: &NodeContext) -> Result<(Head, u64), CatchUpError> {
     match context
@@ -51,9 +59,9 @@
     }
 }
 
-/// Reads every version up to that of `head` and offers it to the config actor. Returns the versions
-/// read as deltas with their compressed deltas, oldest first; versions covered by a snapshot are
-/// left out.
+/// Reads every version up to that of `head` and offers it to the config actor. Adds the versions read
+/// as deltas to `new_versions`, oldest first, also if it fails or is dropped later; versions covered by
+/// a snapshot are left out.
 ///
 /// # Errors
 ///
@@ -62,12 +70,12 @@
     context: &NodeContext,
     config: &ActorRef<ConfigActor>,
     head: &Head,
-) -> Result<Vec<(u64, Vec<u8>)>, CatchUpError> {
-    let mut deltas = Vec::new();
+    new_versions: &mut Vec<NewVersion>,
+) -> Result<(), CatchUpError> {
     loop {
         let latest = latest_version(config).await?;
         if latest >= head.version {
-            return Ok(deltas);
+            return Ok(());
         }
         if head.stored_snapshot > latest {
             fetch_snapshot(context, config, head).await?;
@@ -88,7 +96,7 @@
             return Err(CatchUpError::Corrupt(message));
         }
         for row in rows {
-            deltas.push(offer_row(config, row).await?);
+            new_versions.push(offer_row(config, row).await?);
         }
     }
 }
@@ -105,7 +113,7 @@
 async fn offer_row(
     config: &ActorRef<ConfigActor>,
     row: StoredRow,
-) -> Result<(u64, Vec<u8>), CatchUpError> {
+) -> Result<NewVersion, CatchUpError> {
     let version = row
         .key
         .strip_prefix(DELTA_KEY_PREFIX)
@@ -128,7 +136,10 @@
             answer.reason
         )));
     }
-    Ok((version, row.value))
+    Ok(NewVersion {
+        version,
+        delta: row.value,
+    })
 }
 
 async fn fetch_snapshot(
--- a/crates/node/src/store/commit_actor.rs
+++ b/crates/node/src/store/commit_actor.rs
@@ -155,7 +155,9 @@
         let context = &self.commit_actor.context;
         let read = async {
             let (head, revision) = read_head(context).await?;
-            catch_up(context, &self.commit_actor.config, &head).await?;
+            // Their committers disseminate these versions.
+            let mut committed = Vec::new();
+            catch_up(context, &self.commit_actor.config, &head, &mut committed).await?;
             Ok::<_, CatchUpError>((head, revision))
         };
         match read.await {
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use catch_up::{CatchUpError, catch_up, read_head};
 pub(crate) use commit_actor::{ChangeLookup, CommitActor, CommitChange, CommitReply, find_change};
-pub(crate) use reader::{HeartbeatReceiver, HeartbeatSender, VersionReader, run_reader};
+pub(crate) use reader::{ReaderMessage, ReaderReceiver, ReaderSender, VersionReader, run_reader};
 pub(crate) use version_source::{FeedSource, HeadSource, VersionSource};
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -1,7 +1,7 @@
 //! The task that reads new versions while this node is one of the readers, and disseminates them.
 //!
-//! The decision when to read is that of [`ReaderMachine`]. The task owns the machine and the reads in
-//! progress, and receives the heartbeats of other readers as messages.
+//! The decision when to read is that of [`ReaderMachine`]. The task owns the machine, the position in the
+//! feed and the reads in progress, and receives the heartbeats of other readers as messages.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,19 +19,29 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use super::catch_up::CatchUpError;
-use super::version_source::{NewVersion, VersionSource};
+use super::catch_up::{CatchUpError, NewVersion};
+use super::version_source::{SourceAnswer, SourceRead, VersionHandover, VersionSource};
+use crate::adapters::FeedPosition;
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
 
 /// Maximum pause between two checks whether membership changes have made this node a reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Names of the leading readers whose heartbeats have arrived.
-pub(crate) type HeartbeatSender = mpsc::Sender<String>;
+/// Message to the reading task.
+#[derive(Clone, Debug)]
+pub(crate) enum ReaderMessage {
+    /// A heartbeat of the leading reader `node` has arrived.
+    Heartbeat { node: String },
+    /// This node holds the newest version that the feed had up to this position.
+    PositionReached(FeedPosition),
+}
+
+/// Sender of messages to the reading task.
+pub(crate) type ReaderSender = mpsc::Sender<ReaderMessage>;
 
-/// Receiver of the heartbeats, owned by the reading task.
-pub(crate) type HeartbeatReceiver = mpsc::Receiver<String>;
+/// Receiver of these messages, owned by the reading task.
+pub(crate) type ReaderReceiver = mpsc::Receiver<ReaderMessage>;
 
 /// Dependencies of the reading task.
 #[derive(Debug)]
@@ -39,10 +49,10 @@
     pub(crate) context: NodeContext,
     pub(crate) source: Arc<dyn VersionSource>,
     pub(crate) relay: ActorRef<DisseminationRelay>,
-    pub(crate) heartbeats: HeartbeatReceiver,
+    pub(crate) messages: ReaderReceiver,
 }
 
-type ReadResult = Result<Vec<NewVersion>, CatchUpError>;
+type ReadResult = Result<SourceAnswer, CatchUpError>;
 
 /// Reads versions until the task is aborted.
 pub(crate) async fn run_reader(mut reader: VersionReader) {
@@ -64,6 +74,11 @@
     rng: SmallRng,
     /// Reads in progress. More than one only while the source does not answer.
     reads: FuturesUnordered<BoxFuture<'static, ReadResult>>,
+    /// Position after the last answer; `None` before the first one.
+    position: Option<FeedPosition>,
+    /// Versions that are being offered to the config actor. Later reads begin after them, so these are
+    /// never dropped.
+    handovers: FuturesUnordered<VersionHandover>,
     logged_state: ReaderState,
     unavailable: bool,
 }
@@ -79,21 +94,26 @@
             machine,
             rng,
             reads: FuturesUnordered::new(),
+            position: None,
+            handovers: FuturesUnordered::new(),
             unavailable: false,
         }
     }
 
     async fn run(mut self, reader: &mut VersionReader) {
         loop {
+            // A read begins after the position that messages tell.
+            while let Ok(message) = reader.messages.try_recv() {
+                self.handle_message(reader, message);
+            }
             self.start_due_read(reader);
             let clock = reader.context.clock;
             let latest = clock.now().after(ROLE_CHECK_INTERVAL);
             let wake_up = clock.runtime_instant(self.machine.next_deadline().min(latest));
             tokio::select! {
                 Some(result) = self.reads.next() => self.handle_read(reader, result).await,
-                Some(node) = reader.heartbeats.recv() => {
-                    self.machine.on_heartbeat(&node, clock.now(), &mut self.rng);
-                }
+                Some(result) = self.handovers.next() => self.handle_handover(reader, result).await,
+                Some(message) = reader.messages.recv() => self.handle_message(reader, message),
                 () = sleep_until(wake_up) => {}
             }
         }
@@ -107,7 +127,12 @@
         self.machine.set_view(interval, table.live().count(), now);
         if let Some(ScheduledRead { wait, deadline }) = self.machine.poll(now) {
             let deadline = context.clock.runtime_instant(deadline);
-            self.reads.push(reader.source.read_new(wait, deadline));
+            let read = SourceRead {
+                after: self.position,
+                wait,
+                deadline,
+            };
+            self.reads.push(reader.source.read(read));
         }
         if self.machine.state() == ReaderState::Idle {
             // Reads of a role that has ended.
@@ -123,30 +148,56 @@
         }
     }
 
-    async fn handle_read(&mut self, reader: &VersionReader, result: ReadResult) {
-        let now = reader.context.clock.now();
-        let versions = match result {
-            Ok(versions) => versions,
-            Err(error) => {
-                if !std::mem::replace(&mut self.unavailable, true) {
-                    log::warn!(event = "feed-lost"; "cannot read versions: {error}");
-                }
-                self.machine.on_read_failed(now, &mut self.rng);
-                return;
+    fn handle_message(&mut self, reader: &VersionReader, message: ReaderMessage) {
+        match message {
+            ReaderMessage::Heartbeat { node } => {
+                let now = reader.context.clock.now();
+                self.machine.on_heartbeat(&node, now, &mut self.rng);
             }
+            ReaderMessage::PositionReached(position) => {
+                self.position = self.position.max(Some(position));
+            }
+        }
+    }
+
+    async fn handle_read(&mut self, reader: &VersionReader, result: ReadResult) {
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) => return self.handle_failure(reader, &error),
         };
         if std::mem::take(&mut self.unavailable) {
             log::info!(event = "feed-regained"; "the source of versions answers again");
         }
         // Earlier reads would only repeat the answer.
         self.reads.clear();
-        let leads = self.machine.on_read(now);
+        self.position = self.position.max(answer.position);
+        self.handovers.extend(answer.handover);
+        if self.machine.on_read(reader.context.clock.now()) {
+            self.send_heartbeat(reader).await;
+        }
+    }
+
+    fn handle_failure(&mut self, reader: &VersionReader, error: &CatchUpError) {
+        if !std::mem::replace(&mut self.unavailable, true) {
+            log::warn!(event = "feed-lost"; "cannot read versions: {error}");
+        }
+        let now = reader.context.clock.now();
+        self.machine.on_read_failed(now, &mut self.rng);
+    }
+
+    async fn handle_handover(
+        &mut self,
+        reader: &VersionReader,
+        result: Result<Vec<NewVersion>, CatchUpError>,
+    ) {
+        let versions = match result {
+            Ok(versions) => versions,
+            Err(error) => return self.handle_failure(reader, &error),
+        };
+        let leads = self.machine.state() == ReaderState::Leading;
         for version in versions {
             reader.disseminate_version(version, leads).await;
         }
-        if leads {
-            self.send_heartbeat(reader).await;
-        }
     }
 
     async fn send_heartbeat(&mut self, reader: &VersionReader) {
--- a/crates/node/src/store/version_source.rs
+++ b/crates/node/src/store/version_source.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use agatedeck_records::ConfigSnapshot;
+use agatedeck_wire::Head;
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use kameo::actor::ActorRef;
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::catch_up::{CatchUpError, catch_up, latest_version, read_head};
-use crate::adapters::{ConfigFeed, FeedAnswer};
+use super::catch_up::{CatchUpError, NewVersion, catch_up, latest_version, read_head};
+use crate::adapters::{ConfigFeed, FeedAnswer, FeedPosition};
 use crate::config::{ConfigActor, FeedDelta, OfferFeedSnapshot};
 use crate::context::NodeContext;
 use crate::metrics::NodeMetrics;
@@ -20,27 +22,38 @@
 /// tree. Without the delay, most changes would be sent through each region twice.
 const TREE_GRACE_PERIOD: Duration = Duration::from_millis(100);
 
-/// A version that was read and offered to the config actor.
-#[derive(Clone, Debug)]
-pub(crate) struct NewVersion {
-    pub(crate) version: u64,
-    /// Compressed delta from the version before it.
-    pub(crate) delta: Vec<u8>,
+/// Offers what was read to the config actor. Returns the versions that are new to this node, oldest
+/// first.
+pub(crate) type VersionHandover = BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>>;
+
+/// Answer of a source of versions.
+pub(crate) struct SourceAnswer {
+    /// Position after what was read; `None` if the source has no positions.
+    pub(crate) position: Option<FeedPosition>,
+    /// Must be driven to its end once the next read begins after `position`. `None` if nothing is new.
+    pub(crate) handover: Option<VersionHandover>,
+}
+
+/// A read of a source of versions.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SourceRead {
+    /// Position after which to read; `None` to read the newest version.
+    pub(crate) after: Option<FeedPosition>,
+    /// Longest time to wait for the first new version, so that reads with a wait need no pause between
+    /// them.
+    pub(crate) wait: Duration,
+    pub(crate) deadline: Instant,
 }
 
 /// Where a reader finds versions that are new to this node.
 pub(crate) trait VersionSource: Debug + Send + Sync {
-    /// Offers new versions to the config actor and returns them, oldest first. Waits up to `wait` for
-    /// the first one, so that reads with a wait need no pause between them.
+    /// Asks for new versions. The returned future has no effect on the node until it ends, so a read may
+    /// be dropped.
     ///
     /// # Errors
     ///
-    /// Fails if the source does not answer by `deadline` or returns data that cannot be used.
-    fn read_new(
-        &self,
-        wait: Duration,
-        deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>>;
+    /// Fails if the source does not answer by the deadline or returns data that cannot be used.
+    fn read(&self, read: SourceRead) -> BoxFuture<'static, Result<SourceAnswer, CatchUpError>>;
 }
 
 /// Long-polls the configuration feed, a source of complete snapshots.
@@ -52,6 +65,22 @@
 }
 
 impl FeedSource {
+    async fn request(&self, read: SourceRead) -> Result<SourceAnswer, CatchUpError> {
+        let started_at = Instant::now();
+        let answer = match read.after {
+            Some(after) => self.feed.next(after, read.wait, read.deadline).await?,
+            None => self.feed.newest(read.deadline).await?,
+        };
+        self.report_answer(&answer, started_at);
+        let handover = answer
+            .newest
+            .map(|snapshot| offer_snapshot(self.config.clone(), snapshot).boxed());
+        Ok(SourceAnswer {
+            position: Some(answer.position),
+            handover,
+        })
+    }
+
     fn report_answer(&self, answer: &FeedAnswer, started_at: Instant) {
         self.metrics.count_feed_answer(answer);
         let Some(newest) = &answer.newest else {
@@ -67,32 +96,23 @@
             "read version {version} from the feed"
         );
     }
+}
 
-    async fn offer(&self, snapshot: ConfigSnapshot) -> Result<Vec<NewVersion>, CatchUpError> {
-        let version = snapshot.version();
-        let offered = self.config.ask(OfferFeedSnapshot(snapshot)).await;
-        let FeedDelta(delta) = offered.map_err(|_| CatchUpError::Stopping)?;
-        let new_version = delta.map(|delta| NewVersion { version, delta });
-        Ok(new_version.into_iter().collect())
-    }
+async fn offer_snapshot(
+    config: ActorRef<ConfigActor>,
+    snapshot: ConfigSnapshot,
+) -> Result<Vec<NewVersion>, CatchUpError> {
+    let version = snapshot.version();
+    let offered = config.ask(OfferFeedSnapshot(snapshot)).await;
+    let FeedDelta(delta) = offered.map_err(|_| CatchUpError::Stopping)?;
+    let new_version = delta.map(|delta| NewVersion { version, delta });
+    Ok(new_version.into_iter().collect())
 }
 
 impl VersionSource for FeedSource {
-    fn read_new(
-        &self,
-        wait: Duration,
-        deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>> {
+    fn read(&self, read: SourceRead) -> BoxFuture<'static, Result<SourceAnswer, CatchUpError>> {
         let source = self.clone();
-        Box::pin(async move {
-            let started_at = Instant::now();
-            let answer = source.feed.next(wait, deadline).await?;
-            source.report_answer(&answer, started_at);
-            match answer.newest {
-                Some(snapshot) => source.offer(snapshot).await,
-                None => Ok(Vec::new()),
-            }
-        })
+        Box::pin(async move { source.request(read).await })
     }
 }
 
@@ -105,20 +125,40 @@
 }
 
 impl HeadSource {
-    async fn poll(&self) -> Result<Vec<NewVersion>, CatchUpError> {
+    async fn poll(self, deadline: Instant) -> Result<SourceAnswer, CatchUpError> {
         let (head, _) = read_head(&self.context).await?;
-        if latest_version(&self.config).await? >= head.version {
-            return Ok(Vec::new());
-        }
+        let is_new = latest_version(&self.config).await? < head.version;
+        let handover = is_new.then(|| self.fetch(head, deadline).boxed());
+        Ok(SourceAnswer {
+            position: None,
+            handover,
+        })
+    }
+
+    async fn fetch(self, head: Head, deadline: Instant) -> Result<Vec<NewVersion>, CatchUpError> {
         sleep(TREE_GRACE_PERIOD).await;
-        let deltas = catch_up(&self.context, &self.config, &head).await?;
-        let new_versions = deltas
-            .into_iter()
-            .map(|(version, delta)| NewVersion { version, delta });
-        Ok(new_versions.collect())
+        let mut new_versions = Vec::new();
+        let caught_up = catch_up(&self.context, &self.config, &head, &mut new_versions);
+        match by_deadline(deadline, caught_up).await {
+            // The versions that were read are held here, so no later read returns them.
+            Err(error) if !new_versions.is_empty() => {
+                log::warn!(event = "head-unread"; "could not read all versions: {error}");
+                Ok(new_versions)
+            }
+            result => result.map(|()| new_versions),
+        }
     }
 }
 
+async fn by_deadline<T>(
+    deadline: Instant,
+    request: impl Future<Output = Result<T, CatchUpError>>,
+) -> Result<T, CatchUpError> {
+    timeout_at(deadline, request)
+        .await
+        .unwrap_or(Err(CatchUpError::DeadlinePassed))
+}
+
 /// A random duration around `wait`, so that readers do not poll at the same time. The range is narrow
 /// because the heartbeats of a leading reader follow its polls.
 fn with_jitter(wait: Duration) -> Duration {
@@ -126,17 +166,11 @@
 }
 
 impl VersionSource for HeadSource {
-    fn read_new(
-        &self,
-        wait: Duration,
-        deadline: Instant,
-    ) -> BoxFuture<'static, Result<Vec<NewVersion>, CatchUpError>> {
+    fn read(&self, read: SourceRead) -> BoxFuture<'static, Result<SourceAnswer, CatchUpError>> {
         let source = self.clone();
         Box::pin(async move {
-            sleep(with_jitter(wait)).await;
-            timeout_at(deadline, source.poll())
-                .await
-                .unwrap_or(Err(CatchUpError::DeadlinePassed))
+            sleep(with_jitter(read.wait)).await;
+            by_deadline(read.deadline, source.poll(read.deadline)).await
         })
     }
 }
--- a/crates/node/tests/feed_reads.rs
+++ b/crates/node/tests/feed_reads.rs
@@ -2,12 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use agatedeck_node::{
-    ConfigFeed, FeedAnswer, ListenSettings, NativeProtocol, Node, NodeAdapters, NodeSettings,
-    StoreSettings,
+    ConfigFeed, FeedAnswer, FeedPosition, ListenSettings, NativeProtocol, Node, NodeAdapters,
+    NodeSettings, StoreSettings,
 };
 use agatedeck_records::ConfigSnapshot;
 use agatedeck_standin::PlatformServer;
@@ -38,17 +37,16 @@
     }
 }
 
-/// A feed whose reads after the first are answered by the test.
+/// A feed whose positions are versions, and whose reads after the first are answered by the test.
 #[derive(Debug)]
 struct ScriptedFeed {
-    /// Newest version that a read has returned.
-    position: Arc<AtomicU64>,
     reads: mpsc::UnboundedSender<PendingRead>,
 }
 
 fn answer(version: u64) -> FeedAnswer {
     let snapshot = ConfigSnapshot::try_from_records(version, Vec::new());
     FeedAnswer {
+        position: FeedPosition(version),
         newest: Some(snapshot.expect("a valid configuration")),
         configurations: 1,
         bytes: 0,
@@ -62,24 +60,21 @@
 
     fn next(
         &self,
+        after: FeedPosition,
         _: Duration,
         deadline: Instant,
     ) -> BoxFuture<'_, Result<FeedAnswer, StoreError>> {
         let (version_sender, version) = oneshot::channel();
-        let position = Arc::clone(&self.position);
-        let after = position.load(Ordering::Relaxed);
         // The test may have ended.
         let _ = self.reads.send(PendingRead {
-            after,
+            after: after.0,
             version_sender,
         });
         Box::pin(async move {
             let unanswered = || StoreError::Unanswered("no answer in time".to_owned());
             let version = timeout_at(deadline, version).await;
             let version = version.map_err(|_| unanswered())?;
-            let version = version.map_err(|_| unanswered())?;
-            position.fetch_max(version, Ordering::Relaxed);
-            Ok(answer(version))
+            Ok(answer(version.map_err(|_| unanswered())?))
         })
     }
 }
@@ -106,10 +101,7 @@
     let (sender, reads) = mpsc::unbounded_channel();
     let adapters = NodeAdapters {
         store: Arc::new(store.expect("a store client")),
-        feed: Some(Arc::new(ScriptedFeed {
-            position: Arc::new(AtomicU64::new(STARTING_VERSION)),
-            reads: sender,
-        })),
+        feed: Some(Arc::new(ScriptedFeed { reads: sender })),
         protocol: Arc::new(NativeProtocol),
     };
     let node = Node::start_with_adapters(settings, adapters).await;
