Do not take an upload that is not read for one to a lost host

Cause: TCP_USER_TIMEOUT, which is meant for hosts that no longer acknowledge, also ends a connection whose peer acknowledges with a shut receive window. The class: life inferred from progress. Ruled out: the deadline and the end of the drain, by their times; the stop, since it fails without it.

Change: bodies from ask_first_bytes on, or of unknown size, travel on connections without that limit, between nodes and to the target. The caller's node checks the host of the target every second by opening another connection, which the kernel of a living host completes even while its process is suspended; after three unanswered ones in a row the call ends as unknown. A probe of the node was not chosen: a suspended process does not answer it, and its work would be given up.

--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call: the request from the caller's node to the node of a target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use agatedeck_calls::CallOutcome;
@@ -14,7 +15,8 @@
 
 use super::expect_continue::defer_body;
 use super::headers::{EXPECTED_WAIT_MS, LOAD, OUTCOME, REASON, header_number, header_text};
-use super::http_client::CallClient;
+use super::host_watch::wait_until_lost;
+use super::http_client::{CallClient, CallClients};
 use super::reason::StopReason;
 
 /// Outcome of an attempt.
@@ -60,25 +62,48 @@
 
 /// Sends a request and reads its answer until it ends or exceeds `max_buffered_bytes`.
 pub(super) async fn send_attempt(
-    client: &CallClient,
+    clients: &CallClients,
     mut request: Request<Body>,
     options: AttemptOptions,
 ) -> AttemptOutcome {
+    let client = clients.for_request(&request);
+    // The connection itself does not tell that the receiver of a large body is lost.
+    let watched_host = clients
+        .has_large_body(&request)
+        .then(|| host_address(&request));
     // Losing the connection leaves the outcome unknown even before the body was asked for: the
     // target's node may have forwarded the head of the request to the target, and lost the answer.
     let _continue_guard = defer_body(&mut request, options.expect_continue_bytes);
     // Set once a connection is established, which is before the first byte is written.
     let connection = capture_connection(&mut request);
-    let answered = timeout_at(
-        options.deadline,
-        exchange(client, request, options.max_buffered_bytes),
-    )
+    let exchange = exchange(client, request, options.max_buffered_bytes);
+    let answered = timeout_at(options.deadline, async {
+        tokio::select! {
+            outcome = exchange => outcome,
+            () = host_lost(watched_host.flatten()) => {
+                log::debug!("the host of the target does not answer");
+                AttemptOutcome::NoAnswer(StopReason::NoAnswer)
+            }
+        }
+    })
     .await;
     answered.unwrap_or_else(|_| AttemptOutcome::DeadlinePassed {
         sent: connection.connection_metadata().is_some(),
     })
 }
 
+fn host_address(request: &Request<Body>) -> Option<SocketAddr> {
+    request.uri().authority()?.as_str().parse().ok()
+}
+
+/// Waits until the host is lost; forever if there is none to watch.
+async fn host_lost(host: Option<SocketAddr>) {
+    match host {
+        Some(address) => wait_until_lost(address).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Load of the target that its node states, as a fraction of its slots.
 pub(super) fn stated_load(headers: &HeaderMap) -> Option<f64> {
     let thousandths = u32::try_from(header_number(headers, &LOAD)?).ok()?;
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -299,7 +299,7 @@
             expect_continue_bytes: settings.ask_first_bytes as u64,
             deadline: self.runtime_deadline(),
         };
-        let outcome = send_attempt(&self.gateway.client, attempt_request, options).await;
+        let outcome = send_attempt(&self.gateway.clients, attempt_request, options).await;
         let event = match outcome {
             AttemptOutcome::ConnectFailed => {
                 self.reason = StopReason::Unreachable;
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -20,7 +20,7 @@
 use super::crash_actor::{CrashActor, CrashView};
 use super::drain_body::respond_after_drain;
 use super::headers::{IDEMPOTENCY_KEY, header_text, local_answer_for_caller};
-use super::http_client::CallClient;
+use super::http_client::CallClients;
 use super::latency_actor::{LatencyActor, RecordCall};
 use super::plan::CallPlan;
 use super::reason::StopReason;
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub(super) struct GatewayContext {
     pub(super) context: NodeContext,
-    pub(super) client: CallClient,
+    pub(super) clients: CallClients,
     pub(super) router: ActorRef<CallRouter>,
     pub(super) claim_actor: ActorRef<ClaimActor>,
     pub(super) crash_actor: ActorRef<CrashActor>,
--- a/crates/node/src/calls/http_client.rs
+++ b/crates/node/src/calls/http_client.rs
@@ -8,7 +8,8 @@
 
 use axum::body::Body;
 use axum::http::uri::{Authority, PathAndQuery, Scheme};
-use axum::http::{Uri, uri};
+use axum::http::{Request, Uri, uri};
+use hyper::body::Body as _;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -27,8 +28,9 @@
 pub(super) struct ClientLimits {
     /// Time allowed for opening a connection.
     pub(super) connect_timeout: Duration,
-    /// Time without a TCP acknowledgement after which a connection is closed (`TCP_USER_TIMEOUT`).
-    pub(super) user_timeout: Duration,
+    /// Time without a TCP acknowledgement, or with a shut receive window, after which a connection is
+    /// closed (`TCP_USER_TIMEOUT`); `None` for no such limit.
+    pub(super) user_timeout: Option<Duration>,
     /// Maximum number of idle connections to each address.
     pub(super) idle_connections: usize,
     /// Time after which an idle connection is closed.
@@ -36,12 +38,12 @@
 }
 
 /// Builds a client with these limits.
-pub(super) fn new_call_client(limits: &ClientLimits) -> CallClient {
+fn new_call_client(limits: &ClientLimits) -> CallClient {
     let mut connector = HttpConnector::new();
     // Otherwise the last packet of a small request waits up to 40 ms for an acknowledgement.
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(limits.connect_timeout));
-    connector.set_tcp_user_timeout(Some(limits.user_timeout));
+    connector.set_tcp_user_timeout(limits.user_timeout);
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(limits.idle_timeout)
@@ -49,6 +51,44 @@
         .build(MapResponse::new(connector, wrap_stream))
 }
 
+/// Clients for requests with small and with large bodies. A receiver may work before it reads a large body,
+/// and its receive window is shut meanwhile: `TCP_USER_TIMEOUT` would take that for a lost host.
+#[derive(Clone, Debug)]
+pub(super) struct CallClients {
+    small_bodies: CallClient,
+    large_bodies: CallClient,
+    min_large_bytes: u64,
+}
+
+impl CallClients {
+    /// Creates clients with these limits. Bodies of `min_large_bytes` or more are large.
+    pub(super) fn new(limits: &ClientLimits, min_large_bytes: u64) -> Self {
+        Self {
+            small_bodies: new_call_client(limits),
+            large_bodies: new_call_client(&ClientLimits {
+                user_timeout: None,
+                ..*limits
+            }),
+            min_large_bytes,
+        }
+    }
+
+    /// Whether the body is large, or its size is not known.
+    pub(super) fn has_large_body(&self, request: &Request<Body>) -> bool {
+        let size = request.body().size_hint().exact();
+        size.is_none_or(|size| size >= self.min_large_bytes)
+    }
+
+    /// The client for the request.
+    pub(super) fn for_request(&self, request: &Request<Body>) -> &CallClient {
+        if self.has_large_body(request) {
+            &self.large_bodies
+        } else {
+            &self.small_bodies
+        }
+    }
+}
+
 fn wrap_stream(stream: TokioIo<TcpStream>) -> TokioIo<CallStream> {
     TokioIo::new(CallStream::new(stream.into_inner()))
 }
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -24,6 +24,7 @@
 mod gateway;
 mod headers;
 mod health_check;
+mod host_watch;
 mod http_client;
 mod inbound;
 mod latency_actor;
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -20,7 +20,7 @@
 use super::crash_actor::{CrashActor, RemoveExpiredReports};
 use super::gateway::{GatewayContext, gateway_router};
 use super::health_check::check_health;
-use super::http_client::{CallClient, ClientLimits, new_call_client};
+use super::http_client::{CallClients, ClientLimits};
 use super::inbound::{InboundContext, LocalTarget, inbound_router};
 use super::latency_actor::{FlushMetrics, LatencyActor};
 use super::router::{CallRouter, TopologyChanged};
@@ -68,24 +68,26 @@
 }
 
 /// Builds the clients for calls to other nodes and to the local target.
-fn new_clients(settings: &CallSettings) -> (CallClient, TargetClient) {
+fn new_clients(settings: &CallSettings) -> (CallClients, TargetClient) {
+    let min_large_bytes = settings.ask_first_bytes as u64;
     let limits = ClientLimits {
         connect_timeout: settings.connect_timeout,
-        user_timeout: settings.user_timeout,
+        user_timeout: Some(settings.user_timeout),
         idle_connections: settings.idle_connections,
         idle_timeout: PEER_CONNECTION_IDLE_TIMEOUT,
     };
-    let peer_client = new_call_client(&limits);
+    let peer_clients = CallClients::new(&limits, min_large_bytes);
     // Half of the connections carry calls (see `admission_settings`), and one of the others is
     // for the probe.
     let idle_connections = settings.target_connections / 2 - 1;
     let idle_connections = usize::try_from(idle_connections).unwrap_or(usize::MAX);
-    let target_client = TargetClient::new(&ClientLimits {
+    let target_limits = ClientLimits {
         idle_connections,
         idle_timeout: settings.target_idle,
         ..limits
-    });
-    (peer_client, target_client)
+    };
+    let target_client = TargetClient::new(&target_limits, min_large_bytes);
+    (peer_clients, target_client)
 }
 
 /// Starts the probes of a target that does not announce itself.
@@ -115,7 +117,7 @@
         let (drained_sender, drained) = watch::channel(false);
         let (health_checks, health_check_requests) = watch::channel(HealthCheckTicket::default());
         let open_calls = TaskTracker::new();
-        let (peer_client, target_client) = new_clients(settings);
+        let (peer_clients, target_client) = new_clients(settings);
 
         let latency_actor = LatencyActor::new(context.metrics.clone())?;
         let latency_actor = LatencyActor::spawn_with_mailbox(latency_actor, mailbox::unbounded());
@@ -167,7 +169,7 @@
         }
         let gateway_context = GatewayContext {
             context: context.clone(),
-            client: peer_client,
+            clients: peer_clients,
             router,
             claim_actor: claim_actor.clone(),
             crash_actor: crash_actor.clone(),
--- a/crates/node/src/calls/target_client.rs
+++ b/crates/node/src/calls/target_client.rs
@@ -13,15 +13,16 @@
 use hyper_util::client::legacy::Error;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpInfo, capture_connection};
 
-use super::http_client::{CallClient, ClientLimits, new_call_client};
+use super::http_client::{CallClients, ClientLimits};
 
 /// HTTP client for requests to the local target.
 #[derive(Clone, Debug)]
-pub(super) struct TargetClient(CallClient);
+pub(super) struct TargetClient(CallClients);
 
 impl TargetClient {
-    pub(super) fn new(limits: &ClientLimits) -> Self {
-        Self(new_call_client(limits))
+    /// Creates a client with these limits. Bodies of `min_large_bytes` or more are large.
+    pub(super) fn new(limits: &ClientLimits, min_large_bytes: u64) -> Self {
+        Self(CallClients::new(limits, min_large_bytes))
     }
 
     /// Returns the future of the answer to a request.
@@ -42,7 +43,8 @@
         impl Future<Output = Result<Response<Incoming>, Error>> + use<>,
     ) {
         let connection = TargetConnection(capture_connection(&mut request));
-        let (answer, answer_connection) = (self.0.request(request), connection.clone());
+        let answer = self.0.for_request(&request).request(request);
+        let answer_connection = connection.clone();
         let answer = async move {
             let answer = answer.await?;
             if !answer.status().is_success() {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -201,7 +201,8 @@
     pub target_idle: Duration,
     /// Key `user_timeout_ms`: time without a TCP acknowledgement after which a connection for calls
     /// is closed, in milliseconds; 1500 by default. Without it, calls on a dead connection wait
-    /// until their deadlines.
+    /// until their deadlines. Does not apply to calls with a body of `ask_first_bytes` or more, or of
+    /// unknown size, whose receivers may be at work before they read.
     pub user_timeout: Duration,
     /// Key `balance`: how a target is selected among those of the nearest locality.
     pub balance: BalanceMode,
--- a/crates/node/tests/silent_peer.rs
+++ b/crates/node/tests/silent_peer.rs
@@ -1,4 +1,4 @@
-//! A peer whose connection stays open and silent, as after a partition.
+//! Peers that are silent, as after a partition: their connections stay open, or their hosts answer nothing.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +12,9 @@
 use serde_json::json;
 use tarpc::client::Config;
 use tokio::io::copy;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time within which a node must open another connection to a peer that does not respond.
 const RECONNECT_BOUND: Duration = Duration::from_secs(3);
@@ -25,15 +25,36 @@
 /// Time that a node has to start.
 const START_BOUND: Duration = Duration::from_secs(10);
 
+/// Time within which a call must end whose target's host no longer answers: twice the time without an
+/// acknowledgement after which a connection is given up.
+const LOST_HOST_BOUND: Duration = Duration::from_secs(3);
+
+/// Size of a body that is sent only once the node of the target has asked for it.
+const LARGE_BODY_BYTES: usize = 100_000;
+
 /// Records of the first version.
 const RECORD_FILE: &str = r#"
 [[policy]]
 name = "charge"
 [[policy.form]]
 schema = 1
-repeat = "once"
-timeout_ms = 3000
+repeat = "never"
+timeout_ms = 9000
 slots = 20
+
+[[service]]
+name = "charge"
+[[service.form]]
+schema = 1
+policy = "charge"
+health_path = "/healthz"
+
+[[route]]
+name = "charge"
+[[route.form]]
+schema = 1
+prefix = "/charge"
+service = "charge"
 "#;
 
 /// Accepts connections, reads them and never answers. Returns its address and the number of
@@ -193,6 +214,43 @@
         .expect("the version is in force within the bound");
 }
 
+/// Guards against an upload that waits until its deadline for a host that is lost: nothing on its connection
+/// shows the loss while the host has yet to ask for the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upload_to_a_lost_host_is_given_up_in_time() {
+    let platform = start_platform().await;
+    let node = start_node("node-0", "kolkata-a", &platform).await;
+    timeout(START_BOUND, node.wait_for_version(0))
+        .await
+        .expect("the node serves");
+    write_first_version(&node).await;
+    timeout(START_BOUND, node.wait_for_version(1))
+        .await
+        .expect("version 1");
+    let (control_address, _accepted) = start_silent_peer().await;
+    // The kernel completes the connection of the call, and none after it.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any_port).expect("a port");
+    let lost_host = socket.listen(0).expect("a listener");
+    let target = Member {
+        peer_address: lost_host.local_addr().expect("an address").to_string(),
+        service: "charge".to_owned(),
+        slots: 20,
+        ..live_member("lost", "kolkata-a", control_address)
+    };
+    announce_members(node.addresses().control, vec![target]).await;
+    let request = reqwest::Client::new()
+        .post(format!("http://{}/charge", node.addresses().calls))
+        .body(vec![7_u8; LARGE_BODY_BYTES]);
+    let sent_at = Instant::now();
+    let response = request.send().await.expect("the node answers");
+    let took = sent_at.elapsed();
+    let outcome = response.headers().get("agatedeck-outcome");
+    assert_eq!(outcome.expect("an outcome"), "unknown");
+    assert!(took < LOST_HOST_BOUND, "the answer came after {took:?}");
+}
+
 /// Writes the first version through the admin API of `node`.
 async fn write_first_version(node: &Node) {
     let records = read_record_file("records.toml", RECORD_FILE).expect("records are valid");
