Move what a relay and a pull decide from the node to the control crate

The log of relayed messages, the hop timeout, the grace before a pull and the order in which a pull asks its peers were in actors and tasks; they are now RelayLog, RelaySettings, PullRound and PullSettings, which the actors carry out.

One change of behaviour: a pull waited twice as long for its last peer as for the others (400 ms in place of 200 ms), against its own description; it now waits as long.

--- /dev/null
+++ b/crates/control/src/dissemination/relay_log.rs
@@ -0,0 +1,70 @@
+//! The messages that a node has relayed a short time ago.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::policy::DisseminationRequest;
+
+/// Settings of the relaying of messages by one node.
+#[derive(Clone, Copy, Debug)]
+pub struct RelaySettings {
+    /// Timeout of one hop, after which its fallbacks are tried. Several times the round trip between
+    /// regions.
+    pub hop_timeout: Duration,
+    /// Maximum number of recent requests kept for duplicate detection.
+    pub max_seen_requests: usize,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            hop_timeout: Duration::from_millis(200),
+            max_seen_requests: 1024,
+        }
+    }
+}
+
+/// What the salt of a request numbers: versions and other payloads may have equal salts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RelayedPayload {
+    /// A version, whose number is the salt.
+    Version,
+    /// A rumor or a heartbeat, whose salt is random.
+    Message,
+}
+
+/// Remembers recently relayed requests, so that each is relayed once.
+#[derive(Debug)]
+pub struct RelayLog {
+    max_requests: usize,
+    seen: BTreeSet<(RelayedPayload, DisseminationRequest)>,
+    /// The elements of `seen`, oldest first.
+    queue: VecDeque<(RelayedPayload, DisseminationRequest)>,
+}
+
+impl RelayLog {
+    /// Creates an empty log.
+    pub fn new(settings: &RelaySettings) -> Self {
+        Self {
+            max_requests: settings.max_seen_requests,
+            seen: BTreeSet::new(),
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// Records a request; returns whether to relay it, which is once.
+    #[must_use]
+    pub fn record(&mut self, payload: RelayedPayload, request: DisseminationRequest) -> bool {
+        let key = (payload, request);
+        if !self.seen.insert(key) {
+            return false;
+        }
+        self.queue.push_back(key);
+        if self.queue.len() > self.max_requests
+            && let Some(oldest) = self.queue.pop_front()
+        {
+            self.seen.remove(&oldest);
+        }
+        true
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,8 +19,8 @@
     delta_key, snapshot_key, unreadable_nodes,
 };
 pub use dissemination::{
-    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, StorePolling,
-    TreeDissemination,
+    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, RelayLog,
+    RelaySettings, RelayedPayload, StorePolling, TreeDissemination,
 };
 pub use join::{
     FloorTable, JoinEffect, JoinMachine, JoinResponder, JoinSettings, JoinState, ResponderSettings,
@@ -30,7 +30,9 @@
     FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
     MergeOutcome, is_probe_answer_of,
 };
-pub use pull::{PullMachine, PullRequests, PullSettings, PullState, select_pull_peers};
+pub use pull::{
+    PullMachine, PullRequests, PullRound, PullSettings, PullState, PullStep, select_pull_peers,
+};
 pub use reader::{
     ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState, ScheduledRead,
 };
--- a/crates/control/src/pull/machine.rs
+++ b/crates/control/src/pull/machine.rs
@@ -12,6 +12,12 @@
 pub struct PullSettings {
     /// Time for which a peer that did not answer is asked only after all others.
     pub silence_memory: Duration,
+    /// Delay before a version that a peer holds is pulled, so that it can arrive over the dissemination
+    /// tree. Without the delay, nodes probed during dissemination would receive most changes twice.
+    pub tree_grace_period: Duration,
+    /// Time without an answer after which one more peer is asked. Several times the round trip between
+    /// regions.
+    pub next_peer_delay: Duration,
 }
 
 impl Default for PullSettings {
@@ -19,6 +25,8 @@
         Self {
             // Longer than the failure detector takes to declare a silent peer dead.
             silence_memory: Duration::from_secs(5),
+            tree_grace_period: Duration::from_millis(300),
+            next_peer_delay: Duration::from_millis(200),
         }
     }
 }
--- a/crates/control/src/pull/mod.rs
+++ b/crates/control/src/pull/mod.rs
@@ -8,8 +8,10 @@
 mod machine;
 mod peers;
 mod requests;
+mod round;
 
 pub use chart::PullState;
 pub use machine::{PullMachine, PullSettings};
 pub use peers::select_pull_peers;
 pub use requests::PullRequests;
+pub use round::{PullRound, PullStep};
--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -1,7 +1,6 @@
 //! The actor that owns the active version and the versions that are being activated.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
@@ -28,10 +27,6 @@
 /// Number of witnesses: nodes that record the floor before this node activates a version.
 const WITNESS_COUNT: usize = 2;
 
-/// Delay before a version that a peer holds is pulled, so that it can arrive over the dissemination
-/// tree. Without the delay, nodes probed during dissemination would receive most changes twice.
-const TREE_GRACE_PERIOD: Duration = Duration::from_millis(300);
-
 /// Owns the [`ConfigReplica`] and publishes the active version.
 #[derive(Actor)]
 pub(crate) struct ConfigActor {
@@ -39,6 +34,7 @@
     replica: ConfigReplica,
     config_sender: watch::Sender<ServedConfig>,
     pull_machine: PullMachine,
+    pull_settings: PullSettings,
 }
 
 impl ConfigActor {
@@ -47,6 +43,7 @@
         config_sender: watch::Sender<ServedConfig>,
     ) -> Result<Self, agatedeck_chart::ChartError> {
         let reads_schema = context.local_member.reads_schema;
+        let pull_settings = PullSettings::default();
         let replica = ConfigReplica::new(ReplicaSettings {
             reads_schema,
             ..Default::default()
@@ -55,7 +52,8 @@
             context,
             replica,
             config_sender,
-            pull_machine: PullMachine::new(PullSettings::default()),
+            pull_machine: PullMachine::new(pull_settings),
+            pull_settings,
         })
     }
 
@@ -177,7 +175,7 @@
     fn prepare_pull(&mut self, version: u64) -> PeerPull {
         let now = self.context.clock.now();
         let silent_peers = self.pull_machine.silent_peers(now);
-        PeerPull::new(&self.context, version, &silent_peers)
+        PeerPull::new(&self.context, version, &silent_peers, self.pull_settings)
     }
 
     fn apply_pull_answer(&mut self, pulled: &PullAnswer, actor: &ActorRef<Self>) {
@@ -373,7 +371,7 @@
 }
 
 /// Reports a version held by a peer. It is pulled if it has not arrived over the dissemination tree
-/// after [`TREE_GRACE_PERIOD`].
+/// after [`PullSettings::tree_grace_period`].
 pub(crate) struct ObservePeerVersion {
     pub(crate) version: u64,
 }
@@ -386,8 +384,9 @@
             return;
         }
         let actor = context.actor_ref().clone();
+        let grace_period = self.pull_settings.tree_grace_period;
         tokio::spawn(async move {
-            tokio::time::sleep(TREE_GRACE_PERIOD).await;
+            tokio::time::sleep(grace_period).await;
             // The send fails only while the node is stopping.
             let _ = actor.tell(PullIfBehind(observed.version)).await;
         });
--- a/crates/node/src/config/pull.rs
+++ b/crates/node/src/config/pull.rs
@@ -1,14 +1,14 @@
 //! Pulls the versions that this node lacks from other nodes.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use agatedeck_control::{PullRequests, select_pull_peers};
+use agatedeck_control::{PullRound, PullSettings, PullStep, select_pull_peers};
 use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member, Pull, PullAnswer};
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep_until};
 
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
@@ -16,27 +16,27 @@
 /// Timeout of a request for missing versions.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time without an answer after which one more peer is asked. Several times the round trip between
-/// regions.
-const NEXT_PEER_DELAY: Duration = Duration::from_millis(200);
-
 /// What one peer returned: its name, and its answer unless it did not answer.
 type PeerReply = (String, Option<PullAnswer>);
 
-/// One pull: the peers that are still to be asked, and the requests that are not answered yet.
+/// One pull and its requests that are not answered yet.
 pub(super) struct PeerPull {
     context: NodeContext,
     version: u64,
-    peers: VecDeque<Member>,
+    round: PullRound,
     requests: FuturesUnordered<BoxFuture<'static, PeerReply>>,
-    unanswered: PullRequests,
     started_at: Instant,
     asked_peers: u32,
 }
 
 impl PeerPull {
     /// Prepares a pull of the versions after `version`. Peers in `silent` are asked last.
-    pub(super) fn new(context: &NodeContext, version: u64, silent: &BTreeSet<&str>) -> Self {
+    pub(super) fn new(
+        context: &NodeContext,
+        version: u64,
+        silent: &BTreeSet<&str>,
+        settings: PullSettings,
+    ) -> Self {
         let table = context.table();
         let peers = select_pull_peers(
             &table,
@@ -45,37 +45,37 @@
             silent,
             &mut rand::rng(),
         );
+        let peers = peers.into_iter().cloned().collect();
         Self {
-            peers: peers.into_iter().cloned().collect(),
+            round: PullRound::new(peers, settings, context.clock.now()),
             context: context.clone(),
             version,
             requests: FuturesUnordered::new(),
-            unanswered: PullRequests::new(NEXT_PEER_DELAY),
             started_at: Instant::now(),
             asked_peers: 0,
         }
     }
 
     /// Asks one peer after the other and returns the first answer with a newer version. Returns `None`
-    /// once the last peer has had as much time as each before it; the requests go on.
+    /// if none came in time; the requests go on.
     pub(super) async fn first_answer(&mut self) -> Option<PullAnswer> {
+        let clock = self.context.clock;
         loop {
-            let is_last = self.peers.is_empty();
-            if let Some(peer) = self.peers.pop_front() {
-                self.send_request(peer);
-            }
+            let wake_up = match self.round.poll(clock.now()) {
+                PullStep::Ask(peer) => {
+                    self.send_request(peer);
+                    continue;
+                }
+                PullStep::WaitUntil(at) => clock.runtime_instant(at),
+                PullStep::Unanswered => return None,
+            };
             tokio::select! {
-                reply = self.requests.next() => match reply {
-                    Some(reply) => {
-                        if let Some(answer) = self.newer_answer(reply) {
-                            return Some(answer);
-                        }
+                Some(reply) = self.requests.next() => {
+                    if let Some(answer) = self.newer_answer(reply) {
+                        return Some(answer);
                     }
-                    None => return None,
-                },
-                () = sleep(NEXT_PEER_DELAY) => if is_last {
-                    return None;
-                },
+                }
+                () = sleep_until(wake_up) => {}
             }
         }
     }
@@ -117,18 +117,24 @@
 
     /// Peers that were asked, had time to answer and did not.
     pub(super) fn silent_peers(&self) -> impl Iterator<Item = &str> {
-        self.unanswered.silent_peers(self.context.clock.now())
+        self.round.silent_peers(self.context.clock.now())
     }
 
     fn newer_answer(&mut self, (node, answer): PeerReply) -> Option<PullAnswer> {
-        let answer = answer?;
-        self.unanswered.record_reply(&node);
-        (answer.version > self.version).then_some(answer)
+        let now = self.context.clock.now();
+        let Some(answer) = answer else {
+            self.round.on_failed_request(now);
+            return None;
+        };
+        if answer.version > self.version {
+            self.round.on_newer_reply(&node);
+            return Some(answer);
+        }
+        self.round.on_outdated_reply(&node, now);
+        None
     }
 
     fn send_request(&mut self, peer: Member) {
-        let now = self.context.clock.now();
-        self.unanswered.record_request(&peer.node, now);
         self.asked_peers += 1;
         let request = request_versions(self.context.clone(), peer, self.version);
         self.requests.push(request.boxed());
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -1,9 +1,11 @@
 //! The actor that forwards messages to the next hops of this node in each dissemination tree.
 
-use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use agatedeck_control::{DisseminationHop, DisseminationRequest, DisseminationScope};
+use agatedeck_control::{
+    DisseminationHop, DisseminationRequest, DisseminationScope, RelayLog, RelaySettings,
+    RelayedPayload,
+};
 use agatedeck_wire::{
     ControlPlaneRequest, CrashReport, Member, Offer, ReaderHeartbeat, Rumor, SpreadScope,
 };
@@ -17,13 +19,6 @@
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
 
-/// Timeout of one hop, after which its fallbacks are tried. Several times the round trip between
-/// regions.
-const HOP_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Maximum number of recent requests kept for duplicate detection.
-const MAX_SEEN_REQUESTS: usize = 1024;
-
 /// Content of a dissemination.
 #[derive(Clone, Debug)]
 pub(crate) enum DisseminationPayload {
@@ -39,6 +34,13 @@
 }
 
 impl DisseminationPayload {
+    fn relayed_kind(&self) -> RelayedPayload {
+        match self {
+            Self::Version { .. } => RelayedPayload::Version,
+            Self::Rumor { .. } | Self::ReaderHeartbeat { .. } => RelayedPayload::Message,
+        }
+    }
+
     fn to_request(&self, salt: u64, scope: DisseminationScope) -> ControlPlaneRequest {
         let (scope, position) = scope.to_message();
         let scope = scope.into();
@@ -110,53 +112,34 @@
     }
 }
 
-/// Owns the set of recently handled requests. Each hop is sent by a separate task.
+/// Owns the log of relayed requests. Each hop is sent by a separate task.
 #[derive(Actor)]
 pub(crate) struct DisseminationRelay {
     context: NodeContext,
-    /// Recently handled requests, each with whether its payload is a version: the salt of a version
-    /// is its number, which the salt of a rumor may equal.
-    seen: BTreeSet<(bool, DisseminationRequest)>,
-    /// The elements of `seen`, oldest first.
-    seen_queue: VecDeque<(bool, DisseminationRequest)>,
+    settings: RelaySettings,
+    log: RelayLog,
 }
 
 impl DisseminationRelay {
     pub(crate) fn new(context: NodeContext) -> Self {
+        let settings = RelaySettings::default();
         Self {
             context,
-            seen: BTreeSet::new(),
-            seen_queue: VecDeque::new(),
+            settings,
+            log: RelayLog::new(&settings),
         }
     }
-
-    /// Records the request; returns whether it was not recorded before.
-    fn is_first_seen(&mut self, dissemination: &StartDissemination) -> bool {
-        let key = (
-            matches!(dissemination.payload, DisseminationPayload::Version { .. }),
-            dissemination.request,
-        );
-        if !self.seen.insert(key) {
-            return false;
-        }
-        self.seen_queue.push_back(key);
-        if self.seen_queue.len() > MAX_SEEN_REQUESTS
-            && let Some(oldest) = self.seen_queue.pop_front()
-        {
-            self.seen.remove(&oldest);
-        }
-        true
-    }
 }
 
 impl Message<StartDissemination> for DisseminationRelay {
     type Reply = ();
 
     async fn handle(&mut self, dissemination: StartDissemination, _: &mut Context<Self, ()>) {
-        if !self.is_first_seen(&dissemination) {
+        let kind = dissemination.payload.relayed_kind();
+        if !self.log.record(kind, dissemination.request) {
             return;
         }
-        let context = &self.context;
+        let (context, hop_timeout) = (&self.context, self.settings.hop_timeout);
         let table = context.table();
         for hop in context.dissemination_policy.next_hops(
             &table,
@@ -165,33 +148,47 @@
         ) {
             let (context, payload) = (context.clone(), dissemination.payload.clone());
             tokio::spawn(async move {
-                send_with_fallbacks(&context, dissemination.request.salt, &payload, hop).await;
+                let message = HopMessage {
+                    salt: dissemination.request.salt,
+                    payload: &payload,
+                    timeout: hop_timeout,
+                };
+                send_with_fallbacks(&context, message, hop).await;
             });
         }
     }
 }
 
+/// What is sent to a hop and its fallbacks.
+#[derive(Clone, Copy, Debug)]
+struct HopMessage<'a> {
+    salt: u64,
+    payload: &'a DisseminationPayload,
+    timeout: Duration,
+}
+
 /// Sends one message, and to the fallback hops if it is not acknowledged. Fallback hops are tried
 /// concurrently: after the loss of a rack, most of them time out as well.
 async fn send_with_fallbacks(
     context: &NodeContext,
-    salt: u64,
-    payload: &DisseminationPayload,
+    message: HopMessage<'_>,
     first: DisseminationHop,
 ) {
-    let mut in_flight = FuturesUnordered::from_iter([send_to_hop(context, salt, payload, first)]);
+    let mut in_flight = FuturesUnordered::from_iter([send_to_hop(context, message, first)]);
     while let Some(unacknowledged) = in_flight.next().await {
         if let Some(failed_hop) = unacknowledged {
             let table = context.table();
             let local_member = &context.local_member;
-            let fallbacks =
-                context
-                    .dissemination_policy
-                    .fallback_hops(&table, local_member, salt, &failed_hop);
+            let fallbacks = context.dissemination_policy.fallback_hops(
+                &table,
+                local_member,
+                message.salt,
+                &failed_hop,
+            );
             in_flight.extend(
                 fallbacks
                     .into_iter()
-                    .map(|hop| send_to_hop(context, salt, payload, hop)),
+                    .map(|hop| send_to_hop(context, message, hop)),
             );
         }
     }
@@ -200,13 +197,12 @@
 /// Sends one message; returns the hop if the message was not acknowledged.
 async fn send_to_hop(
     context: &NodeContext,
-    salt: u64,
-    payload: &DisseminationPayload,
+    message: HopMessage<'_>,
     hop: DisseminationHop,
 ) -> Option<DisseminationHop> {
     let peer = PeerAddress::from_hop(&hop)?;
-    let request = payload.to_request(salt, hop.scope);
-    let deadline = Instant::now() + HOP_TIMEOUT;
+    let request = message.payload.to_request(message.salt, hop.scope);
+    let deadline = Instant::now() + message.timeout;
     let error = context
         .transport
         .send(&peer, request, deadline)
