--- a/crates/control/tests/membership_edge_cases.rs
+++ b/crates/control/tests/membership_edge_cases.rs
@@ -312,3 +312,62 @@
     assert_eq!(own, ["node-7"]);
     assert_eq!(copy.get("node-7").map(|member| member.version), Some(0));
 }
+
+/// Ticks a detector until `end`, with an answer to each of its probes. Returns the effects of the last tick.
+fn tick_until(
+    detector: &mut FailureDetector,
+    end: Instant,
+    rng: &mut SmallRng,
+) -> Vec<MemberEffect> {
+    const TICK: Duration = Duration::from_millis(100);
+    let mut now = Instant::from_millis(1_000);
+    loop {
+        now = now.after(TICK).min(end);
+        let effects = detector.tick(now, rng);
+        for effect in &effects {
+            if let MemberEffect::Probe { node, .. } = effect {
+                let answer = ProbeAnswer {
+                    node: node.clone(),
+                    ..ProbeAnswer::default()
+                };
+                let _ = detector.on_probe_answer(node, &answer, now);
+            }
+        }
+        if now == end {
+            return effects;
+        }
+    }
+}
+
+/// Guards against a storm of broadcasts after the loss of many hosts: all nodes of a domain decide at the same
+/// time that a suspect is dead, and each broadcast reaches the whole fleet.
+#[test]
+fn few_nodes_of_a_domain_broadcast_that_a_host_is_dead() {
+    const NODES: usize = 21;
+    let names: Vec<String> = (0..NODES).map(|index| format!("node-{index:02}")).collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let start = Instant::from_millis(1_000);
+    let settings = MemberSettings::default();
+    let suspect = Member {
+        status: MemberStatus::Suspect.into(),
+        ..member(&names[0])
+    };
+    let members: Vec<Member> = names.iter().map(|name| member(name)).collect();
+    let mut broadcasts = 0;
+    for local_member in &members[1..] {
+        let mut detector = FailureDetector::new(local_member, &settings, start, &mut rng);
+        let _ = detector.merge_member_list(&members, start);
+        let _ = detector.merge_updates(std::slice::from_ref(&suspect), start);
+        let effects = tick_until(
+            &mut detector,
+            start.after(Duration::from_millis(settings.suspicion_timeout_ms)),
+            &mut rng,
+        );
+        let entry = detector.table().get(&names[0]).expect("an entry");
+        assert_eq!(entry.status(), MemberStatus::Dead);
+        assert!(effects.contains(&MemberEffect::ViewChanged));
+        let is_broadcast = |effect: &&MemberEffect| matches!(effect, MemberEffect::Broadcast(member) if member.node == names[0]);
+        broadcasts += effects.iter().filter(is_broadcast).count();
+    }
+    assert_eq!(broadcasts, 2);
+}
