Let two nodes of a domain broadcast that a host is dead, not each

Cause: when a suspicion ends, each node of the domain decides by itself that the host is dead, at the same moment, and each broadcast that to the whole fleet: D broadcasts of N messages for each lost host. With 97 hosts lost, about ten observers each and 194 nodes that is some 190,000 messages within a second, on hosts with a tenth of a core. Hops time out, their fallbacks double the messages, probes go unanswered, live nodes are suspected and refute that by broadcasts. Versions wait behind all of it. The class: the same news sent by each node that learns it, so that the cost grows with the square of what is lost together.

Ruled out: a version that is read late. Reads took 0.2 s, and the first node had each version at its usual time.

Change: the two nodes of the domain that rank first for the lost host broadcast the decision. The others add it to their probes as before, so it also spreads if both are lost.

--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -23,6 +23,13 @@
 use super::settings::MemberSettings;
 use super::table::{MemberTable, after_ms, is_live};
 use super::update_queue::UpdateQueue;
+use crate::rendezvous::rendezvous_score;
+
+/// Number of nodes of a domain that broadcast the end of a suspicion.
+const EXPIRY_BROADCAST_COUNT: usize = 2;
+
+/// Salt of the ranking that selects them.
+const EXPIRY_RANK_SALT: u64 = 0x6578_7069;
 
 /// Side effect that the caller of a [`FailureDetector`] must perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -181,7 +188,7 @@
             self.table.restart_suspicions(now);
         }
         for node in self.table.expire_deadlines(now) {
-            self.disseminate_decision(&node, &mut effects);
+            self.disseminate_expiry(&node, &mut effects);
         }
         self.advance_pending_probes(now, rng, &mut effects);
         if self.next_probe_at.is_past(now) {
@@ -437,6 +444,28 @@
         }
     }
 
+    /// Disseminates the end of a suspicion, which the whole domain decides at the same time: a few nodes
+    /// broadcast it. A broadcast by each of them would send the square of the size of the domain, once for
+    /// each lost host, when hosts are lost together.
+    fn disseminate_expiry(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
+        if self.broadcasts_expiry_of(node) {
+            self.disseminate_decision(node, effects);
+        } else {
+            self.queue_updates(&[node]);
+            effects.push(MemberEffect::ViewChanged);
+        }
+    }
+
+    /// Whether this node is among the first of its domain by rank for `node`.
+    fn broadcasts_expiry_of(&self, node: &str) -> bool {
+        let salt = rendezvous_score(EXPIRY_RANK_SALT, node);
+        let local_score = rendezvous_score(salt, &self.local_member.node);
+        let peers = self.domain_peers();
+        let alive = peers.filter(|peer| peer.status() == MemberStatus::Alive);
+        let ahead = alive.filter(|peer| rendezvous_score(salt, &peer.node) > local_score);
+        ahead.take(EXPIRY_BROADCAST_COUNT).count() < EXPIRY_BROADCAST_COUNT
+    }
+
     /// Disseminates a status change that this node decided.
     fn disseminate_decision(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
         self.queue_updates(&[node]);
