Ask more peers at a time while a pull has no answer

Cause: a pull waits for a lost peer as long as for one that is slow, one after the other. The class: time-outs of lost hosts in a row, on a path that has a bound.

Change: a pull without an answer asks two more peers after 200 ms and three more after another 200 ms. It ends after 0.6 s in place of 1.2 s. While peers answer it asks one, as before.

--- a/crates/control/src/pull/round.rs
+++ b/crates/control/src/pull/round.rs
@@ -19,10 +19,11 @@
     Unanswered,
 }
 
-/// Asks one peer after the other until one answers with a newer version.
+/// Asks peers until one answers with a newer version: first one, then two more, then three more, each
+/// time after [`PullSettings::next_peer_delay`] without a newer version.
 ///
-/// The next peer is asked at once if the last reply held nothing newer, and after
-/// [`PullSettings::next_peer_delay`] if there was none. The last peer has as much time as the others.
+/// Few are asked while peers answer; many if hosts were lost that still count as alive. The next peer is
+/// asked at once if a reply held nothing newer. The last peers have as much time as the others.
 #[derive(Debug)]
 pub struct PullRound {
     settings: PullSettings,
@@ -30,7 +31,11 @@
     unanswered: PullRequests,
     /// Requests that have neither been answered nor failed.
     open_requests: usize,
-    next_ask_at: Instant,
+    /// Number of peers asked together the last time.
+    batch_size: usize,
+    /// Peers that are to be asked now.
+    due_requests: usize,
+    next_batch_at: Instant,
 }
 
 impl PullRound {
@@ -40,23 +45,32 @@
             unanswered: PullRequests::new(settings.next_peer_delay),
             peers: peers.into(),
             open_requests: 0,
-            next_ask_at: now,
+            batch_size: 0,
+            due_requests: 0,
+            next_batch_at: now,
             settings,
         }
     }
 
     /// Returns the next step. Must be called until the pull has an answer or ends.
     pub fn poll(&mut self, now: Instant) -> PullStep {
-        if !self.next_ask_at.is_past(now) {
-            return PullStep::WaitUntil(self.next_ask_at);
+        if self.due_requests == 0 && self.next_batch_at.is_past(now) && !self.peers.is_empty() {
+            self.batch_size += 1;
+            self.due_requests = self.batch_size;
+            self.next_batch_at = now.after(self.settings.next_peer_delay);
         }
-        if let Some(peer) = self.peers.pop_front() {
+        if self.due_requests > 0
+            && let Some(peer) = self.peers.pop_front()
+        {
+            self.due_requests -= 1;
             self.unanswered.record_request(&peer.node, now);
             self.open_requests += 1;
-            self.next_ask_at = now.after(self.settings.next_peer_delay);
             return PullStep::Ask(peer);
         }
-        PullStep::Unanswered
+        if self.next_batch_at.is_past(now) {
+            return PullStep::Unanswered;
+        }
+        PullStep::WaitUntil(self.next_batch_at)
     }
 
     /// Handles a reply of the peer `node` that held nothing newer.
@@ -82,8 +96,10 @@
 
     fn end_request(&mut self, now: Instant) {
         self.open_requests = self.open_requests.saturating_sub(1);
-        if self.open_requests == 0 || !self.peers.is_empty() {
-            self.next_ask_at = now;
+        if !self.peers.is_empty() {
+            self.due_requests += 1;
+        } else if self.open_requests == 0 {
+            self.next_batch_at = now;
         }
     }
 }
--- a/crates/control/tests/pull.rs
+++ b/crates/control/tests/pull.rs
@@ -5,8 +5,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    MemberSettings, MemberTable, PullMachine, PullRequests, PullSettings, PullState,
-    select_pull_peers,
+    MemberSettings, MemberTable, PullMachine, PullRequests, PullRound, PullSettings, PullState,
+    PullStep, select_pull_peers,
 };
 use agatedeck_wire::{Member, MemberStatus};
 use rand::SeedableRng;
@@ -192,6 +192,7 @@
 fn a_silent_peer_is_asked_again_after_a_while() {
     let settings = PullSettings {
         silence_memory: Duration::from_secs(5),
+        ..Default::default()
     };
     let mut machine = PullMachine::new(settings);
     let start = Instant::default();
@@ -217,3 +218,41 @@
     let silent: Vec<&str> = requests.silent_peers(answered_at).collect();
     assert_eq!(silent, ["frozen"]);
 }
+
+/// Guards against a pull that takes more than a second while half of its peers are lost and not yet declared
+/// dead, and against one that waits longer for its last peers than for the others.
+#[test]
+fn a_pull_without_answers_ends_when_its_last_peer_had_its_time() {
+    let settings = PullSettings::default();
+    let start = Instant::default();
+    let peers: Vec<Member> = (0..PEERS_PER_PULL)
+        .map(|index| member(&format!("peer-{index}"), 0, 0))
+        .collect();
+    let mut round = PullRound::new(peers, settings, start);
+    let (mut now, mut asked_at) = (start, Vec::new());
+    loop {
+        match round.poll(now) {
+            PullStep::Ask(_) => asked_at.push(now.since(start)),
+            PullStep::WaitUntil(at) => now = at,
+            PullStep::Unanswered => break,
+        }
+    }
+    let expected = [0, 1, 1, 2, 2, 2].map(|batch| settings.next_peer_delay * batch);
+    assert_eq!(asked_at, expected);
+    assert_eq!(now.since(start), settings.next_peer_delay * 3);
+}
+
+/// Guards against a pull that waits for nothing: the next peer is asked at once after a reply without a newer
+/// version, and after the last reply the pull ends.
+#[test]
+fn a_pull_goes_on_at_once_after_an_outdated_reply() {
+    let now = Instant::default();
+    let peers = vec![member("a", 0, 0), member("b", 0, 0)];
+    let mut round = PullRound::new(peers, PullSettings::default(), now);
+    assert!(matches!(round.poll(now), PullStep::Ask(peer) if peer.node == "a"));
+    assert!(matches!(round.poll(now), PullStep::WaitUntil(_)));
+    round.on_outdated_reply("a", now);
+    assert!(matches!(round.poll(now), PullStep::Ask(peer) if peer.node == "b"));
+    round.on_outdated_reply("b", now);
+    assert_eq!(round.poll(now), PullStep::Unanswered);
+}
