Send past receivers that did not answer lately, without waiting for them again

Cause: until the failure detector has declared a host dead, each message that has it as relay waits 200 ms for it anew, up to four in a row for a region and again for a domain; if all four are lost, the whole domain is left to pulls. What the last message has shown is forgotten. The class: a fault that is met again by each message, since its evidence is not kept.

Change: the relay remembers for 8 s which receivers did not answer (SilenceLog, which pulls use too). The fallbacks of such a receiver are sent at once, beside the message to itself, whose answer ends the silence. What is planned is decided in plan_hops, apart from sockets; the relay actor sends the fallbacks, and the tasks of hops only report their end.

Ruled out: to leave silent receivers out of the tree. Positions in it must be the same at all nodes.

--- /dev/null
+++ b/crates/control/src/dissemination/hedging.rs
@@ -0,0 +1,43 @@
+//! Messages that are sent without waiting for a receiver that is likely not to answer.
+
+use std::collections::VecDeque;
+
+use agatedeck_clock::Instant;
+use agatedeck_wire::Member;
+
+use super::policy::{DisseminationHop, DisseminationPolicy};
+use crate::member::MemberTable;
+use crate::silence::SilenceLog;
+
+/// A message to send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlannedHop {
+    /// Receiver and scope.
+    pub hop: DisseminationHop,
+    /// Whether the fallbacks of the hop are planned beside it, so that none follow if it fails.
+    pub is_hedged: bool,
+}
+
+/// Adds the fallbacks of each hop whose receiver did not answer lately.
+///
+/// The receiver is sent the message as well: an answer ends its silence.
+pub fn plan_hops(
+    policy: &dyn DisseminationPolicy,
+    table: &MemberTable,
+    local_member: &Member,
+    salt: u64,
+    hops: Vec<DisseminationHop>,
+    silences: &SilenceLog,
+    now: Instant,
+) -> Vec<PlannedHop> {
+    let mut unplanned = VecDeque::from(hops);
+    let mut planned = Vec::with_capacity(unplanned.len());
+    while let Some(hop) = unplanned.pop_front() {
+        let is_hedged = silences.is_silent(&hop.node, now);
+        if is_hedged {
+            unplanned.extend(policy.fallback_hops(table, local_member, salt, &hop));
+        }
+        planned.push(PlannedHop { hop, is_hedged });
+    }
+    planned
+}
--- a/crates/control/src/dissemination/mod.rs
+++ b/crates/control/src/dissemination/mod.rs
@@ -1,8 +1,10 @@
 //! Dissemination: to which nodes a node forwards a version or a rumor.
 
+mod hedging;
 mod policy;
 mod relay_log;
 
+pub use hedging::{PlannedHop, plan_hops};
 pub use policy::{
     DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, StorePolling,
     TreeDissemination,
--- a/crates/control/src/dissemination/relay_log.rs
+++ b/crates/control/src/dissemination/relay_log.rs
@@ -11,6 +11,9 @@
     /// Timeout of one hop, after which its fallbacks are tried. Several times the round trip between
     /// regions.
     pub hop_timeout: Duration,
+    /// Time for which the fallbacks of a receiver that did not answer are sent at once. Longer than the
+    /// failure detector takes to declare it dead.
+    pub silence_memory: Duration,
     /// Maximum number of recent requests kept for duplicate detection.
     pub max_seen_requests: usize,
 }
@@ -19,6 +22,7 @@
     fn default() -> Self {
         Self {
             hop_timeout: Duration::from_millis(200),
+            silence_memory: Duration::from_secs(8),
             max_seen_requests: 1024,
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod pull;
 mod reader;
 mod rendezvous;
+mod silence;
 mod version;
 
 pub use commit::{
@@ -19,8 +20,8 @@
     delta_key, snapshot_key, unreadable_nodes,
 };
 pub use dissemination::{
-    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, RelayLog,
-    RelaySettings, RelayedPayload, StorePolling, TreeDissemination,
+    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, PlannedHop,
+    RelayLog, RelaySettings, RelayedPayload, StorePolling, TreeDissemination, plan_hops,
 };
 pub use join::{
     FloorTable, JoinEffect, JoinMachine, JoinResponder, JoinSettings, JoinState, ResponderSettings,
@@ -34,9 +35,11 @@
     PullMachine, PullRequests, PullRound, PullSettings, PullState, PullStep, select_pull_peers,
 };
 pub use reader::{
-    ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState, ScheduledRead,
+    ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState,
+    ScheduledRead,
 };
 pub use rendezvous::{rank_candidates, rendezvous_score};
+pub use silence::SilenceLog;
 pub use version::{
     ActivationState, ConfigReplica, OfferResult, PullReply, ReplicaSettings, VersionEffect,
     VersionOrigin, check_activation_chart,
--- a/crates/control/src/pull/machine.rs
+++ b/crates/control/src/pull/machine.rs
@@ -1,11 +1,12 @@
 //! The state machine of one node's pulls.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
 
 use super::chart::{PULL_CHART, PullAction, PullEvent, PullState};
+use crate::silence::SilenceLog;
 
 /// Settings of a [`PullMachine`].
 #[derive(Clone, Copy, Debug)]
@@ -37,25 +38,22 @@
 /// last one found no peer that answers and the next report starts another one.
 #[derive(Debug)]
 pub struct PullMachine {
-    settings: PullSettings,
     state: PullState,
     /// Newest version that another node was reported to hold.
     reported_version: u64,
     /// Latest version that this node held when the last pull started.
     pulled_after: u64,
-    /// Peers that did not answer, each with the time at which it is asked like any other again.
-    silent_until: BTreeMap<String, Instant>,
+    silences: SilenceLog,
 }
 
 impl PullMachine {
     /// Creates the machine of a node that knows of no version.
     pub fn new(settings: PullSettings) -> Self {
         Self {
-            settings,
             state: PULL_CHART.initial(),
             reported_version: 0,
             pulled_after: 0,
-            silent_until: BTreeMap::new(),
+            silences: SilenceLog::new(settings.silence_memory),
         }
     }
 
@@ -100,14 +98,12 @@
 
     /// Records that the peer `node` did not answer a request.
     pub fn record_silence(&mut self, node: &str, now: Instant) {
-        let until = now.after(self.settings.silence_memory);
-        self.silent_until.insert(node.to_owned(), until);
+        self.silences.record_silence(node, now);
     }
 
     /// Peers that are asked after all others.
     pub fn silent_peers(&mut self, now: Instant) -> BTreeSet<&str> {
-        self.silent_until.retain(|_, until| !until.is_past(now));
-        self.silent_until.keys().map(String::as_str).collect()
+        self.silences.silent_peers(now)
     }
 
     /// Ends a pull with `event_if_behind`, unless this node holds all that was reported.
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -1,17 +1,16 @@
 //! The actor that forwards messages to the next hops of this node in each dissemination tree.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use agatedeck_control::{
-    DisseminationHop, DisseminationRequest, DisseminationScope, RelayLog, RelaySettings,
-    RelayedPayload,
+    DisseminationHop, DisseminationRequest, DisseminationScope, PlannedHop,
+    RelayLog, RelaySettings, RelayedPayload, SilenceLog, plan_hops,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, CrashReport, Member, Offer, ReaderHeartbeat, Rumor, SpreadScope,
 };
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use rand::Rng;
 use tokio::time::Instant;
@@ -112,12 +111,14 @@
     }
 }
 
-/// Owns the log of relayed requests. Each hop is sent by a separate task.
+/// Owns the log of relayed requests and of receivers that did not answer. Each hop is sent by a
+/// separate task, which reports its end.
 #[derive(Actor)]
 pub(crate) struct DisseminationRelay {
     context: NodeContext,
     settings: RelaySettings,
     log: RelayLog,
+    silences: SilenceLog,
 }
 
 impl DisseminationRelay {
@@ -127,6 +128,35 @@
             context,
             settings,
             log: RelayLog::new(&settings),
+            silences: SilenceLog::new(settings.silence_memory),
+        }
+    }
+
+    /// Sends a message to its hops, and to the fallbacks of those that did not answer lately.
+    fn send_hops(&self, message: &HopMessage, hops: Vec<DisseminationHop>, relay: &ActorRef<Self>) {
+        let context = &self.context;
+        let planned = plan_hops(
+            &*context.dissemination_policy,
+            &context.table(),
+            &context.local_member,
+            message.salt,
+            hops,
+            &self.silences,
+            context.clock.now(),
+        );
+        for hop in planned {
+            let (context, message, relay) = (context.clone(), message.clone(), relay.clone());
+            let deadline = Instant::now() + self.settings.hop_timeout;
+            tokio::spawn(async move {
+                let is_answered = send_to_hop(&context, &message, &hop.hop, deadline).await;
+                let ended = HopEnded {
+                    hop,
+                    message,
+                    is_answered,
+                };
+                // The send fails only while the node is stopping.
+                let _ = relay.tell(ended).await;
+            });
         }
     }
 }
@@ -134,80 +164,77 @@
 impl Message<StartDissemination> for DisseminationRelay {
     type Reply = ();
 
-    async fn handle(&mut self, dissemination: StartDissemination, _: &mut Context<Self, ()>) {
-        let kind = dissemination.payload.relayed_kind();
-        if !self.log.record(kind, dissemination.request) {
+    async fn handle(&mut self, dissemination: StartDissemination, context: &mut Context<Self, ()>) {
+        let StartDissemination { request, payload } = dissemination;
+        if !self.log.record(payload.relayed_kind(), request) {
             return;
         }
-        let (context, hop_timeout) = (&self.context, self.settings.hop_timeout);
-        let table = context.table();
-        for hop in context.dissemination_policy.next_hops(
-            &table,
-            &context.local_member,
-            dissemination.request,
-        ) {
-            let (context, payload) = (context.clone(), dissemination.payload.clone());
-            tokio::spawn(async move {
-                let message = HopMessage {
-                    salt: dissemination.request.salt,
-                    payload: &payload,
-                    timeout: hop_timeout,
-                };
-                send_with_fallbacks(&context, message, hop).await;
-            });
-        }
+        let hops = self.context.dissemination_policy.next_hops(
+            &self.context.table(),
+            &self.context.local_member,
+            request,
+        );
+        let message = HopMessage {
+            salt: request.salt,
+            payload: Arc::new(payload),
+        };
+        self.send_hops(&message, hops, context.actor_ref());
     }
 }
 
-/// What is sent to a hop and its fallbacks.
-#[derive(Clone, Copy, Debug)]
-struct HopMessage<'a> {
+/// What is sent to the hops of a dissemination.
+#[derive(Clone, Debug)]
+struct HopMessage {
     salt: u64,
-    payload: &'a DisseminationPayload,
-    timeout: Duration,
+    payload: Arc<DisseminationPayload>,
 }
 
-/// Sends one message, and to the fallback hops if it is not acknowledged. Fallback hops are tried
-/// concurrently: after the loss of a rack, most of them time out as well.
-async fn send_with_fallbacks(
-    context: &NodeContext,
-    message: HopMessage<'_>,
-    first: DisseminationHop,
-) {
-    let mut in_flight = FuturesUnordered::from_iter([send_to_hop(context, message, first)]);
-    while let Some(unacknowledged) = in_flight.next().await {
-        if let Some(failed_hop) = unacknowledged {
-            let table = context.table();
-            let local_member = &context.local_member;
-            let fallbacks = context.dissemination_policy.fallback_hops(
-                &table,
-                local_member,
-                message.salt,
-                &failed_hop,
-            );
-            in_flight.extend(
-                fallbacks
-                    .into_iter()
-                    .map(|hop| send_to_hop(context, message, hop)),
-            );
+/// A message was answered, or had no answer in time.
+struct HopEnded {
+    hop: PlannedHop,
+    message: HopMessage,
+    is_answered: bool,
+}
+
+impl Message<HopEnded> for DisseminationRelay {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: HopEnded, context: &mut Context<Self, ()>) {
+        let PlannedHop { hop, is_hedged } = ended.hop;
+        if ended.is_answered {
+            return self.silences.record_answer(&hop.node);
+        }
+        self.silences
+            .record_silence(&hop.node, self.context.clock.now());
+        if is_hedged {
+            return;
         }
+        let fallbacks = self.context.dissemination_policy.fallback_hops(
+            &self.context.table(),
+            &self.context.local_member,
+            ended.message.salt,
+            &hop,
+        );
+        self.send_hops(&ended.message, fallbacks, context.actor_ref());
     }
 }
 
-/// Sends one message; returns the hop if the message was not acknowledged.
+/// Sends one message; returns whether it was answered by the deadline.
 async fn send_to_hop(
     context: &NodeContext,
-    message: HopMessage<'_>,
-    hop: DisseminationHop,
-) -> Option<DisseminationHop> {
-    let peer = PeerAddress::from_hop(&hop)?;
+    message: &HopMessage,
+    hop: &DisseminationHop,
+    deadline: Instant,
+) -> bool {
+    let Some(peer) = PeerAddress::from_hop(hop) else {
+        return false;
+    };
     let request = message.payload.to_request(message.salt, hop.scope);
-    let deadline = Instant::now() + message.timeout;
-    let error = context
-        .transport
-        .send(&peer, request, deadline)
-        .await
-        .err()?;
-    log::debug!("node `{}` did not acknowledge a message: {error}", hop.node);
-    Some(hop)
+    match context.transport.send(&peer, request, deadline).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::debug!("node `{}` did not acknowledge a message: {error}", hop.node);
+            false
+        }
+    }
 }
--- a/crates/sim/src/fleet/faults.rs
+++ b/crates/sim/src/fleet/faults.rs
@@ -142,7 +142,8 @@
                 self.store.outages += 1;
             }
             FaultKind::StoreSlow => {
-                self.store.answer_time = self.settings.store_answer_time.mul_f64(fault.factor * 10.0);
+                self.store.answer_time =
+                    self.settings.store_answer_time.mul_f64(fault.factor * 10.0);
                 self.store.outages += 1;
             }
             FaultKind::StoreCut | FaultKind::StoreSilentToSome | FaultKind::StoreRefusesSome => {
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -86,6 +86,7 @@
     /// The operator sends the next change.
     SendChange,
     ChangeWritten(u64),
+    ChangeConfirmed(u64),
     ProcessStarts(usize),
     /// A process is told to stop.
     StopProcess(usize),
@@ -217,7 +218,10 @@
         self.schedule(Instant::default().after(FIRST_CHANGE), Event::SendChange);
         self.schedule(self.now(), Event::Judge);
         for (index, fault) in self.plan.faults.iter().enumerate() {
-            self.schedule(Instant::default().after(fault.at), Event::FaultBegins(index));
+            self.schedule(
+                Instant::default().after(fault.at),
+                Event::FaultBegins(index),
+            );
         }
         while let Some(event) = self.queue.pop() {
             if self.now() > end {
@@ -241,6 +245,7 @@
             Event::WatchExpires(read) => self.expire_watch(&read),
             Event::SendChange => self.send_change(),
             Event::ChangeWritten(version) => self.write_change(version),
+            Event::ChangeConfirmed(version) => self.confirm_change(version),
             Event::ProcessStarts(host) => self.start_process(host),
             Event::StopProcess(host) => self.stop_process(host),
             Event::FaultBegins(index) => self.begin_fault(index),
@@ -333,17 +338,22 @@
             return self.schedule(retry_at, Event::SendChange);
         }
         let version = self.store.newest().version() + 1;
-        let written_at = self.now().after(self.settings.confirm_time);
+        let written_at = self.now().after(self.settings.write_time);
         self.schedule(written_at, Event::ChangeWritten(version));
     }
 
-    /// Writes a version and confirms it at the same time.
+    /// Writes a version, which is confirmed a while later.
     fn write_change(&mut self, version: u64) {
-        let now = self.now();
+        let confirmed_at = self.now().after(self.settings.confirm_time);
         let watches = self.store.write(build_snapshot(version));
         for watch in watches {
             self.answer_watch(watch);
         }
+        self.schedule(confirmed_at, Event::ChangeConfirmed(version));
+    }
+
+    fn confirm_change(&mut self, version: u64) {
+        let now = self.now();
         self.confirmed.push(ConfirmedVersion {
             version,
             confirmed_at: now,
--- a/crates/sim/src/fleet/reading.rs
+++ b/crates/sim/src/fleet/reading.rs
@@ -39,7 +39,9 @@
     pub(super) fn drive_reader(&mut self, host: usize) {
         let now = self.now();
         let policy = self.policy.clone();
-        let process = self.process(host);
+        let Some(process) = &mut self.hosts[host].process else {
+            return;
+        };
         let detector = &process.detector;
         let interval = policy.poll_interval(detector.table(), detector.local_member());
         let live_nodes = detector.table().live().count();
--- a/crates/sim/src/lag.rs
+++ b/crates/sim/src/lag.rs
@@ -55,7 +55,11 @@
 impl LagReport {
     /// Whether each confirmed version was in force in time on the nodes in touch.
     pub fn holds(&self) -> bool {
-        !self.is_overloaded && self.largest.as_ref().is_none_or(|sample| sample.ratio() <= 1.0)
+        !self.is_overloaded
+            && self
+                .largest
+                .as_ref()
+                .is_none_or(|sample| sample.ratio() <= 1.0)
     }
 
     pub(crate) fn record(&mut self, sample: LagSample, is_stable: bool) {
--- a/crates/sim/src/message.rs
+++ b/crates/sim/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_control::{DisseminationHop, DisseminationScope};
+use agatedeck_control::{DisseminationScope, PlannedHop};
 use agatedeck_wire::{
     FloorRecord, IndirectAnswer, IndirectProbe, Member, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
@@ -13,9 +13,14 @@
 /// Content of a dissemination.
 #[derive(Clone, Debug)]
 pub(crate) enum Payload {
-    Version { version: u64, delta: Arc<Vec<u8>> },
+    Version {
+        version: u64,
+        delta: Arc<Vec<u8>>,
+    },
     Heartbeat { node: String, version: u64 },
-    Rumor { members: Vec<Member> },
+    Rumor {
+        members: Vec<Member>,
+    },
 }
 
 /// A request of one node to another.
@@ -62,7 +67,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
     Hop {
-        hop: DisseminationHop,
+        hop: PlannedHop,
         salt: u64,
         payload: Payload,
     },
--- a/crates/sim/src/node_process.rs
+++ b/crates/sim/src/node_process.rs
@@ -4,8 +4,9 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    ConfigReplica, FailureDetector, FloorTable, MemberSettings, PullMachine, PullRound,
-    PullSettings, ReaderMachine, ReaderSettings, RelayLog, RelaySettings, ReplicaSettings,
+    ConfigReplica, FailureDetector, FloorTable, MemberSettings, PullMachine,
+    PullRound, PullSettings, ReaderMachine, ReaderSettings, RelayLog, RelaySettings,
+    ReplicaSettings, SilenceLog,
 };
 use agatedeck_wire::Member;
 use rand::rngs::SmallRng;
@@ -39,6 +40,7 @@
     /// Pulls that ended without an answer, of which answers are still applied.
     pub(crate) unanswered_pulls: BTreeSet<u64>,
     pub(crate) relay_log: RelayLog,
+    pub(crate) silences: SilenceLog,
     /// `None` until the node serves.
     pub(crate) reader: Option<ReaderMachine>,
     /// When the reader is polled next.
@@ -67,6 +69,7 @@
             pull: None,
             unanswered_pulls: BTreeSet::new(),
             relay_log: RelayLog::new(&RelaySettings::default()),
+            silences: SilenceLog::new(RelaySettings::default().silence_memory),
             reader: None,
             reader_tick_at: None,
             reads: BTreeSet::new(),
