Let few nodes take over the reading of versions at a time

Seen at full size on the landed code: after the leading reader lost power, 48 of 174 nodes led at once, each with a read of the store, and each sends versions and heartbeats to the whole fleet; eight nodes that were frozen took over in the moment in which they woke.

Cause: the nodes that miss the heartbeats take over evenly over 0.39 s, while the first answer to a new reader and its heartbeat take 0.2 to 0.5 s. And a process that stood still finds its deadline passed before it reads the heartbeats that wait in its sockets. The class: a herd that acts on the same missing signal before the signal of the first can stop it.

Change: the number of nodes that have taken over doubles each 0.1 s, so few act early, and from 50 on one each 2 ms as before; the last one of 194 may take over 0.86 s after the time-out in place of 0.39 s. A node whose deadline passed more than 0.5 s ago draws a new one. A relay passes on no heartbeat of a reader that ranks below one that it has heard within 0.75 s, since that reader gives way.

Two tests polled a machine a second after its deadline, which now counts as a process that stood still; they poll at the deadline. Their assertions are as before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,7 +35,7 @@
     PullMachine, PullRequests, PullRound, PullSettings, PullState, PullStep, select_pull_peers,
 };
 pub use reader::{
-    ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState,
+    HeartbeatFilter, ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState,
     ScheduledRead,
 };
 pub use rendezvous::{rank_candidates, rendezvous_score};
--- a/crates/control/src/reader/machine.rs
+++ b/crates/control/src/reader/machine.rs
@@ -20,11 +20,19 @@
     pub heartbeat_interval: Duration,
     /// Time without a heartbeat after which a node may read by itself.
     pub heartbeat_timeout: Duration,
-    /// Minimum period over which the nodes that miss the heartbeats spread their first reads.
-    pub min_takeover_spread: Duration,
-    /// Period by which each live node extends that spread. It bounds the rate of reads of the whole
+    /// Time for which a node that has passed on a heartbeat passes on none of a reader of a lower rank.
+    /// Longer than the time between two heartbeats, shorter than their timeout.
+    pub heartbeat_preference: Duration,
+    /// Time after `heartbeat_timeout` within which the number of nodes that have taken over doubles.
+    /// Long enough for the heartbeat of the first one to reach most others before they take over.
+    pub takeover_doubling_time: Duration,
+    /// Minimum time between the takeovers of two nodes, which bounds the rate of reads of the whole
     /// fleet while the store answers nobody.
     pub takeover_spread_per_node: Duration,
+    /// Minimum pause before a node that is not appointed repeats a read without an answer.
+    pub min_retry_spread: Duration,
+    /// Delay of a poll after which the process counts as having stood still.
+    pub pause_threshold: Duration,
     /// Time after which a read without an answer is no longer waited for, and another one starts.
     pub answer_timeout: Duration,
     /// Time after which a read is abandoned. Longer than `answer_timeout`, so that a slow store is
@@ -41,8 +49,11 @@
         Self {
             heartbeat_interval: Duration::from_millis(500),
             heartbeat_timeout: Duration::from_secs(1),
-            min_takeover_spread: Duration::from_millis(300),
+            heartbeat_preference: Duration::from_millis(750),
+            takeover_doubling_time: Duration::from_millis(100),
             takeover_spread_per_node: Duration::from_millis(2),
+            min_retry_spread: Duration::from_millis(300),
+            pause_threshold: Duration::from_millis(500),
             answer_timeout: Duration::from_millis(700),
             read_timeout: Duration::from_secs(3),
             initial_backoff: Duration::from_millis(150),
@@ -51,6 +62,26 @@
     }
 }
 
+impl ReaderSettings {
+    /// Time after `heartbeat_timeout` at which a node takes over if `earlier` others do so before it.
+    fn takeover_delay(&self, earlier: u32) -> Duration {
+        let mut delay = Duration::ZERO;
+        let (mut group_start, mut group_size) = (0, 1);
+        loop {
+            let group_time = self
+                .takeover_doubling_time
+                .max(self.takeover_spread_per_node * group_size);
+            let in_group = earlier - group_start;
+            if in_group < group_size {
+                return delay + group_time * in_group / group_size;
+            }
+            delay += group_time;
+            group_start += group_size;
+            group_size *= 2;
+        }
+    }
+}
+
 /// What a read asks the source for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadRange {
@@ -86,7 +117,7 @@
 /// configuration, and on a slow link they would arrive later than new ones are written.
 ///
 /// Invariant: while the node does not lead, its reads stop or become rare only until
-/// [`ReaderSettings::heartbeat_timeout`] and the spread have passed since the last heartbeat of
+/// [`ReaderSettings::heartbeat_timeout`] and the delay of its takeover have passed since the last heartbeat of
 /// another node.
 #[derive(Debug)]
 pub struct ReaderMachine {
@@ -95,7 +126,7 @@
     score: u64,
     /// Interval of reads while on standby; `None` if the node is not appointed.
     standby_interval: Option<Duration>,
-    takeover_spread: Duration,
+    live_nodes: u32,
     /// When the heartbeats of the other readers count as missed.
     takeover_at: Instant,
     /// When the next read starts; `None` while the node does not read.
@@ -110,13 +141,20 @@
 }
 
 impl ReaderMachine {
-    /// Creates the machine of the node `node`, which has just started to serve.
-    pub fn new(node: &str, settings: ReaderSettings, now: Instant, rng: &mut dyn RngCore) -> Self {
+    /// Creates the machine of the node `node`, which has just started to serve and knows of
+    /// `live_nodes`.
+    pub fn new(
+        node: &str,
+        live_nodes: usize,
+        settings: ReaderSettings,
+        now: Instant,
+        rng: &mut dyn RngCore,
+    ) -> Self {
         let mut machine = Self {
             state: READER_CHART.initial(),
             score: rendezvous_score(READER_RANK_SALT, node),
             standby_interval: None,
-            takeover_spread: settings.min_takeover_spread,
+            live_nodes: bounded_count(live_nodes),
             takeover_at: now,
             read_at: None,
             contact_until: now,
@@ -143,12 +181,7 @@
         now: Instant,
     ) {
         self.standby_interval = standby_interval;
-        let nodes = u32::try_from(live_nodes).unwrap_or(u32::MAX);
-        self.takeover_spread = self
-            .settings
-            .takeover_spread_per_node
-            .saturating_mul(nodes)
-            .max(self.settings.min_takeover_spread);
+        self.live_nodes = bounded_count(live_nodes);
         let event = if standby_interval.is_some() {
             ReaderEvent::Appointed
         } else {
@@ -168,9 +201,9 @@
     }
 
     /// Starts the next read if it is due. Must be called at [`Self::next_deadline`].
-    pub fn poll(&mut self, now: Instant) -> Option<ScheduledRead> {
+    pub fn poll(&mut self, now: Instant, rng: &mut dyn RngCore) -> Option<ScheduledRead> {
         if self.state != ReaderState::Leading && self.takeover_at.is_past(now) {
-            self.advance(ReaderEvent::HeartbeatsMissed, now);
+            self.handle_missed_heartbeats(now, rng);
         }
         if !self.read_at?.is_past(now) {
             return None;
@@ -178,7 +211,7 @@
         let wait = self.read_wait();
         let mut retry_pause = self.settings.answer_timeout;
         if self.confirms && self.standby_interval.is_none() {
-            retry_pause = retry_pause.max(self.takeover_spread);
+            retry_pause = retry_pause.max(self.retry_spread());
         }
         self.read_at = Some(now.after(wait + retry_pause));
         Some(ScheduledRead {
@@ -222,7 +255,7 @@
         let settings = &self.settings;
         let mut max_backoff = settings.max_backoff;
         if self.standby_interval.is_none() {
-            max_backoff = max_backoff.max(self.takeover_spread);
+            max_backoff = max_backoff.max(self.retry_spread());
         }
         let backoff = settings
             .initial_backoff
@@ -234,9 +267,33 @@
         self.read_at = self.read_at.map(|_| retry_at);
     }
 
+    /// Pause between reads of a node that is not appointed, by which the reads of the whole fleet stay
+    /// rare while the source answers nobody.
+    fn retry_spread(&self) -> Duration {
+        let spread = self.settings.takeover_spread_per_node;
+        let spread = spread.saturating_mul(self.live_nodes);
+        spread.max(self.settings.min_retry_spread)
+    }
+
+    /// Takes over, unless the process stood still: the heartbeats that it missed may be unread.
+    fn handle_missed_heartbeats(&mut self, now: Instant, rng: &mut dyn RngCore) {
+        if now.since(self.takeover_at) > self.settings.pause_threshold {
+            self.takeover_at = now.after(self.draw_takeover_delay(rng));
+        } else {
+            self.advance(ReaderEvent::HeartbeatsMissed, now);
+        }
+    }
+
     fn postpone_takeover(&mut self, now: Instant, rng: &mut dyn RngCore) {
-        let spread = self.takeover_spread.mul_f64(rng.random_range(0.0..1.0));
-        self.takeover_at = now.after(self.settings.heartbeat_timeout + spread);
+        let delay = self.draw_takeover_delay(rng);
+        self.takeover_at = now.after(self.settings.heartbeat_timeout + delay);
+    }
+
+    /// Draws the place of this node among those that take over. Few take over early, so that the
+    /// heartbeat of the first one stops most others.
+    fn draw_takeover_delay(&self, rng: &mut dyn RngCore) -> Duration {
+        let earlier = rng.random_range(0..self.live_nodes);
+        self.settings.takeover_delay(earlier)
     }
 
     fn advance(&mut self, event: ReaderEvent, now: Instant) {
@@ -249,3 +306,8 @@
         }
     }
 }
+
+/// A number of nodes that is at least one.
+fn bounded_count(nodes: usize) -> u32 {
+    u32::try_from(nodes).unwrap_or(u32::MAX).max(1)
+}
--- a/crates/control/src/reader/mod.rs
+++ b/crates/control/src/reader/mod.rs
@@ -5,8 +5,10 @@
 //! them shows, by heartbeats, that the store answers it.
 
 mod chart;
+mod heartbeat_filter;
 mod machine;
 
 pub use chart::ReaderState;
+pub use heartbeat_filter::HeartbeatFilter;
 pub(crate) use machine::READER_RANK_SALT;
 pub use machine::{ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ScheduledRead};
--- a/crates/control/tests/reader.rs
+++ b/crates/control/tests/reader.rs
@@ -5,7 +5,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState, ScheduledRead,
+    HeartbeatFilter, ReadProgress, ReadRange, ReaderMachine, ReaderSettings, ReaderState,
+    ScheduledRead,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -57,7 +58,7 @@
         let now = Instant::default();
         let nodes = (0..size).map(|index| {
             let name = format!("node-{index}");
-            let machine = ReaderMachine::new(&name, ReaderSettings::default(), now, &mut rng);
+            let machine = ReaderMachine::new(&name, size, ReaderSettings::default(), now, &mut rng);
             SimulatedNode {
                 name,
                 machine,
@@ -108,7 +109,7 @@
                     node.machine.on_read_failed(now, &mut self.rng);
                 }
             }
-            if let Some(ScheduledRead { wait, .. }) = node.machine.poll(now) {
+            if let Some(ScheduledRead { wait, .. }) = node.machine.poll(now, &mut self.rng) {
                 self.reads_sent += 1;
                 let refused = !served && self.failure == Failure::Refused;
                 let wait = if refused { Duration::ZERO } else { wait };
@@ -218,9 +219,9 @@
 fn a_reader_without_an_answer_gives_way_to_any_other() {
     let mut rng = SmallRng::seed_from_u64(1);
     let start = Instant::default();
-    let mut machine = ReaderMachine::new("node", ReaderSettings::default(), start, &mut rng);
-    let now = start.after(Duration::from_secs(2));
-    assert!(machine.poll(now).is_some());
+    let mut machine = ReaderMachine::new("node", 1, ReaderSettings::default(), start, &mut rng);
+    let now = machine.next_deadline();
+    assert!(machine.poll(now, &mut rng).is_some());
     assert_eq!(machine.state(), ReaderState::Leading);
     for other in ["a", "b", "c", "d"] {
         machine.on_read_failed(now, &mut rng);
@@ -234,19 +235,98 @@
 fn a_reader_that_is_behind_asks_for_the_newest_version() {
     let mut rng = SmallRng::seed_from_u64(1);
     let start = Instant::default();
-    let mut machine = ReaderMachine::new("node", ReaderSettings::default(), start, &mut rng);
-    let mut now = start.after(Duration::from_secs(2));
-    let first = machine.poll(now).expect("a read");
+    let mut machine = ReaderMachine::new("node", 1, ReaderSettings::default(), start, &mut rng);
+    let mut now = machine.next_deadline();
+    let first = machine.poll(now, &mut rng).expect("a read");
     assert_eq!(first.range, ReadRange::Changes);
     machine.on_read(ReadProgress::Behind, now);
-    let second = machine.poll(now).expect("a read");
+    let second = machine.poll(now, &mut rng).expect("a read");
     assert_eq!(second.range, ReadRange::Newest);
     assert_eq!(second.wait, Duration::ZERO);
     // A read that fails leaves the node behind.
     machine.on_read_failed(now, &mut rng);
     now = now.after(Duration::from_secs(1));
-    assert_eq!(machine.poll(now).expect("a read").range, ReadRange::Newest);
+    assert_eq!(
+        machine.poll(now, &mut rng).expect("a read").range,
+        ReadRange::Newest
+    );
     machine.on_read(ReadProgress::Current, now);
-    let last = machine.poll(now).expect("a read");
+    let last = machine.poll(now, &mut rng).expect("a read");
     assert_eq!(last.range, ReadRange::Changes);
 }
+
+/// Guards against hundreds of nodes that take over at once after the loss of the leading reader: each reads the
+/// store and sends versions and heartbeats to the whole fleet.
+#[test]
+fn few_nodes_take_over_before_the_first_heartbeat_can_reach_them() {
+    const NODES: usize = 194;
+    const SEEDS: u64 = 50;
+    const MAX_MEAN_LEADERS: usize = 16;
+    /// Time from the first takeover until its heartbeat has reached most nodes.
+    const FIRST_HEARTBEAT_TIME: Duration = Duration::from_millis(200);
+    let mut leaders = 0;
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = Instant::default();
+        let mut machines: Vec<ReaderMachine> = (0..NODES)
+            .map(|index| {
+                let name = format!("node-{index}");
+                ReaderMachine::new(&name, NODES, ReaderSettings::default(), start, &mut rng)
+            })
+            .collect();
+        let first = machines.iter().map(ReaderMachine::next_deadline).min();
+        let now = first.expect("a deadline").after(FIRST_HEARTBEAT_TIME);
+        for machine in &mut machines {
+            machine.poll(now, &mut rng);
+        }
+        let states = machines.iter().map(ReaderMachine::state);
+        leaders += states
+            .filter(|state| *state == ReaderState::Leading)
+            .count();
+    }
+    let mean = leaders / usize::try_from(SEEDS).expect("a small number");
+    assert!(mean <= MAX_MEAN_LEADERS, "{mean} nodes lead");
+}
+
+/// Guards against nodes that all take over as they wake: the heartbeats of the reader that led meanwhile are
+/// still unread.
+#[test]
+fn a_node_that_stood_still_reads_heartbeats_before_it_takes_over() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let start = Instant::default();
+        let mut machine =
+            ReaderMachine::new("node", 194, ReaderSettings::default(), start, &mut rng);
+        let woken = start.after(Duration::from_secs(5));
+        machine.poll(woken, &mut rng);
+        assert_eq!(machine.state(), ReaderState::Idle, "seed {seed}");
+        machine.on_heartbeat("other", woken, &mut rng);
+        machine.poll(woken.after(Duration::from_millis(900)), &mut rng);
+        assert_eq!(machine.state(), ReaderState::Idle, "seed {seed}");
+        // Without heartbeats it takes over all the same.
+        for millis in (900..2_100).step_by(100) {
+            machine.poll(woken.after(Duration::from_millis(millis)), &mut rng);
+        }
+        assert_eq!(machine.state(), ReaderState::Leading, "seed {seed}");
+    }
+}
+
+/// Guards against heartbeats of all nodes that the source answers again at one moment, each sent to the whole
+/// fleet.
+#[test]
+fn heartbeats_of_readers_that_will_give_way_are_not_passed_on() {
+    const READERS: usize = 194;
+    let mut filter = HeartbeatFilter::new(ReaderSettings::default());
+    let names: Vec<String> = (0..READERS).map(|index| format!("node-{index}")).collect();
+    let now = Instant::default();
+    let admitted = names.iter().filter(|name| filter.admits(name, now)).count();
+    // The expected number of highest ranks so far, in random order, is the logarithm of the readers.
+    assert!(admitted <= 16, "{admitted} heartbeats are passed on");
+    let preferred = names.iter().find(|name| filter.admits(name, now));
+    let preferred = preferred.expect("the reader of the highest rank");
+    assert!(filter.admits(preferred, now.after(Duration::from_millis(500))));
+    // The reader of the highest rank has ended: the next heartbeat counts.
+    let other = names.iter().find(|name| *name != preferred);
+    let later = now.after(Duration::from_millis(1_300));
+    assert!(filter.admits(other.expect("another reader"), later));
+}
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use agatedeck_control::{
-    DisseminationHop, DisseminationRequest, DisseminationScope, PlannedHop,
-    RelayLog, RelaySettings, RelayedPayload, SilenceLog, plan_hops,
+    DisseminationHop, DisseminationRequest, DisseminationScope, HeartbeatFilter, PlannedHop,
+    ReaderSettings, RelayLog, RelaySettings, RelayedPayload, SilenceLog, plan_hops,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, CrashReport, Member, Offer, ReaderHeartbeat, Rumor, SpreadScope,
@@ -118,6 +118,7 @@
     context: NodeContext,
     settings: RelaySettings,
     log: RelayLog,
+    heartbeat_filter: HeartbeatFilter,
     silences: SilenceLog,
 }
 
@@ -128,10 +129,23 @@
             context,
             settings,
             log: RelayLog::new(&settings),
+            heartbeat_filter: HeartbeatFilter::new(ReaderSettings::default()),
             silences: SilenceLog::new(settings.silence_memory),
         }
     }
 
+    /// Whether to relay a payload, which is once, and for a heartbeat if its reader is preferred.
+    fn admits(&mut self, dissemination: &StartDissemination) -> bool {
+        let payload = &dissemination.payload;
+        if let DisseminationPayload::ReaderHeartbeat { node, .. } = payload
+            && !self.heartbeat_filter.admits(node, self.context.clock.now())
+        {
+            return false;
+        }
+        self.log
+            .record(payload.relayed_kind(), dissemination.request)
+    }
+
     /// Sends a message to its hops, and to the fallbacks of those that did not answer lately.
     fn send_hops(&self, message: &HopMessage, hops: Vec<DisseminationHop>, relay: &ActorRef<Self>) {
         let context = &self.context;
@@ -165,10 +179,10 @@
     type Reply = ();
 
     async fn handle(&mut self, dissemination: StartDissemination, context: &mut Context<Self, ()>) {
-        let StartDissemination { request, payload } = dissemination;
-        if !self.log.record(payload.relayed_kind(), request) {
+        if !self.admits(&dissemination) {
             return;
         }
+        let StartDissemination { request, payload } = dissemination;
         let hops = self.context.dissemination_policy.next_hops(
             &self.context.table(),
             &self.context.local_member,
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -88,7 +88,9 @@
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let settings = ReaderSettings::default();
         let now = context.clock.now();
-        let machine = ReaderMachine::new(&context.local_member.node, settings, now, &mut rng);
+        let live_nodes = context.table().live().count();
+        let node = &context.local_member.node;
+        let machine = ReaderMachine::new(node, live_nodes, settings, now, &mut rng);
         Self {
             logged_state: machine.state(),
             machine,
@@ -129,7 +131,7 @@
             range,
             wait,
             deadline,
-        }) = self.machine.poll(now)
+        }) = self.machine.poll(now, &mut self.rng)
         {
             let read = SourceRead {
                 after: match range {
--- a/crates/sim/src/fleet/reading.rs
+++ b/crates/sim/src/fleet/reading.rs
@@ -50,7 +50,7 @@
         };
         let previous_state = reader.state();
         reader.set_view(interval, live_nodes, now);
-        let read = reader.poll(now);
+        let read = reader.poll(now, &mut self.rng);
         let state = reader.state();
         if state == ReaderState::Idle {
             process.reads.clear();
--- a/crates/sim/src/fleet/versions.rs
+++ b/crates/sim/src/fleet/versions.rs
@@ -23,8 +23,13 @@
             Payload::Version { .. } => RelayedPayload::Version,
             Payload::Heartbeat { .. } | Payload::Rumor { .. } => RelayedPayload::Message,
         };
-        let policy = self.policy.clone();
+        let (now, policy) = (self.now(), self.policy.clone());
         let process = self.process(host);
+        if let Payload::Heartbeat { node, .. } = payload
+            && !process.heartbeat_filter.admits(node, now)
+        {
+            return;
+        }
         if !process.relay_log.record(kind, request) {
             return;
         }
--- a/crates/sim/src/node_process.rs
+++ b/crates/sim/src/node_process.rs
@@ -4,7 +4,7 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    ConfigReplica, FailureDetector, FloorTable, MemberSettings, PullMachine,
+    ConfigReplica, FailureDetector, FloorTable, HeartbeatFilter, MemberSettings, PullMachine,
     PullRound, PullSettings, ReaderMachine, ReaderSettings, RelayLog, RelaySettings,
     ReplicaSettings, SilenceLog,
 };
@@ -41,6 +41,7 @@
     pub(crate) unanswered_pulls: BTreeSet<u64>,
     pub(crate) relay_log: RelayLog,
     pub(crate) silences: SilenceLog,
+    pub(crate) heartbeat_filter: HeartbeatFilter,
     /// `None` until the node serves.
     pub(crate) reader: Option<ReaderMachine>,
     /// When the reader is polled next.
@@ -70,6 +71,7 @@
             unanswered_pulls: BTreeSet::new(),
             relay_log: RelayLog::new(&RelaySettings::default()),
             silences: SilenceLog::new(RelaySettings::default().silence_memory),
+            heartbeat_filter: HeartbeatFilter::new(ReaderSettings::default()),
             reader: None,
             reader_tick_at: None,
             reads: BTreeSet::new(),
@@ -87,7 +89,9 @@
             return;
         }
         let name = &self.detector.local_member().node;
-        let reader = ReaderMachine::new(name, ReaderSettings::default(), now, rng);
+        let live_nodes = self.detector.table().live().count();
+        let settings = ReaderSettings::default();
+        let reader = ReaderMachine::new(name, live_nodes, settings, now, rng);
         self.reader = Some(reader);
     }
 
