Forget expired silences where they are recorded

The relay asks its SilenceLog only about single receivers, which forgets nothing, so the names of hosts that were gone for good stayed in it; a new silence now removes the expired ones. What is silent at any time is as before. A decision of the failure detector is queued in one place, whether it is broadcast or not, and two doc comments say what the code does.

--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -451,8 +451,7 @@
         if self.broadcasts_expiry_of(node) {
             self.disseminate_decision(node, effects);
         } else {
-            self.queue_updates(&[node]);
-            effects.push(MemberEffect::ViewChanged);
+            self.queue_decision(node, effects);
         }
     }
 
@@ -468,8 +467,13 @@
 
     /// Disseminates a status change that this node decided.
     fn disseminate_decision(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
-        self.queue_updates(&[node]);
         effects.extend(self.table.get(node).cloned().map(MemberEffect::Broadcast));
+        self.queue_decision(node, effects);
+    }
+
+    /// Adds a status change that this node decided to its next probes.
+    fn queue_decision(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
+        self.queue_updates(&[node]);
         effects.push(MemberEffect::ViewChanged);
     }
 
--- a/crates/control/src/pull/machine.rs
+++ b/crates/control/src/pull/machine.rs
@@ -16,7 +16,7 @@
     /// Delay before a version that a peer holds is pulled, so that it can arrive over the dissemination
     /// tree. Without the delay, nodes probed during dissemination would receive most changes twice.
     pub tree_grace_period: Duration,
-    /// Time without an answer after which one more peer is asked. Several times the round trip between
+    /// Time without an answer after which more peers are asked. Several times the round trip between
     /// regions.
     pub next_peer_delay: Duration,
 }
--- a/crates/control/src/reader/machine.rs
+++ b/crates/control/src/reader/machine.rs
@@ -117,8 +117,8 @@
 /// configuration, and on a slow link they would arrive later than new ones are written.
 ///
 /// Invariant: while the node does not lead, its reads stop or become rare only until
-/// [`ReaderSettings::heartbeat_timeout`] and the delay of its takeover have passed since the last heartbeat of
-/// another node.
+/// [`ReaderSettings::heartbeat_timeout`] and the delay of its takeover have passed since the last
+/// heartbeat of another node.
 #[derive(Debug)]
 pub struct ReaderMachine {
     settings: ReaderSettings,
--- a/crates/control/src/silence.rs
+++ b/crates/control/src/silence.rs
@@ -27,6 +27,8 @@
 
     /// Records that the peer `node` did not answer a request.
     pub fn record_silence(&mut self, node: &str, now: Instant) {
+        // Otherwise the names of hosts that are gone for good would accumulate.
+        self.forget_expired(now);
         let until = now.after(self.memory);
         self.silent_until.insert(node.to_owned(), until);
     }
@@ -44,7 +46,11 @@
 
     /// Peers that did not answer lately. Forgets the others.
     pub fn silent_peers(&mut self, now: Instant) -> BTreeSet<&str> {
-        self.silent_until.retain(|_, until| !until.is_past(now));
+        self.forget_expired(now);
         self.silent_until.keys().map(String::as_str).collect()
     }
+
+    fn forget_expired(&mut self, now: Instant) {
+        self.silent_until.retain(|_, until| !until.is_past(now));
+    }
 }
