Count requests to other nodes by kind, and log what pulls without an answer met

Log event peer-requests (every 10 s, each second from 200 requests on), metric peer_requests by kind and result, gauge of opened connections, and field peers of pull-unanswered. A node writes at most a line a second for it. Test: the_log_tells_the_requests_to_other_nodes.

--- a/crates/node/src/config/pull.rs
+++ b/crates/node/src/config/pull.rs
@@ -1,23 +1,37 @@
 //! Pulls the versions that this node lacks from other nodes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use agatedeck_control::{PullRound, PullSettings, PullStep, select_pull_peers};
 use agatedeck_wire::{ControlPlaneRequest, ControlPlaneResponse, Member, Pull, PullAnswer};
+use derive_more::Display;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::NodeContext;
-use crate::peer::PeerAddress;
+use crate::peer::{PeerAddress, PeerError};
 
 /// Timeout of a request for missing versions.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What one peer returned: its name, and its answer unless it did not answer.
-type PeerReply = (String, Option<PullAnswer>);
+type PeerReply = (String, Result<PullAnswer, PeerError>);
+
+/// What became of the request to one peer.
+#[derive(Clone, Debug, Display)]
+enum RequestState {
+    #[display("waiting")]
+    Waiting,
+    #[display("newer")]
+    Newer,
+    #[display("nothing newer")]
+    Outdated,
+    #[display("{_0}")]
+    Failed(PeerError),
+}
 
 /// One pull and its requests that are not answered yet.
 pub(super) struct PeerPull {
@@ -26,7 +40,8 @@
     round: PullRound,
     requests: FuturesUnordered<BoxFuture<'static, PeerReply>>,
     started_at: Instant,
-    asked_peers: u32,
+    /// The peers that were asked, by name.
+    asked_peers: BTreeMap<String, RequestState>,
 }
 
 impl PeerPull {
@@ -52,7 +67,7 @@
             version,
             requests: FuturesUnordered::new(),
             started_at: Instant::now(),
-            asked_peers: 0,
+            asked_peers: BTreeMap::new(),
         }
     }
 
@@ -92,7 +107,7 @@
 
     /// Logs and counts the end of the wait for the first answer; `None` if no peer had a newer version.
     pub(super) fn report_first_answer(&self, answer: Option<&PullAnswer>) {
-        let (held, asked) = (self.version, self.asked_peers);
+        let (held, asked) = (self.version, self.asked_peers.len());
         let took_ms = self.started_at.elapsed().as_millis();
         match answer {
             Some(answer) => log::info!(
@@ -108,7 +123,8 @@
                 event = "pull-unanswered",
                 held,
                 asked,
-                took_ms;
+                took_ms,
+                peers = self.describe_peers();
                 "no peer returned a version newer than {held}"
             ),
         }
@@ -122,20 +138,34 @@
 
     fn newer_answer(&mut self, (node, answer): PeerReply) -> Option<PullAnswer> {
         let now = self.context.clock.now();
-        let Some(answer) = answer else {
-            self.round.on_failed_request(now);
-            return None;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.round.on_failed_request(now);
+                self.asked_peers.insert(node, RequestState::Failed(error));
+                return None;
+            }
         };
         if answer.version > self.version {
             self.round.on_newer_reply(&node);
+            self.asked_peers.insert(node, RequestState::Newer);
             return Some(answer);
         }
         self.round.on_outdated_reply(&node, now);
+        self.asked_peers.insert(node, RequestState::Outdated);
         None
     }
 
+    /// The peers that were asked, each with what became of its request.
+    fn describe_peers(&self) -> String {
+        let peers = self.asked_peers.iter();
+        let peers = peers.map(|(node, state)| format!("{node}: {state}"));
+        peers.collect::<Vec<_>>().join(", ")
+    }
+
     fn send_request(&mut self, peer: Member) {
-        self.asked_peers += 1;
+        self.asked_peers
+            .insert(peer.node.clone(), RequestState::Waiting);
         let request = request_versions(self.context.clone(), peer, self.version);
         self.requests.push(request.boxed());
     }
@@ -144,19 +174,17 @@
 /// Requests the versions after `version` from one peer.
 async fn request_versions(context: NodeContext, peer: Member, version: u64) -> PeerReply {
     let Some(address) = PeerAddress::from_member(&peer) else {
-        return (peer.node, None);
+        return (peer.node, Err(PeerError::Unreachable));
     };
     let request = ControlPlaneRequest::Pull {
         pull: Pull { version },
     };
     let deadline = Instant::now() + PULL_TIMEOUT;
     let answer = match context.transport.send(&address, request, deadline).await {
-        Ok(ControlPlaneResponse::Pull(answer)) => Some(answer),
-        Ok(_) => None,
-        Err(error) => {
-            log::debug!("pull from {} failed: {error}", address.address);
-            None
-        }
+        Ok(ControlPlaneResponse::Pull(answer)) => Ok(answer),
+        // The server answers each request with the answer of its kind.
+        Ok(_) => Err(PeerError::ConnectionLost),
+        Err(error) => Err(error),
     };
     (peer.node, answer)
 }
--- a/crates/node/src/metrics/gauges.rs
+++ b/crates/node/src/metrics/gauges.rs
@@ -1,6 +1,7 @@
 //! Periodic gauges of the state of the control plane.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::{MissedTickBehavior, interval};
@@ -29,6 +30,8 @@
     gauge("config.serving", u64::from(served.may_serve));
     gauge("control.sent_bytes", meters.all.sent());
     gauge("control.received_bytes", meters.all.received());
+    let opened = meters.opened.load(Ordering::Relaxed);
+    gauge("control.connections_opened", opened);
     gauge(
         "control.cross_region_sent_bytes",
         meters.cross_region.sent(),
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -17,6 +17,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
+use super::peer_requests::{RequestKind, RequestResult};
 use super::statsd::statsd_client;
 use crate::adapters::FeedAnswer;
 use crate::calls::StopReason;
@@ -62,6 +63,12 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct PeerRequestLabel {
+    kind: RequestKind,
+    result: RequestResult,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct NameLabel {
     name: String,
@@ -80,6 +87,7 @@
     omitted_lines: Counter,
     versions: Family<OriginLabel, Counter>,
     pulls: Family<ResultLabel, Counter>,
+    peer_requests: Family<PeerRequestLabel, Counter>,
     feed_configurations: Counter,
     feed_bytes: Counter,
     latency: Family<ClassLabel, Histogram>,
@@ -141,6 +149,9 @@
         let versions = register_metric(&mut registry, "versions", help, Family::default());
         let help = "Pulls of missing versions";
         let pulls = register_metric(&mut registry, "pulls", help, Family::default());
+        let help = "Requests to other nodes, by kind and result";
+        let peer_requests =
+            register_metric(&mut registry, "peer_requests", help, Family::default());
         let help = "Configurations in the answers of the feed";
         let feed_configurations = register_metric(
             &mut registry,
@@ -169,6 +180,7 @@
             omitted_lines,
             versions,
             pulls,
+            peer_requests,
             feed_configurations,
             feed_bytes,
             latency,
@@ -252,6 +264,36 @@
         self.0.pulls.get_or_create(&ResultLabel { result }).inc();
     }
 
+    /// Counts a request to another node that ended.
+    pub(crate) fn count_peer_request(&self, kind: RequestKind, result: RequestResult) {
+        self.send_count(&format!("peer.requests.{kind}.{result}"), 1);
+        let label = PeerRequestLabel { kind, result };
+        self.0.peer_requests.get_or_create(&label).inc();
+    }
+
+    /// Number of requests of this kind to other nodes that have ended.
+    pub(crate) fn peer_requests(&self, kind: RequestKind) -> u64 {
+        let results = RequestResult::ALL.into_iter();
+        results
+            .map(|result| self.peer_request_count(kind, result))
+            .sum()
+    }
+
+    /// Number of requests to other nodes that had no answer.
+    pub(crate) fn unanswered_peer_requests(&self) -> u64 {
+        let failures = RequestResult::ALL.into_iter();
+        let failures = failures.filter(|result| *result != RequestResult::Answered);
+        failures
+            .flat_map(|result| RequestKind::ALL.map(|kind| self.peer_request_count(kind, result)))
+            .sum()
+    }
+
+    fn peer_request_count(&self, kind: RequestKind, result: RequestResult) -> u64 {
+        let label = PeerRequestLabel { kind, result };
+        let counter = self.0.peer_requests.get(&label);
+        counter.map_or(0, |counter| counter.get())
+    }
+
     /// Counts an answer of the configuration feed.
     pub(crate) fn count_feed_answer(&self, answer: &FeedAnswer) {
         self.send_count("feed.configurations", answer.configurations);
--- a/crates/node/src/peer/connection.rs
+++ b/crates/node/src/peer/connection.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use agatedeck_chart::{ChartError, TransitionTable};
@@ -104,6 +105,8 @@
 pub(super) struct PeerConnection {
     address: SocketAddr,
     meters: Vec<Arc<ByteMeter>>,
+    /// Counts the connections that this node opens to any peer.
+    opened: Arc<AtomicU64>,
     chart: ConnectionChart,
     state: ConnectionState,
     channel: Option<PeerChannel>,
@@ -122,11 +125,13 @@
     pub(super) fn new(
         address: SocketAddr,
         meters: Vec<Arc<ByteMeter>>,
+        opened: Arc<AtomicU64>,
     ) -> Result<Self, ChartError> {
         let chart = load_chart()?;
         Ok(Self {
             address,
             meters,
+            opened,
             state: chart.initial(),
             chart,
             channel: None,
@@ -152,6 +157,7 @@
     }
 
     fn connect(&mut self, actor: &ActorRef<Self>) {
+        self.opened.fetch_add(1, Ordering::Relaxed);
         let (address, meters, actor) = (self.address, self.meters.clone(), actor.clone());
         tokio::spawn(async move {
             let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/node/src/peer/connection_pool.rs
+++ b/crates/node/src/peer/connection_pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use agatedeck_wire::{ByteMeter, ControlPlaneRequest, ControlPlaneResponse};
@@ -26,6 +27,8 @@
     pub(crate) all: Arc<ByteMeter>,
     /// Connections to other regions.
     pub(crate) cross_region: Arc<ByteMeter>,
+    /// Number of connections that were opened, or could not be.
+    pub(crate) opened: Arc<AtomicU64>,
 }
 
 /// Owns the connection actors, by the address of the peer.
@@ -54,7 +57,8 @@
             meters.push(Arc::clone(&self.meters.cross_region));
         }
         // Fails only on an invalid chart, which `check_connection_chart` rules out.
-        let connection = PeerConnection::spawn(PeerConnection::new(peer.address, meters).ok()?);
+        let connection = PeerConnection::new(peer.address, meters, Arc::clone(&self.meters.opened));
+        let connection = PeerConnection::spawn(connection.ok()?);
         self.connections.insert(peer.address, connection.clone());
         Some(connection)
     }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -3,11 +3,13 @@
 mod connection;
 mod connection_pool;
 mod delay;
+mod metered;
 mod server;
 mod transport;
 
 pub use connection::check_connection_chart;
 pub(crate) use connection_pool::{ConnectionMeters, PooledTransport};
 pub(crate) use delay::DelayedTransport;
+pub(crate) use metered::MeteredTransport;
 pub(crate) use server::{ControlServer, serve_control};
-pub(crate) use transport::{PeerAddress, PeerTransport};
+pub(crate) use transport::{PeerAddress, PeerError, PeerTransport};
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -34,10 +34,10 @@
     AnnounceStatus, CallsDrained, JoinActor, MemberActor, SetActiveVersion, SetHeldVersion,
     StartDrain, remove_own_row, run_detector, run_directory, run_join,
 };
-use crate::metrics::{NodeMetrics, metrics_router, report_gauges};
+use crate::metrics::{NodeMetrics, metrics_router, report_gauges, report_peer_requests};
 use crate::peer::{
-    ConnectionMeters, ControlServer, DelayedTransport, PeerTransport, PooledTransport,
-    serve_control,
+    ConnectionMeters, ControlServer, DelayedTransport, MeteredTransport, PeerTransport,
+    PooledTransport, serve_control,
 };
 use crate::registrar::TargetRegistrar;
 use crate::settings::{DisseminationMode, EmulationSettings, NodeSettings};
@@ -167,8 +167,13 @@
     }
 }
 
-fn peer_transport(settings: &NodeSettings, meters: &ConnectionMeters) -> Arc<dyn PeerTransport> {
+fn peer_transport(
+    settings: &NodeSettings,
+    meters: &ConnectionMeters,
+    metrics: &NodeMetrics,
+) -> Arc<dyn PeerTransport> {
     let pooled = Arc::new(PooledTransport::start(&settings.region, meters.clone()));
+    let pooled = Arc::new(MeteredTransport::new(pooled, metrics.clone()));
     if settings.emulation == EmulationSettings::default() {
         return pooled;
     }
@@ -223,6 +228,7 @@
     let (config_sender, config) = watch::channel(ServedConfig::default());
     let (members_sender, members) = watch::channel(Arc::new(MemberTable::default()));
     let (phase_sender, phase) = watch::channel(JoinState::Starting);
+    let metrics = NodeMetrics::new(settings.metrics);
     let context = NodeContext {
         local_member: Arc::new(local_member(&settings, addresses)),
         clock: ProcessClock::start(),
@@ -230,8 +236,8 @@
         store: adapters.store,
         feed: adapters.feed,
         protocol: adapters.protocol,
-        transport: peer_transport(&settings, meters),
-        metrics: NodeMetrics::new(settings.metrics),
+        transport: peer_transport(&settings, meters, &metrics),
+        metrics,
         settings: Arc::new(settings),
         config,
         members,
@@ -394,6 +400,10 @@
             reader_receiver,
         ));
         tasks.push(tokio::spawn(report_gauges(context.clone(), meters.clone())));
+        tasks.push(tokio::spawn(report_peer_requests(
+            context.metrics.clone(),
+            meters.clone(),
+        )));
         tasks.extend(spawn_membership_tasks(&context, &members, &join));
         addresses.log();
         Ok(Self {
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -59,3 +59,21 @@
     assert!(call_line["took_ms"].is_number(), "{call_line}");
     assert!(call_line["attempts"].is_u64(), "{call_line}");
 }
+
+/// Guards against a log that does not tell how many requests a node sends to others, and of which kind: a storm of
+/// messages could not be told from other load.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_the_requests_to_other_nodes() {
+    let mesh = TestMesh::start(TestMeshSettings::default()).await;
+    let log_lines = mesh.nodes[0].log_lines.clone();
+    let counts_probes = |line: &serde_json::Value| {
+        line["event"] == "peer-requests"
+            && line["probes"].as_u64() > Some(0)
+            && line["connections"].as_u64() > Some(0)
+            && line["took_ms"].is_u64()
+    };
+    eventually(Duration::from_secs(25), || async {
+        log_lines.borrow().iter().any(counts_probes)
+    })
+    .await;
+}
