Reproduce storms of messages in the simulation: late hosts, and a fleet that starts at once

The simulation counted messages without their kind and left out how a node joins, so it could not tell a storm of suspicions from one of starts. It now models the rows of the directory, the answer of a peer and the opening of the target, a fleet that starts at once, and counts by kind and by second; a version that a starting node reads is no longer disseminated, as in the node.

New check: 400 messages a node in the busiest second, from the 3.2 % of a core that control may take.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -10,6 +10,7 @@
 use crate::convergence::ConvergenceSettings;
 use crate::fleet::MAX_NODES;
 use crate::node_command::NodeCommand;
+use crate::simulated_fleet::SimulationSettings;
 use crate::slopes::SlopeSettings;
 
 /// Default number of worker threads per node; production hosts are small.
@@ -18,6 +19,9 @@
 /// Maximum arrival rate of a load.
 const MAX_CALLS_PER_SECOND: u32 = 50_000;
 
+/// Node counts of a simulated fleet: at least one node in each of its failure domains.
+const SIMULATED_NODES: std::ops::RangeInclusive<usize> = 9..=3_000;
+
 /// Parsed command line.
 #[derive(Debug)]
 pub(crate) enum Invocation {
@@ -29,6 +33,7 @@
     ControlBytes(ControlBytesSettings),
     Calls(CallSettings),
     Slopes(SlopeSettings),
+    Simulation(SimulationSettings),
 }
 
 /// Parses the command line.
@@ -46,6 +51,7 @@
             Some("control-bytes") => parse_control_bytes(parser),
             Some("calls") => parse_calls(parser),
             Some("slopes") => parse_slopes(parser),
+            Some("fleet") => parse_simulation(parser),
             Some("node") => parse_node(parser),
             _ => Err(format!("unknown subcommand `{}`", name.to_string_lossy()).into()),
         },
@@ -232,6 +238,27 @@
     }
 }
 
+fn parse_simulation(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut settings = SimulationSettings::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("nodes") => {
+                settings.sizes = parse_bounded_list(&parser.value()?, &SIMULATED_NODES)?;
+            }
+            Long("faults") => settings.faults = parse_list(&parser.value()?)?,
+            Long("seeds") => settings.seeds = parse_bounded(&parser.value()?, 1..=100_000)?,
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("jobs") => settings.jobs = parse_bounded(&parser.value()?, 1..=64)?,
+            Long("trace") => settings.trace = true,
+            Long("help") | Short('h') => {
+                return Ok(help_invocation(include_str!("../help/fleet.txt")));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Invocation::Simulation(settings))
+}
+
 fn parse_slopes(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
     let mut settings = SlopeSettings::default();
     let mut out = None;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod node_command;
 mod report;
+mod simulated_fleet;
 mod slopes;
 mod statistics;
 
@@ -85,6 +86,11 @@
             slopes::run(&settings, &mut report).await?;
             report.print_tables()
         }
+        Invocation::Simulation(settings) => {
+            let mut report = BenchReport::start("fleet", None, &settings)?;
+            simulated_fleet::run(&settings, &mut report)?;
+            report.print_tables()
+        }
         Invocation::Print(_) | Invocation::Node(_) => Ok(()),
     }
 }
--- a/crates/sim/src/fault.rs
+++ b/crates/sim/src/fault.rs
@@ -16,6 +16,8 @@
     Kill,
     /// Hosts lose power.
     PowerLoss,
+    /// All hosts lose power, and start at once.
+    FleetStart,
     /// The leading reader and the readers by rank lose power.
     ReadersLost,
     /// Processes stand still.
@@ -52,9 +54,10 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Kill,
         Self::PowerLoss,
+        Self::FleetStart,
         Self::ReadersLost,
         Self::Freeze,
         Self::ReadersFrozen,
--- a/crates/sim/src/fleet/faults.rs
+++ b/crates/sim/src/fleet/faults.rs
@@ -19,6 +19,9 @@
 /// Time from the request to stop to the end of the process.
 const STOP_TIME: Duration = Duration::from_millis(400);
 
+/// Time between two announcements of a target, after one of which its node knows that it is ready.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Pause between two stops in turn.
 const RESTART_GAP: Duration = Duration::from_millis(250);
 
@@ -40,7 +43,9 @@
         let ends_at = now.after(fault.lasts);
         match fault.kind {
             FaultKind::Kill => self.kill(&hosts, RESTART_TIME, true),
-            FaultKind::PowerLoss | FaultKind::ReadersLost => self.kill(&hosts, fault.lasts, false),
+            FaultKind::PowerLoss | FaultKind::FleetStart | FaultKind::ReadersLost => {
+                self.kill(&hosts, fault.lasts, false);
+            }
             FaultKind::Restarts => return self.stop_in_turn(&hosts),
             FaultKind::LinkLoad => self.load_links(Arc::new(hosts.clone()), ends_at),
             FaultKind::HistoryDropped => {
@@ -74,9 +79,10 @@
                 all.filter(|host| self.hosts[*host].domain == domain)
                     .collect()
             }
-            FaultKind::StoreSilent | FaultKind::StoreSlow | FaultKind::HistoryDropped => {
-                all.collect()
-            }
+            FaultKind::FleetStart
+            | FaultKind::StoreSilent
+            | FaultKind::StoreSlow
+            | FaultKind::HistoryDropped => all.collect(),
             _ => {
                 let mut hosts: Vec<usize> = all.collect();
                 hosts.shuffle(&mut self.rng);
@@ -264,8 +270,10 @@
         place.process = Some(NodeProcess::new(&member, now, &mut self.rng));
         place.end_disturbance(self.settings.stable_window, now);
         self.schedule_ticks(host);
-        self.send_join(host);
+        self.read_directory(host);
         self.read_for_join(host);
+        let registers_at = now.after(draw_within(ANNOUNCEMENT_PERIOD, &mut self.rng));
+        self.schedule_process(host, registers_at, ProcessEvent::TargetRegisters);
     }
 
     pub(super) fn schedule_ticks(&mut self, host: usize) {
--- a/crates/sim/src/fleet/mod.rs
+++ b/crates/sim/src/fleet/mod.rs
@@ -71,6 +71,12 @@
     FeedHandled(ReadCall, Option<FeedPage>),
     ReadDeadline(u64),
     JoinAgain,
+    /// The rows of the directory have been received.
+    DirectoryRead,
+    /// The store did not answer; the directory is read again.
+    DirectoryRetry,
+    /// The target of the node has announced that it is ready.
+    TargetRegisters,
     /// The process of a planned stop ends.
     Exit,
 }
@@ -113,6 +119,8 @@
     queue: EventQueue<Event>,
     hosts: Vec<Host>,
     store: StoreModel,
+    /// Row of each host in the directory of the store.
+    rows: Vec<Member>,
     confirmed: Vec<ConfirmedVersion>,
     report: LagReport,
     next_number: u64,
@@ -170,6 +178,7 @@
                 settings.config_size,
                 settings.store_answer_time,
             ),
+            rows: Vec::new(),
             confirmed: Vec::new(),
             report: LagReport::default(),
             next_number: 0,
@@ -185,6 +194,7 @@
             .map(|host| self.build_member(host))
             .collect();
         let first = Arc::clone(self.store.newest());
+        self.rows.clone_from(&members);
         for (host, member) in members.iter().enumerate() {
             let mut process = NodeProcess::new(member, now, &mut self.rng);
             // Effects of the start are those of a join, which is over.
@@ -193,6 +203,7 @@
             let _ = process.replica.on_witnesses_failed(first.version());
             process.detector.set_version(first.version());
             process.has_joined = true;
+            process.knows_directory = true;
             process.position = Some(first.version());
             process.start_serving(now, &mut self.rng);
             self.hosts[host].process = Some(process);
@@ -281,6 +292,9 @@
             ProcessEvent::FeedHandled(read, page) => self.handle_feed_answer(id.host, &read, page),
             ProcessEvent::ReadDeadline(number) => self.fail_read(id.host, number),
             ProcessEvent::JoinAgain => self.send_join(id.host),
+            ProcessEvent::DirectoryRead => self.merge_directory(id.host),
+            ProcessEvent::DirectoryRetry => self.read_directory(id.host),
+            ProcessEvent::TargetRegisters => self.register_target(id.host),
             ProcessEvent::Exit => self.end_process(id.host),
         }
     }
--- a/crates/sim/src/fleet/reading.rs
+++ b/crates/sim/src/fleet/reading.rs
@@ -75,16 +75,23 @@
             ReadRange::Changes => position,
             ReadRange::Newest => None,
         };
-        self.send_read(host, after, read.wait, read.deadline);
+        self.send_read(host, after, read.wait, read.deadline, false);
     }
 
     /// Reads the newest version, as a join does.
     pub(super) fn read_for_join(&mut self, host: usize) {
         let deadline = self.now().after(JOIN_READ_TIMEOUT);
-        self.send_read(host, None, Duration::ZERO, deadline);
+        self.send_read(host, None, Duration::ZERO, deadline, true);
     }
 
-    fn send_read(&mut self, host: usize, after: Option<u64>, wait: Duration, deadline: Instant) {
+    fn send_read(
+        &mut self,
+        host: usize,
+        after: Option<u64>,
+        wait: Duration,
+        deadline: Instant,
+        is_join: bool,
+    ) {
         let (now, number) = (self.now(), self.draw_number());
         self.process(host).reads.insert(number);
         self.schedule_process(host, deadline, ProcessEvent::ReadDeadline(number));
@@ -98,6 +105,7 @@
             number,
             after,
             wait,
+            is_join,
         };
         let arrival = now
             .max(self.hosts[host].link_out_free_at)
@@ -105,7 +113,7 @@
         self.schedule(arrival, Event::ReadReachesStore(read));
     }
 
-    fn store_delay(&self, host: usize) -> Duration {
+    pub(super) fn store_delay(&self, host: usize) -> Duration {
         if self.hosts[host].region == STORE_REGION {
             self.settings.delays.same_region
         } else {
@@ -237,7 +245,7 @@
             let replica = &mut self.process(host).replica;
             let (delta, effects) = replica.offer_from_feed(&snapshot, now);
             self.apply_version_effects(host, effects);
-            if let Some(delta) = delta {
+            if let Some(delta) = delta.filter(|_| !read.is_join) {
                 self.trace_host(host, || format!("has read {version}"));
                 self.disseminate_version(host, version, delta);
             }
--- a/crates/sim/src/fleet/transport.rs
+++ b/crates/sim/src/fleet/transport.rs
@@ -52,7 +52,7 @@
 
     fn send(&mut self, from: usize, to: usize, envelope: Envelope) {
         let now = self.now();
-        self.report.messages += 1;
+        self.report.count_message(envelope.kind(), now);
         self.hosts[from].sending_work += self.settings.costs.message;
         // What is sent into a cut is lost: the connection is given up before it heals.
         if self.hosts[from].cut_group != self.hosts[to].cut_group {
--- a/crates/sim/src/lag.rs
+++ b/crates/sim/src/lag.rs
@@ -1,9 +1,12 @@
 //! Measures how long nodes in touch lack a confirmed version, against the bound.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
 
+use crate::message::MessageKind;
+
 /// A node in touch that lacked a confirmed version.
 #[derive(Clone, Debug)]
 pub struct LagSample {
@@ -44,6 +47,12 @@
     pub store_calls: usize,
     /// Messages between nodes.
     pub messages: usize,
+    /// The same, by kind.
+    pub messages_by_kind: BTreeMap<MessageKind, usize>,
+    /// Largest number of messages in a second of the run.
+    pub busiest_second: usize,
+    /// The second that is being counted, from the start of the run, and its messages so far.
+    counted_second: (u64, usize),
     /// Whether the run was given up because of the number of messages.
     pub is_overloaded: bool,
     /// Largest number of nodes that led the reading at one time.
@@ -62,6 +71,18 @@
                 .is_none_or(|sample| sample.ratio() <= 1.0)
     }
 
+    /// Counts a message that is sent at `now`.
+    pub(crate) fn count_message(&mut self, kind: MessageKind, now: Instant) {
+        self.messages += 1;
+        *self.messages_by_kind.entry(kind).or_default() += 1;
+        let second = now.since(Instant::default()).as_secs();
+        if self.counted_second.0 != second {
+            self.counted_second = (second, 0);
+        }
+        self.counted_second.1 += 1;
+        self.busiest_second = self.busiest_second.max(self.counted_second.1);
+    }
+
     pub(crate) fn record(&mut self, sample: &LagSample, is_stable: bool) {
         if is_stable {
             replace_if_larger(&mut self.largest_stable, sample);
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -19,4 +19,5 @@
 pub use fault::{FaultKind, FaultPlan, PlannedFault};
 pub use fleet::run_fleet;
 pub use lag::{LagReport, LagSample};
+pub use message::MessageKind;
 pub use settings::{ConfigSize, FleetSettings, HostClass, LinkDelays, ProcessorCosts};
--- a/crates/sim/src/message.rs
+++ b/crates/sim/src/message.rs
@@ -6,9 +6,10 @@
 use agatedeck_wire::{
     FloorRecord, IndirectAnswer, IndirectProbe, Member, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
+use derive_more::Display;
 
 /// Bytes of a member entry.
-const MEMBER_BYTES: usize = 120;
+pub(crate) const MEMBER_BYTES: usize = 120;
 
 /// Content of a dissemination.
 #[derive(Clone, Debug)]
@@ -100,6 +101,30 @@
     Join,
 }
 
+/// Kind of a message, for counts.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "kebab-case")]
+pub enum MessageKind {
+    /// A version with its delta.
+    Offer,
+    /// A heartbeat of a reader.
+    Heartbeat,
+    /// Member updates sent over the tree.
+    Rumor,
+    /// A pull of missing versions.
+    Pull,
+    /// A probe, also on behalf of another node.
+    Probe,
+    /// An anti-entropy exchange.
+    Sync,
+    /// A floor record.
+    FloorRecord,
+    /// A join.
+    Join,
+    /// An answer to any request, or a refused connection.
+    Answer,
+}
+
 /// A message on its way.
 #[derive(Clone, Debug)]
 pub(crate) enum Envelope {
@@ -119,6 +144,24 @@
 }
 
 impl Envelope {
+    pub(crate) fn kind(&self) -> MessageKind {
+        let Self::Request { request, .. } = self else {
+            return MessageKind::Answer;
+        };
+        match request {
+            Request::Disseminate { payload, .. } => match payload {
+                Payload::Version { .. } => MessageKind::Offer,
+                Payload::Heartbeat { .. } => MessageKind::Heartbeat,
+                Payload::Rumor { .. } => MessageKind::Rumor,
+            },
+            Request::Pull { .. } => MessageKind::Pull,
+            Request::Probe(_) | Request::ProbeThrough(_) => MessageKind::Probe,
+            Request::Sync(_) => MessageKind::Sync,
+            Request::RecordFloor(_) => MessageKind::FloorRecord,
+            Request::Join(_) => MessageKind::Join,
+        }
+    }
+
     /// Size in bytes, with a delta of one change counted as `delta_bytes` and a snapshot as
     /// `snapshot_bytes`.
     pub(crate) fn size(&self, delta_bytes: usize, snapshot_bytes: usize) -> usize {
--- a/crates/sim/src/node_process.rs
+++ b/crates/sim/src/node_process.rs
@@ -53,7 +53,10 @@
     pub(crate) held_position: u64,
     pub(crate) requests: BTreeMap<u64, Purpose>,
     pub(crate) floor_counts: BTreeMap<u64, FloorCount>,
+    /// Whether a peer has answered the join.
     pub(crate) has_joined: bool,
+    /// Whether the rows of the directory have been read.
+    pub(crate) knows_directory: bool,
     /// Last snapshot version that was compressed for a pull.
     pub(crate) compressed_version: u64,
 }
@@ -82,13 +85,14 @@
             requests: BTreeMap::new(),
             floor_counts: BTreeMap::new(),
             has_joined: false,
+            knows_directory: false,
             compressed_version: 0,
         }
     }
 
-    /// Starts to serve if the node has joined and has a version in force.
+    /// Starts to serve if the node knows others and has a version in force.
     pub(crate) fn start_serving(&mut self, now: Instant, rng: &mut SmallRng) {
-        if self.reader.is_some() || !self.has_joined || self.current_version() == 0 {
+        if self.reader.is_some() || !self.knows_directory || self.current_version() == 0 {
             return;
         }
         let name = &self.detector.local_member().node;
--- a/crates/sim/src/store.rs
+++ b/crates/sim/src/store.rs
@@ -35,6 +35,8 @@
     /// Position after which to read; `None` for the newest version alone.
     pub(crate) after: Option<u64>,
     pub(crate) wait: Duration,
+    /// Whether a node that has just started reads, which disseminates nothing.
+    pub(crate) is_join: bool,
 }
 
 /// An answer of the feed.
--- a/crates/sim/tests/versions_in_time.rs
+++ b/crates/sim/tests/versions_in_time.rs
@@ -12,6 +12,10 @@
 
 const DEFAULT_SEEDS: u64 = 2;
 
+/// Messages that the fleet may send in a second, for each node. A message costs its sender and its receiver 40 µs of
+/// a core each, and a node may spend 3.2 % of a core on control: 800 messages sent or received.
+const MAX_MESSAGES_PER_NODE_SECOND: usize = 400;
+
 fn seed_count() -> u64 {
     let text = std::env::var(SEEDS_VARIABLE).ok();
     text.map_or(DEFAULT_SEEDS, |text| {
@@ -31,6 +35,7 @@
 #[parameterized(
     kill = { FaultKind::Kill },
     power_loss = { FaultKind::PowerLoss },
+    fleet_start = { FaultKind::FleetStart },
     readers_lost = { FaultKind::ReadersLost },
     freeze = { FaultKind::Freeze },
     readers_frozen = { FaultKind::ReadersFrozen },
@@ -58,6 +63,13 @@
             report.messages,
             report.largest
         );
+        let limit = MAX_MESSAGES_PER_NODE_SECOND * FleetSettings::default().hosts;
+        assert!(
+            report.busiest_second <= limit,
+            "seed {seed}: {} messages in a second, {:?}",
+            report.busiest_second,
+            report.messages_by_kind
+        );
     }
 }
 
