Let one collector of each failure domain broadcast member updates, a few times a second

What callers and operators see: when many hosts start, are lost, or are alive and late at once, the fleet sends over 970,000 messages in 30 s (83,000 without faults), and versions and joins wait behind them.

Cause: each node broadcast its own entry, up to four times in a start, and each observer of a late probe broadcast its suspicion, which the host refuted by one more broadcast. A broadcast is a message to each node, so the cost is the square of the number of hosts in trouble.

Change: a node sends updates to the collector of its domain, the first by rank that answers. The collector broadcasts at once, then what has come meanwhile after a pause of 50 ms for each domain of the fleet, so that a node receives about 20 broadcasts a second at most at any size. Pauses grow with the rank of a collector; updates that are not broadcast within 3 s go to another one; a node that leaves tells two and broadcasts what it holds. Scope 4 of a rumor is new; a node that does not know it merges the updates, and its sender turns to another collector.

Tests: announcements.rs, ten cases. few_nodes_of_a_domain_broadcast_that_a_host_is_dead, which allowed two broadcasts, is replaced by the_death_of_a_host_is_broadcast_once.

--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -15,7 +15,8 @@
     select_witnesses,
 };
 use agatedeck_wire::{
-    ControlPlaneRequest, FloorRecord, Join, Member, MemberStatus, Offer, Probe, ProbeAnswer, Sync,
+    ControlPlaneRequest, FloorRecord, Join, Member, MemberStatus, Offer, Probe, ProbeAnswer, Rumor,
+    SpreadScope, Sync,
 };
 use miette::{IntoDiagnostic, Result, miette};
 use rand::SeedableRng;
@@ -204,6 +205,14 @@
             MemberEffect::Sync { sync, .. } => {
                 totals.count_request(&ControlPlaneRequest::Sync { sync })?;
             }
+            MemberEffect::Announce(announcement) => {
+                let rumor = Rumor {
+                    scope: SpreadScope::Collect.into(),
+                    members: announcement.members,
+                    ..Rumor::default()
+                };
+                totals.count_request(&ControlPlaneRequest::Rumor { rumor })?;
+            }
             // Broadcasts are counted as hops of the dissemination tree.
             MemberEffect::Broadcast(_) | MemberEffect::ViewChanged => {}
         }
--- a/crates/control/src/dissemination/policy.rs
+++ b/crates/control/src/dissemination/policy.rs
@@ -41,7 +41,7 @@
     /// Decodes the scope and position of a message.
     pub fn from_message(scope: SpreadScope, position: u32) -> Self {
         match scope {
-            SpreadScope::Self_ => Self::SelfOnly,
+            SpreadScope::Self_ | SpreadScope::Collect => Self::SelfOnly,
             SpreadScope::Subtree => Self::Subtree(position),
             SpreadScope::Domain => Self::Domain,
             SpreadScope::Region => Self::Region,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,8 +28,8 @@
     select_witnesses,
 };
 pub use member::{
-    FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
-    MergeOutcome, is_probe_answer_of,
+    Announcement, FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings,
+    MemberTable, MergeOutcome, is_probe_answer_of,
 };
 pub use pull::{
     PullMachine, PullRequests, PullRound, PullSettings, PullState, PullStep, select_pull_peers,
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -1,5 +1,6 @@
 //! SWIM failure detector of one node. Received updates and the node's own entry are in `updates.rs`,
-//! anti-entropy between member tables in `anti_entropy.rs`.
+//! announcements to the fleet in `announcements.rs`, anti-entropy between member tables in
+//! `anti_entropy.rs`.
 //!
 //! Cost per node: one probe and its answer per period, in addition to the probes of delegates (see
 //! `delegate.rs`) and of reconnects. Each message piggybacks at most `max_updates_per_message`
@@ -10,6 +11,7 @@
 //! may be due to a partition, on both sides of which nodes continue to serve.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use agatedeck_clock::Instant;
 use agatedeck_wire::{
@@ -18,18 +20,14 @@
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
 
+use super::announcement_batch::AnnouncementBatch;
+use super::announcements::{Announcement, UnconfirmedUpdates};
 use super::chart::MemberEvent;
 use super::delegate::{PeerGroup, delegated_groups};
 use super::settings::MemberSettings;
 use super::table::{MemberTable, after_ms, is_live};
 use super::update_queue::UpdateQueue;
-use crate::rendezvous::rendezvous_score;
-
-/// Number of nodes of a domain that broadcast the end of a suspicion.
-const EXPIRY_BROADCAST_COUNT: usize = 2;
-
-/// Salt of the ranking that selects them.
-const EXPIRY_RANK_SALT: u64 = 0x6578_7069;
+use crate::silence::SilenceLog;
 
 /// Side effect that the caller of a [`FailureDetector`] must perform.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,9 +57,12 @@
         /// The message.
         sync: Sync,
     },
-    /// Send an update that originated at this node through the dissemination tree. Received
-    /// updates are only piggybacked, so that each update travels the tree once.
-    Broadcast(Member),
+    /// Send updates to the collector of the domain and pass the result to
+    /// [`FailureDetector::on_announcement_accepted`] or [`FailureDetector::on_announcement_failed`].
+    Announce(Announcement),
+    /// Send updates that this node has collected through the dissemination tree. Other received updates
+    /// are only piggybacked, so that each update travels the tree once.
+    Broadcast(Vec<Member>),
     /// The membership view changed: a node was added or removed, or its entry changed.
     ViewChanged,
 }
@@ -79,10 +80,15 @@
 /// says otherwise is refuted with a higher incarnation.
 #[derive(Clone, Debug)]
 pub struct FailureDetector {
-    settings: MemberSettings,
+    pub(super) settings: MemberSettings,
     pub(super) local_member: Member,
     pub(super) table: MemberTable,
     update_queue: UpdateQueue,
+    /// What this node broadcasts as the collector of its domain.
+    pub(super) announcements: AnnouncementBatch,
+    /// What this node has sent to a collector.
+    pub(super) unconfirmed_updates: UnconfirmedUpdates,
+    pub(super) silent_collectors: SilenceLog,
     seed_addresses: Vec<String>,
     /// Nodes of the domain not yet probed in this round, in random order.
     probe_round: Vec<String>,
@@ -115,6 +121,11 @@
             local_member: local_member.clone(),
             table,
             update_queue: UpdateQueue::default(),
+            announcements: AnnouncementBatch::new(),
+            unconfirmed_updates: UnconfirmedUpdates::new(),
+            silent_collectors: SilenceLog::new(Duration::from_millis(
+                settings.collector_silence_ms,
+            )),
             seed_addresses: Vec::new(),
             probe_round: Vec::new(),
             pending_probes: BTreeMap::new(),
@@ -164,6 +175,7 @@
         ];
         probe_deadlines
             .chain(self.table.next_deadline())
+            .chain(self.next_announcement_deadline())
             .chain(period_deadlines)
             .min()
             .unwrap_or(self.next_probe_at)
@@ -187,10 +199,10 @@
             self.pending_probes.clear();
             self.table.restart_suspicions(now);
         }
-        for node in self.table.expire_deadlines(now) {
-            self.disseminate_expiry(&node, &mut effects);
-        }
+        let dead_nodes = self.table.expire_deadlines(now);
+        self.disseminate_decisions(&dead_nodes, now, &mut effects);
         self.advance_pending_probes(now, rng, &mut effects);
+        self.drive_announcements(now, &mut effects);
         if self.next_probe_at.is_past(now) {
             self.next_probe_at = after_ms(now, self.settings.probe_period_ms);
             self.probe_next_in_round(now, rng, &mut effects);
@@ -222,6 +234,7 @@
         let expired_probes: Vec<(String, PendingProbe)> = expired_probes
             .map(|(node, probe)| (node.clone(), *probe))
             .collect();
+        let mut suspects = Vec::new();
         for (node, probe) in expired_probes {
             let Some(member) = self.table.get(&node).cloned() else {
                 self.pending_probes.remove(&node);
@@ -233,7 +246,7 @@
                     .table
                     .apply_local_event(&node, MemberEvent::ProbeFailed, now)
                 {
-                    self.disseminate_decision(&node, effects);
+                    suspects.push(node);
                 }
                 continue;
             }
@@ -253,6 +266,7 @@
             };
             self.pending_probes.insert(node, indirect_probe);
         }
+        self.disseminate_decisions(&suspects, now, effects);
     }
 
     /// Probes the next node of the shuffled round. Unlike independent random choices, a round
@@ -417,7 +431,7 @@
             self.pending_probes.remove(node);
             let event = MemberEvent::AddressTaken;
             if self.table.apply_local_event(node, event, now) {
-                self.disseminate_decision(node, &mut effects);
+                self.disseminate_decisions(&[node.to_owned()], now, &mut effects);
             }
         }
         if answer.member_digest != self.table.digest() && self.next_sync_at.is_past(now) {
@@ -444,36 +458,19 @@
         }
     }
 
-    /// Disseminates the end of a suspicion, which the whole domain decides at the same time: a few nodes
-    /// broadcast it. A broadcast by each of them would send the square of the size of the domain, once for
-    /// each lost host, when hosts are lost together.
-    fn disseminate_expiry(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
-        if self.broadcasts_expiry_of(node) {
-            self.disseminate_decision(node, effects);
-        } else {
-            self.queue_decision(node, effects);
+    /// Disseminates status changes that this node decided.
+    fn disseminate_decisions(
+        &mut self,
+        nodes: &[String],
+        now: Instant,
+        effects: &mut Vec<MemberEffect>,
+    ) {
+        if nodes.is_empty() {
+            return;
         }
-    }
-
-    /// Whether this node is among the first of its domain by rank for `node`.
-    fn broadcasts_expiry_of(&self, node: &str) -> bool {
-        let salt = rendezvous_score(EXPIRY_RANK_SALT, node);
-        let local_score = rendezvous_score(salt, &self.local_member.node);
-        let peers = self.domain_peers();
-        let alive = peers.filter(|peer| peer.status() == MemberStatus::Alive);
-        let ahead = alive.filter(|peer| rendezvous_score(salt, &peer.node) > local_score);
-        ahead.take(EXPIRY_BROADCAST_COUNT).count() < EXPIRY_BROADCAST_COUNT
-    }
-
-    /// Disseminates a status change that this node decided.
-    fn disseminate_decision(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
-        effects.extend(self.table.get(node).cloned().map(MemberEffect::Broadcast));
-        self.queue_decision(node, effects);
-    }
-
-    /// Adds a status change that this node decided to its next probes.
-    fn queue_decision(&mut self, node: &str, effects: &mut Vec<MemberEffect>) {
-        self.queue_updates(&[node]);
+        let names: Vec<&str> = nodes.iter().map(String::as_str).collect();
+        self.queue_updates(&names);
+        self.announce(nodes, now, effects);
         effects.push(MemberEffect::ViewChanged);
     }
 
@@ -485,7 +482,7 @@
         }
     }
 
-    fn domain_peers(&self) -> impl Iterator<Item = &Member> {
+    pub(super) fn domain_peers(&self) -> impl Iterator<Item = &Member> {
         self.table.live().filter(|member| {
             member.domain == self.local_member.domain && member.node != self.local_member.node
         })
--- a/crates/control/src/member/mod.rs
+++ b/crates/control/src/member/mod.rs
@@ -1,5 +1,7 @@
 //! Cluster membership: the member table, failure detection and dissemination of updates.
 
+mod announcement_batch;
+mod announcements;
 mod anti_entropy;
 mod chart;
 mod delegate;
@@ -9,6 +11,7 @@
 mod update_queue;
 mod updates;
 
+pub use announcements::Announcement;
 pub use detector::{FailureDetector, MemberEffect, is_probe_answer_of};
 pub use settings::MemberSettings;
 pub use table::{MemberEntry, MemberKey, MemberTable, MergeOutcome};
--- a/crates/control/src/member/table.rs
+++ b/crates/control/src/member/table.rs
@@ -378,6 +378,11 @@
         self.digests.values().fold(0, |all, digest| all ^ digest)
     }
 
+    /// Returns the number of known failure domains.
+    pub(crate) fn domain_count(&self) -> usize {
+        self.digests.len()
+    }
+
     /// Returns the digests of the failure domains that have live entries.
     pub fn domain_digests(&self) -> Vec<DomainDigest> {
         let non_empty = self.digests.iter().filter(|(_, digest)| **digest != 0);
--- a/crates/control/src/member/updates.rs
+++ b/crates/control/src/member/updates.rs
@@ -34,7 +34,7 @@
 
     /// Merges the full member list that a peer sent on joining. Unlike [`Self::merge_updates`] it
     /// disseminates none of these entries, since the other nodes know them already; only the entry
-    /// of this node is broadcast.
+    /// of this node is announced.
     pub fn merge_member_list(&mut self, members: &[Member], now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
         for member in members {
@@ -54,17 +54,17 @@
         effects
     }
 
-    /// Broadcasts that this node accepts no new work.
+    /// Announces that this node accepts no new work.
     pub fn drain(&mut self, now: Instant) -> Vec<MemberEffect> {
         self.set_local_status(MemberStatus::Draining, now)
     }
 
-    /// Broadcasts that this node leaves.
+    /// Announces that this node leaves.
     pub fn leave(&mut self, now: Instant) -> Vec<MemberEffect> {
         self.set_local_status(MemberStatus::Left, now)
     }
 
-    /// Broadcasts the state of this node's target: the service that it serves, the number of calls
+    /// Announces the state of this node's target: the service that it serves, the number of calls
     /// that it runs concurrently, and whether it is still warming up. An empty `service` means that
     /// the target accepts no calls.
     pub fn set_target(
@@ -135,6 +135,10 @@
         let local_member = self.local_member.clone();
         self.table.merge(&local_member, now);
         self.queue_updates(&[&local_member.node]);
-        effects.push(MemberEffect::Broadcast(local_member));
+        if local_member.status() == MemberStatus::Left {
+            self.announce_leave(now, effects);
+        } else {
+            self.announce(&[local_member.node], now, effects);
+        }
     }
 }
--- a/crates/control/src/silence.rs
+++ b/crates/control/src/silence.rs
@@ -9,7 +9,7 @@
 ///
 /// Between the loss of a host and the decision of the failure detector lie several seconds, in which
 /// each message to it would cost the time of a timeout again.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct SilenceLog {
     memory: Duration,
     /// Silent peers, each with the time at which it counts like any other again.
--- a/crates/node/src/admin/survey.rs
+++ b/crates/node/src/admin/survey.rs
@@ -33,7 +33,9 @@
     scope: SpreadScope,
 ) -> SurveyAnswer {
     let nodes = match scope {
-        SpreadScope::Self_ | SpreadScope::Subtree => vec![local_report(context, config).await],
+        SpreadScope::Self_ | SpreadScope::Subtree | SpreadScope::Collect => {
+            vec![local_report(context, config).await]
+        }
         SpreadScope::Domain => survey_domain(context, config).await,
         SpreadScope::Region => survey_mesh(context, config).await,
     };
--- a/crates/node/src/member/actor.rs
+++ b/crates/node/src/member/actor.rs
@@ -6,12 +6,12 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings, MemberTable,
-    ResponderSettings,
+    Announcement, FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings,
+    MemberTable, ResponderSettings,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, IndirectAnswer, Join,
-    JoinAnswer, Member, MemberStatus, Probe, ProbeAnswer, Sync, SyncAnswer,
+    JoinAnswer, Member, MemberStatus, Probe, ProbeAnswer, Rumor, SpreadScope, Sync, SyncAnswer,
 };
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -30,6 +30,10 @@
 /// Timeout of an anti-entropy exchange and of a request for an indirect probe.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time that a collector has to accept an announcement, before another one is tried. Several times the round trip
+/// between the domains of a region.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time after which the answer to a join counts as sent. A member table of 0.6 MB, the size
 /// expected in two years, takes 50 ms at 100 Mbit/s.
 const JOIN_ANSWER_SEND_TIME: Duration = Duration::from_millis(50);
@@ -109,7 +113,8 @@
                         PeerAnswer::Sync { from, answer }
                     });
                 }
-                MemberEffect::Broadcast(member) => self.broadcast(member).await,
+                MemberEffect::Announce(announcement) => self.send_announcement(announcement, actor),
+                MemberEffect::Broadcast(members) => self.broadcast(members).await,
                 MemberEffect::ViewChanged => {
                     let table = self.detector.table().clone();
                     self.table_sender.send_replace(Arc::new(table));
@@ -161,8 +166,31 @@
         )
     }
 
-    async fn broadcast(&self, member: Member) {
-        let dissemination = StartDissemination::of_rumor(vec![member], Vec::new());
+    fn send_announcement(&self, announcement: Announcement, actor: &ActorRef<Self>) {
+        let Some(peer) = self.peer_at(&announcement.address) else {
+            return;
+        };
+        let rumor = Rumor {
+            scope: SpreadScope::Collect.into(),
+            members: announcement.members.clone(),
+            ..Rumor::default()
+        };
+        let (context, actor) = (self.context.clone(), actor.clone());
+        tokio::spawn(async move {
+            let deadline = tokio::time::Instant::now() + ANNOUNCEMENT_TIMEOUT;
+            let request = ControlPlaneRequest::Rumor { rumor };
+            let answer = context.transport.send(&peer, request, deadline).await;
+            let ended = AnnouncementEnded {
+                announcement,
+                is_accepted: answer.is_ok(),
+            };
+            // The send fails only while the node is stopping.
+            let _ = actor.tell(ended).await;
+        });
+    }
+
+    async fn broadcast(&self, members: Vec<Member>) {
+        let dissemination = StartDissemination::of_rumor(members, Vec::new());
         // The send fails only while the node is stopping.
         let _ = self.relay.tell(dissemination).await;
     }
@@ -180,20 +208,61 @@
     }
 }
 
-/// Merges member updates received in a rumor.
-pub(crate) struct MergeMemberUpdates(pub(crate) Vec<Member>);
+/// Merges member updates that were broadcast.
+pub(crate) struct MergeBroadcast(pub(crate) Vec<Member>);
+
+impl Message<MergeBroadcast> for MemberActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        MergeBroadcast(updates): MergeBroadcast,
+        context: &mut Context<Self, ()>,
+    ) {
+        let actor = context.actor_ref().clone();
+        self.record_floors(&updates);
+        let effects = self.detector.on_broadcast(&updates, self.now());
+        self.apply_effects(effects, &actor).await;
+    }
+}
+
+/// Merges member updates that this node broadcasts as the collector of its domain.
+pub(crate) struct CollectUpdates(pub(crate) Vec<Member>);
 
-impl Message<MergeMemberUpdates> for MemberActor {
+impl Message<CollectUpdates> for MemberActor {
     type Reply = ();
 
     async fn handle(
         &mut self,
-        MergeMemberUpdates(updates): MergeMemberUpdates,
+        CollectUpdates(updates): CollectUpdates,
         context: &mut Context<Self, ()>,
     ) {
         let actor = context.actor_ref().clone();
         self.record_floors(&updates);
-        let effects = self.detector.merge_updates(&updates, self.now());
+        let effects = self.detector.on_announcement(&updates, self.now());
+        self.apply_effects(effects, &actor).await;
+    }
+}
+
+/// A collector has accepted an announcement, or did not answer in time.
+struct AnnouncementEnded {
+    announcement: Announcement,
+    is_accepted: bool,
+}
+
+impl Message<AnnouncementEnded> for MemberActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: AnnouncementEnded, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        let announcement = &ended.announcement;
+        if ended.is_accepted {
+            return self
+                .detector
+                .on_announcement_accepted(&announcement.collector);
+        }
+        let now = self.now();
+        let effects = self.detector.on_announcement_failed(announcement, now);
         self.apply_effects(effects, &actor).await;
     }
 }
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -5,8 +5,8 @@
 mod join;
 
 pub(crate) use actor::{
-    AnnounceStatus, AnswerJoin, AnswerProbe, AnswerSync, MemberActor, MergeMemberUpdates,
-    PROBE_TIMEOUT, RecordFloor, SetActiveVersion, SetTarget, run_detector,
+    AnnounceStatus, AnswerJoin, AnswerProbe, AnswerSync, CollectUpdates, MemberActor,
+    MergeBroadcast, PROBE_TIMEOUT, RecordFloor, SetActiveVersion, SetTarget, run_detector,
 };
 pub(crate) use directory::{remove_own_row, run_directory};
 pub(crate) use join::{CallsDrained, JoinActor, SetHeldVersion, StartDrain, run_join};
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -7,7 +7,7 @@
     ControlPlane, ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord,
     IndirectAnswer, IndirectProbe, Join, JoinAnswer, Offer, OfferAnswer, OfferOutcome, Probe,
     ProbeAnswer, Pull, PullAnswer, ReaderHeartbeat, ReaderHeartbeatAnswer, Rumor, RumorAnswer,
-    Survey, SurveyAnswer, Sync, SyncAnswer, server_transport,
+    SpreadScope, Survey, SurveyAnswer, Sync, SyncAnswer, server_transport,
 };
 use futures::StreamExt;
 use kameo::actor::ActorRef;
@@ -23,8 +23,8 @@
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
 use crate::member::{
-    AnswerJoin, AnswerProbe, AnswerSync, MemberActor, MergeMemberUpdates, PROBE_TIMEOUT,
-    RecordFloor,
+    AnswerJoin, AnswerProbe, AnswerSync, CollectUpdates, MemberActor, MergeBroadcast,
+    PROBE_TIMEOUT, RecordFloor,
 };
 use crate::peer::PeerAddress;
 use crate::store::{ReaderMessage, ReaderSender};
@@ -152,13 +152,21 @@
     }
 
     async fn rumor(self, _: Context, rumor: Rumor) -> RumorAnswer {
+        let answer = RumorAnswer {
+            version: self.context.served().snapshot.version(),
+        };
+        // The sends fail only while the node is stopping.
+        if rumor.scope() == SpreadScope::Collect {
+            let _ = self.members.tell(CollectUpdates(rumor.members)).await;
+            return answer;
+        }
         let payload = DisseminationPayload::Rumor {
             members: rumor.members.clone(),
             crashes: rumor.crashes.clone(),
         };
         let dissemination =
             StartDissemination::from_message(rumor.salt, rumor.scope(), rumor.position, payload);
-        let _ = self.members.tell(MergeMemberUpdates(rumor.members)).await;
+        let _ = self.members.tell(MergeBroadcast(rumor.members)).await;
         if !rumor.crashes.is_empty() {
             let _ = self
                 .crash_actor
@@ -166,9 +174,7 @@
                 .await;
         }
         let _ = self.relay.tell(dissemination).await;
-        RumorAnswer {
-            version: self.context.served().snapshot.version(),
-        }
+        answer
     }
 
     async fn reader_heartbeat(
--- a/crates/sim/src/fleet/members.rs
+++ b/crates/sim/src/fleet/members.rs
@@ -64,12 +64,17 @@
                     };
                     self.send_request(host, &address, Request::Sync(sync), purpose);
                 }
-                MemberEffect::Broadcast(member) => {
+                MemberEffect::Announce(announcement) => {
+                    let address = announcement.address.clone();
+                    let request = Request::Announce(announcement.members.clone());
+                    let purpose = Purpose::Announce(announcement);
+                    self.send_request(host, &address, request, purpose);
+                }
+                MemberEffect::Broadcast(members) => {
                     let request = DisseminationRequest {
                         salt: self.rng.random(),
                         scope: DisseminationScope::AllRegions,
                     };
-                    let members = vec![member];
                     self.relay(host, request, &Payload::Rumor { members });
                 }
                 MemberEffect::ViewChanged => {}
--- a/crates/sim/src/fleet/transport.rs
+++ b/crates/sim/src/fleet/transport.rs
@@ -12,6 +12,9 @@
 /// Timeout of a request for missing versions, as in the node.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout of an announcement, as in the node.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Timeout of a probe, as in the node.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -151,6 +154,11 @@
                 self.receive_dissemination(host, salt, scope, &payload);
                 Answer::Received
             }
+            Request::Announce(members) => {
+                let effects = self.process(host).detector.on_announcement(&members, now);
+                self.apply_member_effects(host, effects);
+                Answer::Received
+            }
             Request::Pull { version } => self.answer_pull(host, version),
             Request::Probe(probe) => {
                 let (answer, effects) = self.process(host).detector.on_probe(&probe, now);
@@ -181,6 +189,10 @@
             (Purpose::Hop { hop, .. }, Answer::Received) => {
                 self.process(host).silences.record_answer(&hop.hop.node);
             }
+            (Purpose::Announce(announcement), Answer::Received) => {
+                let detector = &mut self.process(host).detector;
+                detector.on_announcement_accepted(&announcement.collector);
+            }
             (Purpose::Pull { node, round }, Answer::Pulled(pulled)) => {
                 self.handle_pulled(host, &node, round, &pulled);
             }
@@ -221,6 +233,11 @@
             Purpose::Hop { hop, salt, payload } => {
                 self.handle_failed_hop(host, &hop, salt, &payload);
             }
+            Purpose::Announce(announcement) => {
+                let detector = &mut self.process(host).detector;
+                let effects = detector.on_announcement_failed(&announcement, now);
+                self.apply_member_effects(host, effects);
+            }
             Purpose::Pull { round, .. } => {
                 let pull = self.process(host).pull.as_mut();
                 if let Some(pull) = pull.filter(|pull| pull.number == round) {
@@ -242,6 +259,7 @@
 fn request_timeout(request: &Request) -> Duration {
     match request {
         Request::Disseminate { .. } => RelaySettings::default().hop_timeout,
+        Request::Announce(_) => ANNOUNCEMENT_TIMEOUT,
         Request::Pull { .. } => PULL_TIMEOUT.max(PullSettings::default().next_peer_delay),
         Request::Probe(_) => PROBE_TIMEOUT,
         Request::ProbeThrough(_) | Request::Sync(_) | Request::Join(_) => SYNC_TIMEOUT,
--- a/crates/sim/src/fleet/versions.rs
+++ b/crates/sim/src/fleet/versions.rs
@@ -110,7 +110,7 @@
                 self.report_peer_version(host, *version);
             }
             Payload::Rumor { members } => {
-                let effects = self.process(host).detector.merge_updates(members, now);
+                let effects = self.process(host).detector.on_broadcast(members, now);
                 self.apply_member_effects(host, effects);
             }
         }
--- a/crates/sim/src/message.rs
+++ b/crates/sim/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_control::{DisseminationScope, PlannedHop};
+use agatedeck_control::{Announcement, DisseminationScope, PlannedHop};
 use agatedeck_wire::{
     FloorRecord, IndirectAnswer, IndirectProbe, Member, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
@@ -39,6 +39,8 @@
     Pull {
         version: u64,
     },
+    /// Member updates for the collector of a domain.
+    Announce(Vec<Member>),
     Probe(Probe),
     ProbeThrough(IndirectProbe),
     Sync(Sync),
@@ -81,6 +83,7 @@
         /// Number of the pull round that asks.
         round: u64,
     },
+    Announce(Announcement),
     Probe {
         node: String,
     },
@@ -111,6 +114,8 @@
     Heartbeat,
     /// Member updates sent over the tree.
     Rumor,
+    /// Member updates sent to the collector of a domain.
+    Announcement,
     /// A pull of missing versions.
     Pull,
     /// A probe, also on behalf of another node.
@@ -154,6 +159,7 @@
                 Payload::Heartbeat { .. } => MessageKind::Heartbeat,
                 Payload::Rumor { .. } => MessageKind::Rumor,
             },
+            Request::Announce(_) => MessageKind::Announcement,
             Request::Pull { .. } => MessageKind::Pull,
             Request::Probe(_) | Request::ProbeThrough(_) => MessageKind::Probe,
             Request::Sync(_) => MessageKind::Sync,
@@ -172,6 +178,7 @@
                     Payload::Heartbeat { .. } => 0,
                     Payload::Rumor { members } => members.len() * MEMBER_BYTES,
                 },
+                Request::Announce(members) => members.len() * MEMBER_BYTES,
                 Request::Probe(probe) => probe.updates.len() * MEMBER_BYTES,
                 Request::Sync(sync) => sync.entries.len() * MEMBER_BYTES,
                 Request::Join(_) => MEMBER_BYTES,
