Wait longer for the answers to rumors, and end the deadlines of a node that has left

Cause: a hop of a rumor that was late by 200 ms was sent past its receiver, to all nodes behind it, and for 8 s each further one as well. Member updates have no such hurry, and what they miss is repaired.

Change: rumors wait 2 s for an answer, and go past a receiver only once it has answered nothing for 2 s; versions and heartbeats are as before. Suspects count in the pause between two broadcasts, since a node that is cut off suspects all others and would broadcast as the first collector.

Test: a_node_that_has_left_has_no_deadline_in_the_past.

--- a/crates/bench/src/simulated_fleet.rs
+++ b/crates/bench/src/simulated_fleet.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
-use agatedeck_sim::{FaultKind, FaultPlan, FleetSettings, LagReport, run_fleet};
+use agatedeck_sim::{FaultKind, FaultPlan, FleetSettings, LagReport, LagSample, run_fleet};
 use miette::Result;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -72,10 +72,7 @@
 impl SeedResult {
     /// The largest lag as a share of its bound.
     fn largest_share(&self) -> f64 {
-        self.report
-            .largest
-            .as_ref()
-            .map_or(0.0, |sample| sample.ratio())
+        self.report.largest.as_ref().map_or(0.0, LagSample::ratio)
     }
 
     /// Orders runs by how near they came to failing.
--- a/crates/control/src/dissemination/hedging.rs
+++ b/crates/control/src/dissemination/hedging.rs
@@ -1,6 +1,7 @@
 //! Messages that are sent without waiting for a receiver that is likely not to answer.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use agatedeck_clock::Instant;
 use agatedeck_wire::Member;
@@ -18,6 +19,17 @@
     pub is_hedged: bool,
 }
 
+/// Which receivers are likely not to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct LikelySilence<'a> {
+    /// Receivers that did not answer lately.
+    pub silences: &'a SilenceLog,
+    /// Time for which such a receiver must have answered nothing.
+    pub min_silence: Duration,
+    /// Current time.
+    pub now: Instant,
+}
+
 /// Adds the fallbacks of each hop whose receiver did not answer lately.
 ///
 /// The receiver is sent the message as well: an answer ends its silence.
@@ -27,13 +39,17 @@
     local_member: &Member,
     salt: u64,
     hops: Vec<DisseminationHop>,
-    silences: &SilenceLog,
-    now: Instant,
+    likely: LikelySilence<'_>,
 ) -> Vec<PlannedHop> {
     let mut unplanned = VecDeque::from(hops);
     let mut planned = Vec::with_capacity(unplanned.len());
     while let Some(hop) = unplanned.pop_front() {
-        let is_hedged = silences.is_silent(&hop.node, now);
+        let LikelySilence {
+            silences,
+            min_silence,
+            now,
+        } = likely;
+        let is_hedged = silences.is_silent_for(&hop.node, min_silence, now);
         if is_hedged {
             unplanned.extend(policy.fallback_hops(table, local_member, salt, &hop));
         }
--- a/crates/control/src/dissemination/mod.rs
+++ b/crates/control/src/dissemination/mod.rs
@@ -4,7 +4,7 @@
 mod policy;
 mod relay_log;
 
-pub use hedging::{PlannedHop, plan_hops};
+pub use hedging::{LikelySilence, PlannedHop, plan_hops};
 pub use policy::{
     DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, StorePolling,
     TreeDissemination,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,8 +20,9 @@
     delta_key, snapshot_key, unreadable_nodes,
 };
 pub use dissemination::{
-    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, PlannedHop,
-    RelayLog, RelaySettings, RelayedPayload, StorePolling, TreeDissemination, plan_hops,
+    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, LikelySilence,
+    PlannedHop, RelayLog, RelaySettings, RelayedPayload, StorePolling, TreeDissemination,
+    plan_hops,
 };
 pub use join::{
     FloorTable, JoinEffect, JoinMachine, JoinResponder, JoinSettings, JoinState, ResponderSettings,
--- a/crates/control/src/member/announcements.rs
+++ b/crates/control/src/member/announcements.rs
@@ -23,7 +23,7 @@
 use super::announcement_batch::EntryState;
 use super::detector::{FailureDetector, MemberEffect};
 use super::table::after_ms;
-use crate::rendezvous::rank_candidates;
+use crate::rendezvous::{rank_candidates, rendezvous_score};
 
 /// Number of collectors that are tried one after the other, before a while passes.
 const ATTEMPTS_PER_ROUND: usize = 3;
@@ -246,11 +246,14 @@
         collectors
     }
 
-    /// Pause of this node between two broadcasts.
+    /// Pause of this node between two broadcasts. Suspects count: a node that is cut off suspects all
+    /// others, as those do that are cut off with it.
     fn announcement_pause(&self) -> Duration {
-        let is_local = |collector: &&Member| collector.node == self.local_member.node;
-        let rank = self.ranked_collectors().iter().position(is_local);
-        let pauses = self.table.domain_count() * (rank.unwrap_or(0) + 1);
+        let score = |node: &str| rendezvous_score(COLLECTOR_RANK_SALT, node);
+        let local_score = score(&self.local_member.node);
+        let peers = self.domain_peers();
+        let ahead = peers.filter(|peer| score(&peer.node) > local_score).count();
+        let pauses = self.table.domain_count() * (ahead + 1);
         let pauses = u64::try_from(pauses).unwrap_or(u64::MAX);
         let pause_ms = pauses.saturating_mul(self.settings.announcement_pause_per_domain_ms);
         Duration::from_millis(pause_ms.min(self.settings.max_announcement_pause_ms))
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -192,6 +192,7 @@
             self.next_reconnect_at = self.next_probe_at;
             self.pending_probes.clear();
             self.table.expire_deadlines(now);
+            self.drive_announcements(now, &mut effects);
             return effects;
         }
         if self.pause_detected_after.is_past(now) {
--- a/crates/control/src/silence.rs
+++ b/crates/control/src/silence.rs
@@ -12,8 +12,16 @@
 #[derive(Clone, Debug)]
 pub struct SilenceLog {
     memory: Duration,
-    /// Silent peers, each with the time at which it counts like any other again.
-    silent_until: BTreeMap<String, Instant>,
+    silences: BTreeMap<String, PeerSilence>,
+}
+
+/// Silence of one peer.
+#[derive(Clone, Copy, Debug)]
+struct PeerSilence {
+    /// When the first request since its last answer had no answer.
+    since: Instant,
+    /// When the peer counts like any other again.
+    until: Instant,
 }
 
 impl SilenceLog {
@@ -21,7 +29,7 @@
     pub fn new(memory: Duration) -> Self {
         Self {
             memory,
-            silent_until: BTreeMap::new(),
+            silences: BTreeMap::new(),
         }
     }
 
@@ -30,27 +38,36 @@
         // Otherwise the names of hosts that are gone for good would accumulate.
         self.forget_expired(now);
         let until = now.after(self.memory);
-        self.silent_until.insert(node.to_owned(), until);
+        let silence = self.silences.entry(node.to_owned());
+        silence.or_insert(PeerSilence { since: now, until }).until = until;
     }
 
     /// Records that the peer `node` has answered.
     pub fn record_answer(&mut self, node: &str) {
-        self.silent_until.remove(node);
+        self.silences.remove(node);
     }
 
     /// Whether the peer `node` did not answer lately.
     pub fn is_silent(&self, node: &str, now: Instant) -> bool {
-        let until = self.silent_until.get(node);
-        until.is_some_and(|until| !until.is_past(now))
+        self.is_silent_for(node, Duration::ZERO, now)
+    }
+
+    /// Whether the peer `node` did not answer lately, and has answered nothing for `min_silence`.
+    pub fn is_silent_for(&self, node: &str, min_silence: Duration, now: Instant) -> bool {
+        let silence = self.silences.get(node);
+        silence.is_some_and(|silence| {
+            !silence.until.is_past(now) && silence.since.after(min_silence).is_past(now)
+        })
     }
 
     /// Peers that did not answer lately. Forgets the others.
     pub fn silent_peers(&mut self, now: Instant) -> BTreeSet<&str> {
         self.forget_expired(now);
-        self.silent_until.keys().map(String::as_str).collect()
+        self.silences.keys().map(String::as_str).collect()
     }
 
     fn forget_expired(&mut self, now: Instant) {
-        self.silent_until.retain(|_, until| !until.is_past(now));
+        self.silences
+            .retain(|_, silence| !silence.until.is_past(now));
     }
 }
--- a/crates/control/tests/announcements.rs
+++ b/crates/control/tests/announcements.rs
@@ -76,7 +76,7 @@
         for effect in effects {
             match effect {
                 MemberEffect::Announce(announcement) => self.announce(node, &announcement),
-                MemberEffect::Broadcast(members) => self.broadcast(node, members),
+                MemberEffect::Broadcast(members) => self.broadcast(node, &members),
                 MemberEffect::Probe { node: peer, .. } => self.answer_probe(node, &peer),
                 _ => {}
             }
@@ -97,17 +97,17 @@
         self.apply(collector, effects);
     }
 
-    fn broadcast(&mut self, sender: usize, members: Vec<Member>) {
+    fn broadcast(&mut self, sender: usize, members: &[Member]) {
         let at = self.now;
         let sent = SentBroadcast {
             sender,
             at,
-            members: members.clone(),
+            members: members.to_vec(),
         };
         self.broadcasts.push(sent);
         for node in 0..self.detectors.len() {
             if node != sender && !self.lost.contains(&node) {
-                let effects = self.detectors[node].on_broadcast(&members, at);
+                let effects = self.detectors[node].on_broadcast(members, at);
                 self.apply(node, effects);
             }
         }
@@ -367,3 +367,20 @@
     let (few, many) = (broadcasts_in_a_second(1), broadcasts_in_a_second(9));
     assert!(many * 7 <= few, "{few} with one domain, {many} with nine");
 }
+
+/// Guards against a node that spins while it leaves: a deadline that has passed stays the next one.
+#[test]
+fn a_node_that_has_left_has_no_deadline_in_the_past() {
+    let mut domain = TestDomain::start(21);
+    let (node, collector) = domain.node_and_collector();
+    domain.open_target(node);
+    for leaving in [node, collector] {
+        let effects = domain.detectors[leaving].leave(domain.now);
+        domain.apply(leaving, effects);
+    }
+    domain.run(Duration::from_secs(5));
+    for leaving in [node, collector] {
+        let deadline = domain.detectors[leaving].next_deadline();
+        assert!(!deadline.is_past(domain.now), "node {leaving}");
+    }
+}
--- a/crates/control/tests/dissemination.rs
+++ b/crates/control/tests/dissemination.rs
@@ -11,8 +11,9 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, MemberTable,
-    SilenceLog, TreeDissemination, plan_hops, rendezvous_score,
+    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, LikelySilence,
+    MemberTable, RelaySettings, RelayedPayload, SilenceLog, TreeDissemination, plan_hops,
+    rendezvous_score,
 };
 use agatedeck_wire::Member;
 use property::property_config;
@@ -302,7 +303,12 @@
     let mut silences = SilenceLog::new(Duration::from_secs(5));
     let plan = |silences: &SilenceLog, now| {
         let hops = policy.next_hops(&table, origin, request);
-        plan_hops(&policy, &table, origin, request.salt, hops, silences, now)
+        let likely = LikelySilence {
+            silences,
+            min_silence: Duration::ZERO,
+            now,
+        };
+        plan_hops(&policy, &table, origin, request.salt, hops, likely)
     };
     let undisturbed = plan(&silences, now);
     assert!(undisturbed.iter().all(|planned| !planned.is_hedged));
@@ -328,3 +334,26 @@
         undisturbed
     );
 }
+
+/// Guards against a storm of rumors on hosts that are alive and late: each late answer would cost messages to all
+/// receivers behind it, which make the hosts later.
+#[test]
+fn rumors_go_past_a_receiver_only_after_it_has_answered_nothing_for_a_while() {
+    let settings = RelaySettings::default();
+    let mut silences = SilenceLog::new(settings.silence_memory);
+    let start = Instant::from_millis(5_000);
+    let goes_past = |silences: &SilenceLog, payload, now| {
+        silences.is_silent_for("late", settings.min_silence_of(payload), now)
+    };
+    silences.record_silence("late", start);
+    assert!(goes_past(&silences, RelayedPayload::Version, start));
+    assert!(!goes_past(&silences, RelayedPayload::Rumor, start));
+    // A late answer ends the silence.
+    silences.record_answer("late");
+    let later = start.after(settings.rumor_hop_timeout);
+    silences.record_silence("late", later);
+    assert!(!goes_past(&silences, RelayedPayload::Rumor, later));
+    let lost = later.after(settings.rumor_hop_timeout);
+    silences.record_silence("late", lost);
+    assert!(goes_past(&silences, RelayedPayload::Rumor, lost));
+}
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use agatedeck_control::{
-    DisseminationHop, DisseminationRequest, DisseminationScope, HeartbeatFilter, PlannedHop,
-    ReaderSettings, RelayLog, RelaySettings, RelayedPayload, SilenceLog, plan_hops,
+    DisseminationHop, DisseminationRequest, DisseminationScope, HeartbeatFilter, LikelySilence,
+    PlannedHop, ReaderSettings, RelayLog, RelaySettings, RelayedPayload, SilenceLog, plan_hops,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, CrashReport, Member, Offer, ReaderHeartbeat, Rumor, SpreadScope,
@@ -42,7 +42,8 @@
     fn relayed_kind(&self) -> RelayedPayload {
         match self {
             Self::Version { .. } => RelayedPayload::Version,
-            Self::Rumor { .. } | Self::ReaderHeartbeat { .. } => RelayedPayload::Message,
+            Self::ReaderHeartbeat { .. } => RelayedPayload::Heartbeat,
+            Self::Rumor { .. } => RelayedPayload::Rumor,
         }
     }
 
@@ -160,18 +161,23 @@
     /// Sends a message to its hops, and to the fallbacks of those that did not answer lately.
     fn send_hops(&self, message: &HopMessage, hops: Vec<DisseminationHop>, relay: &ActorRef<Self>) {
         let context = &self.context;
+        let kind = message.payload.relayed_kind();
+        let likely = LikelySilence {
+            silences: &self.silences,
+            min_silence: self.settings.min_silence_of(kind),
+            now: context.clock.now(),
+        };
         let planned = plan_hops(
             &*context.dissemination_policy,
             &context.table(),
             &context.local_member,
             message.salt,
             hops,
-            &self.silences,
-            context.clock.now(),
+            likely,
         );
         for hop in planned {
             let (context, message, relay) = (context.clone(), message.clone(), relay.clone());
-            let deadline = Instant::now() + self.settings.hop_timeout;
+            let deadline = Instant::now() + self.settings.timeout_of(kind);
             tokio::spawn(async move {
                 let is_answered = send_to_hop(&context, &message, &hop.hop, deadline).await;
                 let ended = HopEnded {
--- a/crates/sim/src/fleet/transport.rs
+++ b/crates/sim/src/fleet/transport.rs
@@ -258,7 +258,9 @@
 
 fn request_timeout(request: &Request) -> Duration {
     match request {
-        Request::Disseminate { .. } => RelaySettings::default().hop_timeout,
+        Request::Disseminate { payload, .. } => {
+            RelaySettings::default().timeout_of(payload.relayed_kind())
+        }
         Request::Announce(_) => ANNOUNCEMENT_TIMEOUT,
         Request::Pull { .. } => PULL_TIMEOUT.max(PullSettings::default().next_peer_delay),
         Request::Probe(_) => PROBE_TIMEOUT,
--- a/crates/sim/src/fleet/versions.rs
+++ b/crates/sim/src/fleet/versions.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use agatedeck_control::{
-    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, OfferResult,
-    PlannedHop, PullReply, PullRound, PullSettings, PullStep, RelayedPayload, VersionEffect,
-    VersionOrigin, plan_hops, select_pull_peers, select_witnesses,
+    DisseminationHop, DisseminationPolicy, DisseminationRequest, DisseminationScope, LikelySilence,
+    OfferResult, PlannedHop, PullReply, PullRound, PullSettings, PullStep, RelaySettings,
+    VersionEffect, VersionOrigin, plan_hops, select_pull_peers, select_witnesses,
 };
 use agatedeck_wire::{FloorRecord, Member};
 
@@ -19,10 +19,7 @@
 impl SimulatedFleet<'_> {
     /// Relays a payload that a message holds or that begins at this node.
     pub(super) fn relay(&mut self, host: usize, request: DisseminationRequest, payload: &Payload) {
-        let kind = match payload {
-            Payload::Version { .. } => RelayedPayload::Version,
-            Payload::Heartbeat { .. } | Payload::Rumor { .. } => RelayedPayload::Message,
-        };
+        let kind = payload.relayed_kind();
         let (now, policy) = (self.now(), self.policy.clone());
         let process = self.process(host);
         if let Payload::Heartbeat { node, .. } = payload
@@ -48,8 +45,12 @@
         let (now, policy) = (self.now(), self.policy.clone());
         let process = self.process(host);
         let (table, local_member) = (process.detector.table(), process.detector.local_member());
-        let silences = &process.silences;
-        for hop in plan_hops(&policy, table, local_member, salt, hops, silences, now) {
+        let likely = LikelySilence {
+            silences: &process.silences,
+            min_silence: RelaySettings::default().min_silence_of(payload.relayed_kind()),
+            now,
+        };
+        for hop in plan_hops(&policy, table, local_member, salt, hops, likely) {
             let request = Request::Disseminate {
                 salt,
                 scope: hop.hop.scope,
--- a/crates/sim/src/message.rs
+++ b/crates/sim/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_control::{Announcement, DisseminationScope, PlannedHop};
+use agatedeck_control::{Announcement, DisseminationScope, PlannedHop, RelayedPayload};
 use agatedeck_wire::{
     FloorRecord, IndirectAnswer, IndirectProbe, Member, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
@@ -28,6 +28,16 @@
     },
 }
 
+impl Payload {
+    pub(crate) fn relayed_kind(&self) -> RelayedPayload {
+        match self {
+            Self::Version { .. } => RelayedPayload::Version,
+            Self::Heartbeat { .. } => RelayedPayload::Heartbeat,
+            Self::Rumor { .. } => RelayedPayload::Rumor,
+        }
+    }
+}
+
 /// A request of one node to another.
 #[derive(Clone, Debug)]
 pub(crate) enum Request {
