Call what goes to a collector an update report

An announcement is what a target sends to its node in the calls crate, which has a chart of that name; member updates on their way to the collector of a domain had the same name in the control crate. Moves and names only.

--- a/crates/bench/src/slopes/control_decisions.rs
+++ b/crates/bench/src/slopes/control_decisions.rs
@@ -205,10 +205,10 @@
             MemberEffect::Sync { sync, .. } => {
                 totals.count_request(&ControlPlaneRequest::Sync { sync })?;
             }
-            MemberEffect::Announce(announcement) => {
+            MemberEffect::ReportUpdates(report) => {
                 let rumor = Rumor {
                     scope: SpreadScope::Collect.into(),
-                    members: announcement.members,
+                    members: report.members,
                     ..Rumor::default()
                 };
                 totals.count_request(&ControlPlaneRequest::Rumor { rumor })?;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,8 +29,8 @@
     select_witnesses,
 };
 pub use member::{
-    Announcement, FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings,
-    MemberTable, MergeOutcome, is_probe_answer_of,
+    FailureDetector, MemberEffect, MemberEntry, MemberKey, MemberSettings, MemberTable,
+    MergeOutcome, UpdateReport, is_probe_answer_of,
 };
 pub use pull::{
     PullMachine, PullRequests, PullRound, PullSettings, PullState, PullStep, select_pull_peers,
--- a/crates/control/src/member/announcements.rs
+++ b/crates/control/src/member/collector.rs
@@ -1,11 +1,11 @@
-//! Announcements of member updates to the whole fleet.
+//! Member updates on their way to the whole fleet, through the collectors of failure domains.
 //!
 //! A node does not broadcast an update itself: when many hosts are lost, late or start together, each
 //! of them and each of their observers has news at the same time, and one broadcast for each piece of
 //! news would send the square of the size of the fleet. It sends the update to the collector of its
 //! failure domain, a node selected by rank, which broadcasts what it has collected at most once in a
 //! pause. The pause grows with the number of domains, so that each node receives about
-//! `1_000 / announcement_pause_per_domain_ms` broadcasts a second at most, whatever the size of the
+//! `1_000 / broadcast_pause_per_domain_ms` broadcasts a second at most, whatever the size of the
 //! fleet and the number of changes.
 //!
 //! A collector that does not answer is passed over, in favour of the next one by rank and at last of the
@@ -20,9 +20,9 @@
 use agatedeck_clock::Instant;
 use agatedeck_wire::{Member, MemberStatus};
 
-use super::announcement_batch::EntryState;
 use super::detector::{FailureDetector, MemberEffect};
 use super::table::after_ms;
+use super::update_batch::EntryState;
 use crate::rendezvous::{rank_candidates, rendezvous_score};
 
 /// Number of collectors that are tried one after the other, before a while passes.
@@ -40,7 +40,7 @@
 
 /// Updates on their way to a collector.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Announcement {
+pub struct UpdateReport {
     /// Name of the collector.
     pub collector: String,
     /// Control address of the collector.
@@ -66,7 +66,7 @@
 
 impl FailureDetector {
     /// Handles updates that a node sent to this one as the collector of its domain.
-    pub fn on_announcement(&mut self, updates: &[Member], now: Instant) -> Vec<MemberEffect> {
+    pub fn on_update_report(&mut self, updates: &[Member], now: Instant) -> Vec<MemberEffect> {
         let mut effects = self.merge_updates(updates, now);
         for update in updates {
             self.collect(&update.node, now, &mut effects);
@@ -76,7 +76,7 @@
 
     /// Handles updates that were broadcast.
     pub fn on_broadcast(&mut self, updates: &[Member], now: Instant) -> Vec<MemberEffect> {
-        self.announcements.mark_announced(updates, &self.table);
+        self.update_batch.mark_broadcast(updates, &self.table);
         for update in updates {
             let state = EntryState::from(update);
             let unconfirmed = self.unconfirmed_updates.get(&update.node);
@@ -87,70 +87,68 @@
         self.merge_updates(updates, now)
     }
 
-    /// Handles that the collector has accepted an announcement.
-    pub fn on_announcement_accepted(&mut self, collector: &str) {
+    /// Handles that the collector has accepted a report.
+    pub fn on_report_accepted(&mut self, collector: &str) {
         self.silent_collectors.record_answer(collector);
     }
 
     /// Handles that the collector did not answer; sends the updates to the next one, or all of them again
     /// after a while.
-    pub fn on_announcement_failed(
-        &mut self,
-        announcement: &Announcement,
-        now: Instant,
-    ) -> Vec<MemberEffect> {
+    pub fn on_report_failed(&mut self, report: &UpdateReport, now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
-        let collector = &announcement.collector;
+        let collector = &report.collector;
         self.silent_collectors.record_silence(collector, now);
-        let attempt = announcement.attempt + 1;
+        let attempt = report.attempt + 1;
         if attempt.is_multiple_of(ATTEMPTS_PER_ROUND) {
-            let resend_at = after_ms(now, self.settings.announcement_retry_ms);
-            self.await_broadcast(&announcement.members, collector, attempt, resend_at);
+            let resend_at = after_ms(now, self.settings.report_retry_ms);
+            self.await_broadcast(&report.members, collector, attempt, resend_at);
         } else {
-            let nodes = announcement.members.iter();
+            let nodes = report.members.iter();
             let nodes: Vec<String> = nodes.map(|member| member.node.clone()).collect();
-            self.send_announcement(&nodes, attempt, now, &mut effects);
+            self.send_report(&nodes, attempt, now, &mut effects);
         }
         effects
     }
 
-    /// Announces the entries of `nodes` to the fleet.
-    pub(super) fn announce(
+    /// Sends the entries of `nodes` to the collector, which broadcasts them.
+    pub(super) fn report_updates(
         &mut self,
         nodes: &[String],
         now: Instant,
         effects: &mut Vec<MemberEffect>,
     ) {
-        self.send_announcement(nodes, 0, now, effects);
+        self.send_report(nodes, 0, now, effects);
     }
 
-    /// Announces that this node leaves, without waiting for anything: the process ends soon.
-    pub(super) fn announce_leave(&mut self, now: Instant, effects: &mut Vec<MemberEffect>) {
+    /// Reports that this node leaves, without waiting for anything: the process ends soon.
+    pub(super) fn report_leave(&mut self, now: Instant, effects: &mut Vec<MemberEffect>) {
         let local_member = self.local_member.clone();
         let mut collectors = self.ranked_collectors();
         collectors.retain(|collector| {
             collector.node != local_member.node
                 && !self.silent_collectors.is_silent(&collector.node, now)
         });
-        let receivers = collectors.into_iter().take(LEAVE_COLLECTOR_COUNT);
-        let announcements = receivers.map(|collector| Announcement {
-            collector: collector.node.clone(),
-            address: collector.control_address.clone(),
-            members: vec![local_member.clone()],
-            attempt: 0,
-        });
-        effects.extend(announcements.map(MemberEffect::Announce));
+        let receivers = collectors.iter().take(LEAVE_COLLECTOR_COUNT);
+        let reports: Vec<UpdateReport> = receivers
+            .map(|collector| UpdateReport {
+                collector: collector.node.clone(),
+                address: collector.control_address.clone(),
+                members: vec![local_member.clone()],
+                attempt: 0,
+            })
+            .collect();
+        effects.extend(reports.into_iter().map(MemberEffect::ReportUpdates));
         self.unconfirmed_updates.clear();
         // What others have sent to this node would be lost.
         self.broadcast_collected(effects);
     }
 
     /// Broadcasts what has waited long enough, and sends updates again whose broadcast did not come.
-    pub(super) fn drive_announcements(&mut self, now: Instant, effects: &mut Vec<MemberEffect>) {
-        let pause_end = self.announcements.pause_end();
+    pub(super) fn drive_reports(&mut self, now: Instant, effects: &mut Vec<MemberEffect>) {
+        let pause_end = self.update_batch.pause_end();
         if pause_end.is_some_and(|end| end.is_past(now)) {
-            let pause = self.announcement_pause();
-            if self.announcements.end_pause(pause, now) {
+            let pause = self.broadcast_pause();
+            if self.update_batch.end_pause(pause, now) {
                 self.broadcast_collected(effects);
             }
         }
@@ -167,19 +165,19 @@
             }
         }
         if !nodes.is_empty() {
-            self.send_announcement(&nodes, attempt, now, effects);
+            self.send_report(&nodes, attempt, now, effects);
         }
     }
 
-    /// When [`Self::drive_announcements`] must be called.
-    pub(super) fn next_announcement_deadline(&self) -> Option<Instant> {
+    /// When [`Self::drive_reports`] must be called.
+    pub(super) fn next_collector_deadline(&self) -> Option<Instant> {
         let resends = self.unconfirmed_updates.values();
         let resend_at = resends.map(|update| update.resend_at).min();
-        let pause_ends_at = self.announcements.pause_end();
+        let pause_ends_at = self.update_batch.pause_end();
         resend_at.into_iter().chain(pause_ends_at).min()
     }
 
-    fn send_announcement(
+    fn send_report(
         &mut self,
         nodes: &[String],
         attempt: usize,
@@ -197,9 +195,9 @@
             .iter()
             .filter_map(|node| self.table.latest_known(node));
         let members: Vec<Member> = entries.cloned().collect();
-        let resend_at = after_ms(now, self.settings.announcement_confirm_timeout_ms);
+        let resend_at = after_ms(now, self.settings.broadcast_timeout_ms);
         self.await_broadcast(&members, &collector.node, attempt, resend_at);
-        effects.push(MemberEffect::Announce(Announcement {
+        effects.push(MemberEffect::ReportUpdates(UpdateReport {
             collector: collector.node,
             address: collector.control_address,
             members,
@@ -248,29 +246,29 @@
 
     /// Pause of this node between two broadcasts. Suspects count: a node that is cut off suspects all
     /// others, as those do that are cut off with it.
-    fn announcement_pause(&self) -> Duration {
+    fn broadcast_pause(&self) -> Duration {
         let score = |node: &str| rendezvous_score(COLLECTOR_RANK_SALT, node);
         let local_score = score(&self.local_member.node);
         let peers = self.domain_peers();
         let ahead = peers.filter(|peer| score(&peer.node) > local_score).count();
         let pauses = self.table.domain_count() * (ahead + 1);
         let pauses = u64::try_from(pauses).unwrap_or(u64::MAX);
-        let pause_ms = pauses.saturating_mul(self.settings.announcement_pause_per_domain_ms);
-        Duration::from_millis(pause_ms.min(self.settings.max_announcement_pause_ms))
+        let pause_ms = pauses.saturating_mul(self.settings.broadcast_pause_per_domain_ms);
+        Duration::from_millis(pause_ms.min(self.settings.max_broadcast_pause_ms))
     }
 
     fn collect(&mut self, node: &str, now: Instant, effects: &mut Vec<MemberEffect>) {
         let Some(entry) = self.table.latest_known(node).cloned() else {
             return;
         };
-        let pause = self.announcement_pause();
-        if self.announcements.collect(&entry, pause, now) {
+        let pause = self.broadcast_pause();
+        if self.update_batch.collect(&entry, pause, now) {
             self.broadcast_collected(effects);
         }
     }
 
     fn broadcast_collected(&mut self, effects: &mut Vec<MemberEffect>) {
-        let entries = self.announcements.take(&self.table);
+        let entries = self.update_batch.take(&self.table);
         if !entries.is_empty() {
             effects.push(MemberEffect::Broadcast(entries));
         }
--- a/crates/control/src/member/detector.rs
+++ b/crates/control/src/member/detector.rs
@@ -1,5 +1,5 @@
 //! SWIM failure detector of one node. Received updates and the node's own entry are in `updates.rs`,
-//! announcements to the fleet in `announcements.rs`, anti-entropy between member tables in
+//! their way to the fleet in `collector.rs`, anti-entropy between member tables in
 //! `anti_entropy.rs`.
 //!
 //! Cost per node: one probe and its answer per period, in addition to the probes of delegates (see
@@ -20,12 +20,12 @@
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
 
-use super::announcement_batch::AnnouncementBatch;
-use super::announcements::{Announcement, UnconfirmedUpdates};
 use super::chart::MemberEvent;
+use super::collector::{UnconfirmedUpdates, UpdateReport};
 use super::delegate::{PeerGroup, delegated_groups};
 use super::settings::MemberSettings;
 use super::table::{MemberTable, after_ms, is_live};
+use super::update_batch::UpdateBatch;
 use super::update_queue::UpdateQueue;
 use crate::silence::SilenceLog;
 
@@ -58,8 +58,8 @@
         sync: Sync,
     },
     /// Send updates to the collector of the domain and pass the result to
-    /// [`FailureDetector::on_announcement_accepted`] or [`FailureDetector::on_announcement_failed`].
-    Announce(Announcement),
+    /// [`FailureDetector::on_report_accepted`] or [`FailureDetector::on_report_failed`].
+    ReportUpdates(UpdateReport),
     /// Send updates that this node has collected through the dissemination tree. Other received updates
     /// are only piggybacked, so that each update travels the tree once.
     Broadcast(Vec<Member>),
@@ -85,7 +85,7 @@
     pub(super) table: MemberTable,
     update_queue: UpdateQueue,
     /// What this node broadcasts as the collector of its domain.
-    pub(super) announcements: AnnouncementBatch,
+    pub(super) update_batch: UpdateBatch,
     /// What this node has sent to a collector.
     pub(super) unconfirmed_updates: UnconfirmedUpdates,
     pub(super) silent_collectors: SilenceLog,
@@ -121,7 +121,7 @@
             local_member: local_member.clone(),
             table,
             update_queue: UpdateQueue::default(),
-            announcements: AnnouncementBatch::new(),
+            update_batch: UpdateBatch::new(),
             unconfirmed_updates: UnconfirmedUpdates::new(),
             silent_collectors: SilenceLog::new(Duration::from_millis(
                 settings.collector_silence_ms,
@@ -175,7 +175,7 @@
         ];
         probe_deadlines
             .chain(self.table.next_deadline())
-            .chain(self.next_announcement_deadline())
+            .chain(self.next_collector_deadline())
             .chain(period_deadlines)
             .min()
             .unwrap_or(self.next_probe_at)
@@ -192,7 +192,7 @@
             self.next_reconnect_at = self.next_probe_at;
             self.pending_probes.clear();
             self.table.expire_deadlines(now);
-            self.drive_announcements(now, &mut effects);
+            self.drive_reports(now, &mut effects);
             return effects;
         }
         if self.pause_detected_after.is_past(now) {
@@ -203,7 +203,7 @@
         let dead_nodes = self.table.expire_deadlines(now);
         self.disseminate_decisions(&dead_nodes, now, &mut effects);
         self.advance_pending_probes(now, rng, &mut effects);
-        self.drive_announcements(now, &mut effects);
+        self.drive_reports(now, &mut effects);
         if self.next_probe_at.is_past(now) {
             self.next_probe_at = after_ms(now, self.settings.probe_period_ms);
             self.probe_next_in_round(now, rng, &mut effects);
@@ -471,7 +471,7 @@
         }
         let names: Vec<&str> = nodes.iter().map(String::as_str).collect();
         self.queue_updates(&names);
-        self.announce(nodes, now, effects);
+        self.report_updates(nodes, now, effects);
         effects.push(MemberEffect::ViewChanged);
     }
 
--- a/crates/control/src/member/settings.rs
+++ b/crates/control/src/member/settings.rs
@@ -37,14 +37,14 @@
     pub pause_threshold_ms: u64,
     /// Time between two broadcasts of a collector, for each failure domain of the fleet, in milliseconds.
     /// Each node receives the broadcasts of all domains.
-    pub announcement_pause_per_domain_ms: u64,
+    pub broadcast_pause_per_domain_ms: u64,
     /// Maximum time between two broadcasts of one node, in milliseconds.
-    pub max_announcement_pause_ms: u64,
+    pub max_broadcast_pause_ms: u64,
     /// Time within which an update that a collector has accepted must have been broadcast, in milliseconds.
     /// Longer than the pause of a collector.
-    pub announcement_confirm_timeout_ms: u64,
+    pub broadcast_timeout_ms: u64,
     /// Time after which updates are sent again that no collector has accepted, in milliseconds.
-    pub announcement_retry_ms: u64,
+    pub report_retry_ms: u64,
     /// Time for which a collector that did not answer is passed over, in milliseconds. Longer than the
     /// failure detector takes to declare it dead.
     pub collector_silence_ms: u64,
@@ -69,10 +69,10 @@
             dead_entry_retention_ms: 3_600_000,
             tombstone_retention_ms: 86_400_000,
             pause_threshold_ms: 1_000,
-            announcement_pause_per_domain_ms: 50,
-            max_announcement_pause_ms: 10_000,
-            announcement_confirm_timeout_ms: 3_000,
-            announcement_retry_ms: 1_000,
+            broadcast_pause_per_domain_ms: 50,
+            max_broadcast_pause_ms: 10_000,
+            broadcast_timeout_ms: 3_000,
+            report_retry_ms: 1_000,
             collector_silence_ms: 8_000,
             max_updates_per_message: 8,
             retransmit_multiplier: 3,
--- a/crates/control/src/member/announcement_batch.rs
+++ b/crates/control/src/member/update_batch.rs
@@ -33,10 +33,10 @@
 }
 
 /// Parsed from the file embedded in the binary; `tests/charts.rs` checks that it loads.
-static ANNOUNCEMENT_CHART: LazyLock<TransitionTable<BatchState, BatchEvent, BatchAction>> =
+static BATCH_CHART: LazyLock<TransitionTable<BatchState, BatchEvent, BatchAction>> =
     LazyLock::new(|| {
-        TransitionTable::parse(include_str!("../../charts/announcement.toml"))
-            .expect("charts/announcement.toml is a valid chart")
+        TransitionTable::parse(include_str!("../../charts/update-batch.toml"))
+            .expect("charts/update-batch.toml is a valid chart")
     });
 
 /// Incarnation and status of an entry, in the order in which entries replace each other.
@@ -60,22 +60,22 @@
 /// The entries are read from the table when they are broadcast, so that one that changes again while it
 /// waits is sent only in its latest state. Cost: one name and state per known node.
 #[derive(Clone, Debug)]
-pub(super) struct AnnouncementBatch {
+pub(super) struct UpdateBatch {
     state: BatchState,
     /// Nodes whose entries wait for the next broadcast.
     waiting_nodes: BTreeSet<String>,
     /// The state in which each entry was last broadcast, by this node or another one.
-    announced: BTreeMap<String, EntryState>,
+    broadcast: BTreeMap<String, EntryState>,
     /// End of the pause; `None` in the state `idle`.
     pause_ends_at: Option<Instant>,
 }
 
-impl AnnouncementBatch {
+impl UpdateBatch {
     pub(super) fn new() -> Self {
         Self {
-            state: ANNOUNCEMENT_CHART.initial(),
+            state: BATCH_CHART.initial(),
             waiting_nodes: BTreeSet::new(),
-            announced: BTreeMap::new(),
+            broadcast: BTreeMap::new(),
             pause_ends_at: None,
         }
     }
@@ -84,7 +84,7 @@
     /// which further entries wait for `pause`.
     #[must_use]
     pub(super) fn collect(&mut self, entry: &Member, pause: Duration, now: Instant) -> bool {
-        if self.is_announced(entry) {
+        if self.is_broadcast(entry) {
             return false;
         }
         self.waiting_nodes.insert(entry.node.clone());
@@ -103,26 +103,26 @@
         let nodes = std::mem::take(&mut self.waiting_nodes);
         let entries = nodes.iter().filter_map(|node| table.latest_known(node));
         let entries: Vec<Member> = entries.cloned().collect();
-        self.mark_announced(&entries, table);
+        self.mark_broadcast(&entries, table);
         entries
     }
 
     /// Records that entries have been broadcast.
-    pub(super) fn mark_announced(&mut self, entries: &[Member], table: &MemberTable) {
+    pub(super) fn mark_broadcast(&mut self, entries: &[Member], table: &MemberTable) {
         for entry in entries {
             let state = EntryState::from(entry);
-            let announced = self.announced.entry(entry.node.clone()).or_insert(state);
-            *announced = state.max(*announced);
+            let broadcast = self.broadcast.entry(entry.node.clone()).or_insert(state);
+            *broadcast = state.max(*broadcast);
         }
         // Names of nodes that are gone would accumulate otherwise.
-        if self.announced.len() > 2 * table.len() {
-            self.announced.retain(|node, _| table.get(node).is_some());
+        if self.broadcast.len() > 2 * table.len() {
+            self.broadcast.retain(|node, _| table.get(node).is_some());
         }
     }
 
-    fn is_announced(&self, entry: &Member) -> bool {
-        let announced = self.announced.get(&entry.node);
-        announced.is_some_and(|announced| *announced >= EntryState::from(entry))
+    fn is_broadcast(&self, entry: &Member) -> bool {
+        let broadcast = self.broadcast.get(&entry.node);
+        broadcast.is_some_and(|broadcast| *broadcast >= EntryState::from(entry))
     }
 
     /// When [`Self::end_pause`] must be called.
@@ -131,7 +131,7 @@
     }
 
     fn advance(&mut self, event: BatchEvent, pause: Duration, now: Instant) -> bool {
-        let actions = ANNOUNCEMENT_CHART.advance(&mut self.state, event);
+        let actions = BATCH_CHART.advance(&mut self.state, event);
         let broadcasts = actions.contains(&BatchAction::Broadcast);
         if broadcasts {
             self.pause_ends_at = Some(now.after(pause));
--- a/crates/control/src/member/updates.rs
+++ b/crates/control/src/member/updates.rs
@@ -34,7 +34,7 @@
 
     /// Merges the full member list that a peer sent on joining. Unlike [`Self::merge_updates`] it
     /// disseminates none of these entries, since the other nodes know them already; only the entry
-    /// of this node is announced.
+    /// of this node is broadcast.
     pub fn merge_member_list(&mut self, members: &[Member], now: Instant) -> Vec<MemberEffect> {
         let mut effects = Vec::new();
         for member in members {
@@ -136,9 +136,9 @@
         self.table.merge(&local_member, now);
         self.queue_updates(&[&local_member.node]);
         if local_member.status() == MemberStatus::Left {
-            self.announce_leave(now, effects);
+            self.report_leave(now, effects);
         } else {
-            self.announce(&[local_member.node], now, effects);
+            self.report_updates(&[local_member.node], now, effects);
         }
     }
 }
--- a/crates/control/tests/announcements.rs
+++ b/crates/control/tests/collectors.rs
@@ -1,10 +1,10 @@
-//! Announcements of member updates through the collectors of failure domains.
+//! Member updates on their way through the collectors of failure domains.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use agatedeck_clock::Instant;
-use agatedeck_control::{Announcement, FailureDetector, MemberEffect, MemberSettings};
+use agatedeck_control::{FailureDetector, MemberEffect, MemberSettings, UpdateReport};
 use agatedeck_wire::{Member, MemberStatus, ProbeAnswer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -25,7 +25,7 @@
     detectors: Vec<FailureDetector>,
     lost: BTreeSet<usize>,
     broadcasts: Vec<SentBroadcast>,
-    announcements: usize,
+    reports: usize,
     now: Instant,
     rng: SmallRng,
 }
@@ -45,7 +45,7 @@
 }
 
 impl TestDomain {
-    /// Nodes that know each other and have nothing to announce.
+    /// Nodes that know each other and have nothing to report.
     fn start(nodes: usize) -> Self {
         let mut rng = SmallRng::seed_from_u64(1);
         let now = Instant::from_millis(1_000);
@@ -62,7 +62,7 @@
             detectors,
             lost: BTreeSet::new(),
             broadcasts: Vec::new(),
-            announcements: 0,
+            reports: 0,
             now,
             rng,
         }
@@ -75,7 +75,7 @@
         }
         for effect in effects {
             match effect {
-                MemberEffect::Announce(announcement) => self.announce(node, &announcement),
+                MemberEffect::ReportUpdates(report) => self.report_updates(node, &report),
                 MemberEffect::Broadcast(members) => self.broadcast(node, &members),
                 MemberEffect::Probe { node: peer, .. } => self.answer_probe(node, &peer),
                 _ => {}
@@ -83,17 +83,17 @@
         }
     }
 
-    fn announce(&mut self, sender: usize, announcement: &Announcement) {
-        self.announcements += 1;
+    fn report_updates(&mut self, sender: usize, report: &UpdateReport) {
+        self.reports += 1;
         let now = self.now;
-        let collector: usize = announcement.address.parse().expect("an index");
+        let collector: usize = report.address.parse().expect("an index");
         let sender_detector = &mut self.detectors[sender];
         if self.lost.contains(&collector) {
-            let effects = sender_detector.on_announcement_failed(announcement, now);
+            let effects = sender_detector.on_report_failed(report, now);
             return self.apply(sender, effects);
         }
-        sender_detector.on_announcement_accepted(&announcement.collector);
-        let effects = self.detectors[collector].on_announcement(&announcement.members, now);
+        sender_detector.on_report_accepted(&report.collector);
+        let effects = self.detectors[collector].on_update_report(&report.members, now);
         self.apply(collector, effects);
     }
 
@@ -147,19 +147,19 @@
         self.apply(node, effects);
     }
 
-    /// The node to which a node announces now.
+    /// The node to which a node reports now.
     fn collector_of(&mut self, node: usize) -> Option<usize> {
         let effects = self.detectors[node]
             .clone()
             .set_target("other", 1, false, self.now);
         let address = effects.into_iter().find_map(|effect| match effect {
-            MemberEffect::Announce(announcement) => Some(announcement.address),
+            MemberEffect::ReportUpdates(report) => Some(report.address),
             _ => None,
         });
         Some(address?.parse().expect("an index"))
     }
 
-    /// Any node and the collector to which it announces.
+    /// Any node and the collector to which it reports.
     fn node_and_collector(&mut self) -> (usize, usize) {
         let mut nodes = 0..self.detectors.len();
         let found = nodes.find_map(|node| Some((node, self.collector_of(node)?)));
@@ -248,7 +248,7 @@
         domain.run(TICK);
     }
     let took_ms = domain.now.since(start).as_millis();
-    let pauses = took_ms / u128::from(settings.announcement_pause_per_domain_ms);
+    let pauses = took_ms / u128::from(settings.broadcast_pause_per_domain_ms);
     let broadcasts = domain.broadcasts.len() as u128;
     assert!(broadcasts <= pauses + 1, "{broadcasts} in {took_ms} ms");
 }
@@ -263,12 +263,12 @@
     assert_eq!(domain.broadcasts_of(node), 1);
     assert_ne!(domain.broadcasts[0].sender, collector);
     // It is not tried again for the next update.
-    let announcements = domain.announcements;
+    let reports = domain.reports;
     domain.run(Duration::from_millis(500));
-    domain.announcements = announcements;
+    domain.reports = reports;
     let effects = domain.detectors[node].set_target("service", 9, false, domain.now);
     domain.apply(node, effects);
-    assert_eq!(domain.announcements, announcements + 1);
+    assert_eq!(domain.reports, reports + 1);
 }
 
 /// Guards against an update that reaches nobody because no collector answers.
@@ -294,7 +294,7 @@
     domain.open_target(node);
     assert_eq!(domain.broadcasts_of(node), 0);
     domain.lost.insert(collector);
-    let confirm_ms = MemberSettings::default().announcement_confirm_timeout_ms;
+    let confirm_ms = MemberSettings::default().broadcast_timeout_ms;
     domain.run(Duration::from_millis(confirm_ms + 200));
     let sender = domain.broadcasts.iter().find(|broadcast| {
         let mut members = broadcast.members.iter();
@@ -327,8 +327,8 @@
     let (node, collector) = domain.node_and_collector();
     domain.lost.insert(collector);
     let effects = domain.detectors[node].leave(domain.now);
-    let announced = |effect: &&MemberEffect| matches!(effect, MemberEffect::Announce(_));
-    assert_eq!(effects.iter().filter(announced).count(), 2);
+    let is_report = |effect: &&MemberEffect| matches!(effect, MemberEffect::ReportUpdates(_));
+    assert_eq!(effects.iter().filter(is_report).count(), 2);
     domain.apply(node, effects);
     assert!(domain.broadcasts_of(node) >= 1);
 }
--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/fleet/mod.rs
@@ -427,7 +427,7 @@
                 MemberEffect::Sync { address, sync } => (address, MessageBody::Sync(sync)),
                 // Without the dissemination tree, piggybacked updates and anti-entropy must carry
                 // every update.
-                MemberEffect::Announce(_)
+                MemberEffect::ReportUpdates(_)
                 | MemberEffect::Broadcast(_)
                 | MemberEffect::ViewChanged => continue,
             };
--- a/crates/control/tests/membership_edge_cases.rs
+++ b/crates/control/tests/membership_edge_cases.rs
@@ -25,7 +25,7 @@
 /// The entries that these effects announce, through the collector of the domain or by a broadcast.
 fn announced_entries(effects: &[MemberEffect]) -> Vec<Member> {
     let entries = effects.iter().flat_map(|effect| match effect {
-        MemberEffect::Announce(announcement) => announcement.members.clone(),
+        MemberEffect::ReportUpdates(report) => report.members.clone(),
         MemberEffect::Broadcast(members) => members.clone(),
         _ => Vec::new(),
     });
--- a/crates/node/src/member/actor.rs
+++ b/crates/node/src/member/actor.rs
@@ -6,8 +6,8 @@
 
 use agatedeck_clock::Instant;
 use agatedeck_control::{
-    Announcement, FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings,
-    MemberTable, ResponderSettings,
+    FailureDetector, FloorTable, JoinResponder, MemberEffect, MemberSettings, MemberTable,
+    ResponderSettings, UpdateReport,
 };
 use agatedeck_wire::{
     ControlPlaneRequest, ControlPlaneResponse, FloorAnswer, FloorRecord, IndirectAnswer, Join,
@@ -30,9 +30,9 @@
 /// Timeout of an anti-entropy exchange and of a request for an indirect probe.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time that a collector has to accept an announcement, before another one is tried. Several times the round trip
+/// Time that a collector has to accept a report, before another one is tried. Several times the round trip
 /// between the domains of a region.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(200);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time after which the answer to a join counts as sent. A member table of 0.6 MB, the size
 /// expected in two years, takes 50 ms at 100 Mbit/s.
@@ -113,7 +113,7 @@
                         PeerAnswer::Sync { from, answer }
                     });
                 }
-                MemberEffect::Announce(announcement) => self.send_announcement(announcement, actor),
+                MemberEffect::ReportUpdates(report) => self.send_report(report, actor),
                 MemberEffect::Broadcast(members) => self.broadcast(members).await,
                 MemberEffect::ViewChanged => {
                     let table = self.detector.table().clone();
@@ -166,22 +166,22 @@
         )
     }
 
-    fn send_announcement(&self, announcement: Announcement, actor: &ActorRef<Self>) {
-        let Some(peer) = self.peer_at(&announcement.address) else {
+    fn send_report(&self, report: UpdateReport, actor: &ActorRef<Self>) {
+        let Some(peer) = self.peer_at(&report.address) else {
             return;
         };
         let rumor = Rumor {
             scope: SpreadScope::Collect.into(),
-            members: announcement.members.clone(),
+            members: report.members.clone(),
             ..Rumor::default()
         };
         let (context, actor) = (self.context.clone(), actor.clone());
         tokio::spawn(async move {
-            let deadline = tokio::time::Instant::now() + ANNOUNCEMENT_TIMEOUT;
+            let deadline = tokio::time::Instant::now() + REPORT_TIMEOUT;
             let request = ControlPlaneRequest::Rumor { rumor };
             let answer = context.transport.send(&peer, request, deadline).await;
-            let ended = AnnouncementEnded {
-                announcement,
+            let ended = ReportEnded {
+                report,
                 is_accepted: answer.is_ok(),
             };
             // The send fails only while the node is stopping.
@@ -239,30 +239,28 @@
     ) {
         let actor = context.actor_ref().clone();
         self.record_floors(&updates);
-        let effects = self.detector.on_announcement(&updates, self.now());
+        let effects = self.detector.on_update_report(&updates, self.now());
         self.apply_effects(effects, &actor).await;
     }
 }
 
-/// A collector has accepted an announcement, or did not answer in time.
-struct AnnouncementEnded {
-    announcement: Announcement,
+/// A collector has accepted a report, or did not answer in time.
+struct ReportEnded {
+    report: UpdateReport,
     is_accepted: bool,
 }
 
-impl Message<AnnouncementEnded> for MemberActor {
+impl Message<ReportEnded> for MemberActor {
     type Reply = ();
 
-    async fn handle(&mut self, ended: AnnouncementEnded, context: &mut Context<Self, ()>) {
+    async fn handle(&mut self, ended: ReportEnded, context: &mut Context<Self, ()>) {
         let actor = context.actor_ref().clone();
-        let announcement = &ended.announcement;
+        let report = &ended.report;
         if ended.is_accepted {
-            return self
-                .detector
-                .on_announcement_accepted(&announcement.collector);
+            return self.detector.on_report_accepted(&report.collector);
         }
         let now = self.now();
-        let effects = self.detector.on_announcement_failed(announcement, now);
+        let effects = self.detector.on_report_failed(report, now);
         self.apply_effects(effects, &actor).await;
     }
 }
--- a/crates/sim/src/fleet/members.rs
+++ b/crates/sim/src/fleet/members.rs
@@ -64,10 +64,10 @@
                     };
                     self.send_request(host, &address, Request::Sync(sync), purpose);
                 }
-                MemberEffect::Announce(announcement) => {
-                    let address = announcement.address.clone();
-                    let request = Request::Announce(announcement.members.clone());
-                    let purpose = Purpose::Announce(announcement);
+                MemberEffect::ReportUpdates(report) => {
+                    let address = report.address.clone();
+                    let request = Request::ReportUpdates(report.members.clone());
+                    let purpose = Purpose::ReportUpdates(report);
                     self.send_request(host, &address, request, purpose);
                 }
                 MemberEffect::Broadcast(members) => {
--- a/crates/sim/src/fleet/transport.rs
+++ b/crates/sim/src/fleet/transport.rs
@@ -12,8 +12,8 @@
 /// Timeout of a request for missing versions, as in the node.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Timeout of an announcement, as in the node.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of a report to a collector, as in the node.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Timeout of a probe, as in the node.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -154,8 +154,8 @@
                 self.receive_dissemination(host, salt, scope, &payload);
                 Answer::Received
             }
-            Request::Announce(members) => {
-                let effects = self.process(host).detector.on_announcement(&members, now);
+            Request::ReportUpdates(members) => {
+                let effects = self.process(host).detector.on_update_report(&members, now);
                 self.apply_member_effects(host, effects);
                 Answer::Received
             }
@@ -189,9 +189,9 @@
             (Purpose::Hop { hop, .. }, Answer::Received) => {
                 self.process(host).silences.record_answer(&hop.hop.node);
             }
-            (Purpose::Announce(announcement), Answer::Received) => {
+            (Purpose::ReportUpdates(report), Answer::Received) => {
                 let detector = &mut self.process(host).detector;
-                detector.on_announcement_accepted(&announcement.collector);
+                detector.on_report_accepted(&report.collector);
             }
             (Purpose::Pull { node, round }, Answer::Pulled(pulled)) => {
                 self.handle_pulled(host, &node, round, &pulled);
@@ -233,9 +233,9 @@
             Purpose::Hop { hop, salt, payload } => {
                 self.handle_failed_hop(host, &hop, salt, &payload);
             }
-            Purpose::Announce(announcement) => {
+            Purpose::ReportUpdates(report) => {
                 let detector = &mut self.process(host).detector;
-                let effects = detector.on_announcement_failed(&announcement, now);
+                let effects = detector.on_report_failed(&report, now);
                 self.apply_member_effects(host, effects);
             }
             Purpose::Pull { round, .. } => {
@@ -261,7 +261,7 @@
         Request::Disseminate { payload, .. } => {
             RelaySettings::default().timeout_of(payload.relayed_kind())
         }
-        Request::Announce(_) => ANNOUNCEMENT_TIMEOUT,
+        Request::ReportUpdates(_) => REPORT_TIMEOUT,
         Request::Pull { .. } => PULL_TIMEOUT.max(PullSettings::default().next_peer_delay),
         Request::Probe(_) => PROBE_TIMEOUT,
         Request::ProbeThrough(_) | Request::Sync(_) | Request::Join(_) => SYNC_TIMEOUT,
--- a/crates/sim/src/message.rs
+++ b/crates/sim/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_control::{Announcement, DisseminationScope, PlannedHop, RelayedPayload};
+use agatedeck_control::{DisseminationScope, PlannedHop, RelayedPayload, UpdateReport};
 use agatedeck_wire::{
     FloorRecord, IndirectAnswer, IndirectProbe, Member, Probe, ProbeAnswer, Sync, SyncAnswer,
 };
@@ -50,7 +50,7 @@
         version: u64,
     },
     /// Member updates for the collector of a domain.
-    Announce(Vec<Member>),
+    ReportUpdates(Vec<Member>),
     Probe(Probe),
     ProbeThrough(IndirectProbe),
     Sync(Sync),
@@ -93,7 +93,7 @@
         /// Number of the pull round that asks.
         round: u64,
     },
-    Announce(Announcement),
+    ReportUpdates(UpdateReport),
     Probe {
         node: String,
     },
@@ -125,7 +125,7 @@
     /// Member updates sent over the tree.
     Rumor,
     /// Member updates sent to the collector of a domain.
-    Announcement,
+    UpdateReport,
     /// A pull of missing versions.
     Pull,
     /// A probe, also on behalf of another node.
@@ -169,7 +169,7 @@
                 Payload::Heartbeat { .. } => MessageKind::Heartbeat,
                 Payload::Rumor { .. } => MessageKind::Rumor,
             },
-            Request::Announce(_) => MessageKind::Announcement,
+            Request::ReportUpdates(_) => MessageKind::UpdateReport,
             Request::Pull { .. } => MessageKind::Pull,
             Request::Probe(_) | Request::ProbeThrough(_) => MessageKind::Probe,
             Request::Sync(_) => MessageKind::Sync,
@@ -188,7 +188,7 @@
                     Payload::Heartbeat { .. } => 0,
                     Payload::Rumor { members } => members.len() * MEMBER_BYTES,
                 },
-                Request::Announce(members) => members.len() * MEMBER_BYTES,
+                Request::ReportUpdates(members) => members.len() * MEMBER_BYTES,
                 Request::Probe(probe) => probe.updates.len() * MEMBER_BYTES,
                 Request::Sync(sync) => sync.entries.len() * MEMBER_BYTES,
                 Request::Join(_) => MEMBER_BYTES,
