Broadcast the entry of a node that leaves without a collector

Cause: a node that leaves sends its entry to two collectors of its domain; where it is the only node of its domain, or none of them has answered lately, nobody was told, and callers of other domains would go on sending to it until probes of delegates fail.

Change: without a collector the node broadcasts its entry itself. The test fails without the change.

--- a/crates/control/src/member/collector.rs
+++ b/crates/control/src/member/collector.rs
@@ -137,6 +137,10 @@
                 attempt: 0,
             })
             .collect();
+        if reports.is_empty() {
+            let pause = self.broadcast_pause();
+            let _ = self.update_batch.collect(&local_member, pause, now);
+        }
         effects.extend(reports.into_iter().map(MemberEffect::ReportUpdates));
         self.unconfirmed_updates.clear();
         // What others have sent to this node would be lost.
--- a/crates/control/tests/collectors.rs
+++ b/crates/control/tests/collectors.rs
@@ -384,3 +384,17 @@
         assert!(!deadline.is_past(domain.now), "node {leaving}");
     }
 }
+
+/// Guards against callers that go on sending to a node that has left: it is the only one of its domain, or its
+/// collectors do not answer, and nobody broadcasts its entry.
+#[test]
+fn a_node_that_leaves_without_a_collector_broadcasts_that_itself() {
+    let mut domain = TestDomain::start(1);
+    let effects = domain.detectors[0].leave(domain.now);
+    domain.apply(0, effects);
+    let left = domain.broadcasts.iter().any(|broadcast| {
+        let mut members = broadcast.members.iter();
+        members.any(|member| member.status() == MemberStatus::Left)
+    });
+    assert!(left, "{:?}", domain.broadcasts);
+}
