End the reports of a node that missed the broadcast of its update

Cause: a collector broadcasts an update once. A node that missed that broadcast sent its update to one collector after the other, every 3 s, and none broadcast it again: no end, as silences of collectors are forgotten after 8 s.

Change: each of these reports counts as an attempt, so that after nine the node broadcasts the update itself, which also repairs a broadcast that many have missed.

--- a/crates/control/src/member/collector.rs
+++ b/crates/control/src/member/collector.rs
@@ -169,7 +169,8 @@
             }
         }
         if !nodes.is_empty() {
-            self.send_report(&nodes, attempt, now, effects);
+            // A broadcast that did not reach this node is not repeated by its collector.
+            self.send_report(&nodes, attempt + 1, now, effects);
         }
     }
 
--- a/crates/control/tests/collectors.rs
+++ b/crates/control/tests/collectors.rs
@@ -398,3 +398,20 @@
     });
     assert!(left, "{:?}", domain.broadcasts);
 }
+
+/// Guards against reports without end: a node that missed the broadcast of its update sends the update to one collector
+/// after the other, and none of them broadcasts it again.
+#[test]
+fn a_node_that_missed_a_broadcast_ends_its_reports() {
+    let mut domain = TestDomain::start(21);
+    let (node, _) = domain.node_and_collector();
+    let mut missed = domain.detectors[node].clone();
+    domain.open_target(node);
+    let effects = missed.set_target("service", 8, false, domain.now);
+    assert!(!effects.is_empty());
+    domain.detectors[node] = missed;
+    domain.run(Duration::from_secs(60));
+    let reports = domain.reports;
+    domain.run(Duration::from_secs(30));
+    assert_eq!(domain.reports, reports);
+}
