--- a/crates/control/tests/collectors.rs
+++ b/crates/control/tests/collectors.rs
@@ -410,7 +410,7 @@
     let effects = missed.set_target("service", 8, false, domain.now);
     assert!(!effects.is_empty());
     domain.detectors[node] = missed;
-    domain.run(Duration::from_secs(60));
+    domain.run(Duration::from_mins(1));
     let reports = domain.reports;
     domain.run(Duration::from_secs(30));
     assert_eq!(domain.reports, reports);
