Keep one order of member entries, and compute the pause of a collector only when it is needed

The order in which entries replace each other stood in anti_entropy.rs and in update_batch.rs: supersedes now uses EntryState. A collector computed its pause from all members for each entry of a report, also for those that it had broadcast before, which most reports of a death are. The test of whether a receiver is silent is a method; two tests of collectors share how an update is left waiting.

--- a/crates/control/src/dissemination/hedging.rs
+++ b/crates/control/src/dissemination/hedging.rs
@@ -30,6 +30,13 @@
     pub now: Instant,
 }
 
+impl LikelySilence<'_> {
+    fn covers(&self, node: &str) -> bool {
+        self.silences
+            .is_silent_for(node, self.min_silence, self.now)
+    }
+}
+
 /// Adds the fallbacks of each hop whose receiver did not answer lately.
 ///
 /// The receiver is sent the message as well: an answer ends its silence.
@@ -44,12 +51,7 @@
     let mut unplanned = VecDeque::from(hops);
     let mut planned = Vec::with_capacity(unplanned.len());
     while let Some(hop) = unplanned.pop_front() {
-        let LikelySilence {
-            silences,
-            min_silence,
-            now,
-        } = likely;
-        let is_hedged = silences.is_silent_for(&hop.node, min_silence, now);
+        let is_hedged = likely.covers(&hop.node);
         if is_hedged {
             unplanned.extend(policy.fallback_hops(table, local_member, salt, &hop));
         }
--- a/crates/control/src/member/anti_entropy.rs
+++ b/crates/control/src/member/anti_entropy.rs
@@ -8,6 +8,7 @@
 
 use super::detector::{FailureDetector, MemberEffect, push_if_absent};
 use super::table::is_live;
+use super::update_batch::EntryState;
 
 impl FailureDetector {
     /// Handles an anti-entropy request. The answer holds the entries of the domains whose digests
@@ -96,5 +97,5 @@
 
 /// Whether `candidate` replaces `known` in the order that `charts/member.toml` defines.
 fn supersedes(candidate: &Member, known: &Member) -> bool {
-    (candidate.incarnation, candidate.status) > (known.incarnation, known.status)
+    EntryState::from(candidate) > EntryState::from(known)
 }
--- a/crates/control/src/member/collector.rs
+++ b/crates/control/src/member/collector.rs
@@ -266,6 +266,10 @@
         let Some(entry) = self.table.latest_known(node).cloned() else {
             return;
         };
+        // Most reports of a death repeat it, and the pause is computed from all members.
+        if self.update_batch.is_broadcast(&entry) {
+            return;
+        }
         let pause = self.broadcast_pause();
         if self.update_batch.collect(&entry, pause, now) {
             self.broadcast_collected(effects);
--- a/crates/control/src/member/update_batch.rs
+++ b/crates/control/src/member/update_batch.rs
@@ -65,7 +65,7 @@
     /// Nodes whose entries wait for the next broadcast.
     waiting_nodes: BTreeSet<String>,
     /// The state in which each entry was last broadcast, by this node or another one.
-    broadcast: BTreeMap<String, EntryState>,
+    broadcast_states: BTreeMap<String, EntryState>,
     /// End of the pause; `None` in the state `idle`.
     pause_ends_at: Option<Instant>,
 }
@@ -75,18 +75,15 @@
         Self {
             state: BATCH_CHART.initial(),
             waiting_nodes: BTreeSet::new(),
-            broadcast: BTreeMap::new(),
+            broadcast_states: BTreeMap::new(),
             pause_ends_at: None,
         }
     }
 
-    /// Collects an entry, unless it was broadcast before. Returns whether to broadcast now, after
-    /// which further entries wait for `pause`.
+    /// Collects an entry that was not broadcast before. Returns whether to broadcast now, after which
+    /// further entries wait for `pause`.
     #[must_use]
     pub(super) fn collect(&mut self, entry: &Member, pause: Duration, now: Instant) -> bool {
-        if self.is_broadcast(entry) {
-            return false;
-        }
         self.waiting_nodes.insert(entry.node.clone());
         self.advance(BatchEvent::UpdateCollected, pause, now)
     }
@@ -111,17 +108,22 @@
     pub(super) fn mark_broadcast(&mut self, entries: &[Member], table: &MemberTable) {
         for entry in entries {
             let state = EntryState::from(entry);
-            let broadcast = self.broadcast.entry(entry.node.clone()).or_insert(state);
+            let broadcast = self
+                .broadcast_states
+                .entry(entry.node.clone())
+                .or_insert(state);
             *broadcast = state.max(*broadcast);
         }
         // Names of nodes that are gone would accumulate otherwise.
-        if self.broadcast.len() > 2 * table.len() {
-            self.broadcast.retain(|node, _| table.get(node).is_some());
+        if self.broadcast_states.len() > 2 * table.len() {
+            self.broadcast_states
+                .retain(|node, _| table.get(node).is_some());
         }
     }
 
-    fn is_broadcast(&self, entry: &Member) -> bool {
-        let broadcast = self.broadcast.get(&entry.node);
+    /// Whether the entry has been broadcast in this state or a later one.
+    pub(super) fn is_broadcast(&self, entry: &Member) -> bool {
+        let broadcast = self.broadcast_states.get(&entry.node);
         broadcast.is_some_and(|broadcast| *broadcast >= EntryState::from(entry))
     }
 
--- a/crates/control/tests/collectors.rs
+++ b/crates/control/tests/collectors.rs
@@ -166,6 +166,14 @@
         found.expect("a node that is not the collector")
     }
 
+    /// Opens the target of `node` just after `collector` has broadcast, so that the update waits there.
+    fn let_update_wait(&mut self, node: usize, collector: usize) {
+        let other = (0..self.detectors.len()).find(|other| *other != node && *other != collector);
+        self.open_target(other.expect("a third node"));
+        self.open_target(node);
+        assert_eq!(self.broadcasts_of(node), 0);
+    }
+
     fn broadcasts_of(&self, node: usize) -> usize {
         let name = node_name(node);
         let broadcasts = self.broadcasts.iter();
@@ -288,11 +296,7 @@
 fn an_update_that_was_accepted_and_not_broadcast_is_sent_to_another_collector() {
     let mut domain = TestDomain::start(21);
     let (node, collector) = domain.node_and_collector();
-    // The collector has just broadcast, so the next update waits.
-    let other = (0..21).find(|other| *other != node && *other != collector);
-    domain.open_target(other.expect("a third node"));
-    domain.open_target(node);
-    assert_eq!(domain.broadcasts_of(node), 0);
+    domain.let_update_wait(node, collector);
     domain.lost.insert(collector);
     let confirm_ms = MemberSettings::default().broadcast_timeout_ms;
     domain.run(Duration::from_millis(confirm_ms + 200));
@@ -310,10 +314,7 @@
 fn a_collector_that_leaves_broadcasts_what_it_has_collected() {
     let mut domain = TestDomain::start(21);
     let (node, collector) = domain.node_and_collector();
-    let other = (0..21).find(|other| *other != node && *other != collector);
-    domain.open_target(other.expect("a third node"));
-    domain.open_target(node);
-    assert_eq!(domain.broadcasts_of(node), 0);
+    domain.let_update_wait(node, collector);
     let effects = domain.detectors[collector].leave(domain.now);
     domain.apply(collector, effects);
     assert_eq!(domain.broadcasts_of(node), 1);
