--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,10 +11,10 @@
 from standins2 import route  # noqa: E402
 
 HOST = "orders.example"
-# `roll_term` of the users' days: one machine at a time, every 2 s.
-ROLL_GAP_S = 2.0
+# `roll_term`, one machine at a time. On the days of the users the pause is shorter (1.1 to 2 s).
+ROLL_GAP_S = 4.0
 ROLL_FROM_S = 12.0
-END_S = 60.0
+END_S = 80.0
 
 
 async def roll(case):
