Show that a crash after its requester has left is not counted

A call that is cancelled is taken out of the requests in flight at once, so the crash that it causes a little later is not reported for it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")" && exec python3 - <<'CHECK'
 import ast, sys, tomllib
 assert sys.version_info >= (3, 11)
-for path in ["standins2.py", "crash_cases2.py"] + [f"{case}/case.py" for case in (6, 7, 8, 9)]:
+for path in ["standins2.py", "crash_cases2.py"] + [f"{case}/case.py" for case in range(6, 11)]:
     with open(path, encoding="utf-8") as file:
         ast.parse(file.read(), path)
 CHECK
--- a/review/crash_cases2.py
+++ b/review/crash_cases2.py
@@ -70,13 +70,17 @@
             await asyncio.sleep(0)
         await asyncio.gather(*calls)
 
-    async def send_crashing(self, method):
-        """The crashing request, one at a time, from machines in touch of its caller's service."""
+    async def send_crashing(self, method, spans=((0.0, float("inf")),), leave_after_s=None):
+        """The crashing request, one at a time, from machines in touch of its caller's service, in
+        these spans of time."""
         while not self.ended.is_set():
             for machine in self.deployment.machines_of(self.caller):
-                if machine.in_touch(self.record.now()) and not self.ended.is_set():
+                now = self.record.now()
+                if (machine.in_touch(now) and not self.ended.is_set()
+                        and any(start <= now < end for start, end in spans)):
                     await self.deployment.call(
-                        machine, method, self.path, self.host, self.body, label="crashing")
+                        machine, method, self.path, self.host, self.body, label="crashing",
+                        leave_after_s=leave_after_s)
                     await asyncio.sleep(self.repeat_s)
             await asyncio.sleep(0.05)
 
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -219,6 +219,10 @@
 
     SLOTS = 12
     QUEUE = 48
+    # Time from the start of a request that crashes the endpoint to the crash.
+    crash_after_s = 0.02
+    # Whether a request is dropped when its connection closes.
+    drops = True
 
     def __init__(self, record, service, zone, address, heartbeat_address, crashes, work_s=0.16):
         self.record, self.service, self.zone = record, service, zone
@@ -294,7 +298,7 @@
                           address=self.address, path=path, caller=caller)
         try:
             if self.crashes(path, caller, body):
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(self.crash_after_s)
                 if self.id == boot:
                     asyncio.get_running_loop().create_task(self.crash(random.uniform(1.5, 2.5)))
                 await asyncio.sleep(60)
@@ -317,8 +321,11 @@
                 await asyncio.wait({answer, closed}, return_when=asyncio.FIRST_COMPLETED)
                 closed.cancel()
                 if not answer.done() or self.id != boot:
-                    # The connection is closed: the request is dropped.
-                    answer.cancel()
+                    # The connection is closed.
+                    if self.drops or self.id != boot:
+                        answer.cancel()
+                    else:
+                        await answer
                     return
                 writer.write(answer.result())
                 await writer.drain()
@@ -487,15 +494,16 @@
     def machines_of(self, service):
         return [machine for machine in self.machines if machine.service == service]
 
-    async def call(self, machine, method, path, host, body=b"", deadline_ms=2000, label=""):
+    async def call(self, machine, method, path, host, body=b"", deadline_ms=2000, label="",
+                   leave_after_s=None):
         """One requester attempt on a new connection. Returns (id, time of sending, status); the
-        status is 0 without an answer."""
+        status is 0 without an answer. The requester leaves after `leave_after_s`."""
         request = f"{random.getrandbits(64):016x}"
         headers = {"Host": host, "Request-Id": request, "Deadline-Ms": deadline_ms}
         sent_at = self.record.now()
         self.record.write("send", request=request, machine=machine.name, path=path, label=label)
         answer = await exchange(machine.outbound, method, path, headers, body,
-                                timeout_s=deadline_ms / 1000 + 1)
+                                timeout_s=leave_after_s or deadline_ms / 1000 + 1)
         status = answer[0] if answer else 0
         self.record.write("answer", request=request, status=status, label=label)
         return request, sent_at, status
