Make the caller part of the fingerprint of a request

Cause: the fingerprint left out the caller, by which targets tell the two requests apart. Each answer to the other caller cleared the reports at the nodes that saw the answer, while there were fewer than three.

Ruled out: lost reports. With the callers beside nodes whose targets answer nobody, the test held on the old fingerprint, so the reports do arrive.

Change: the fingerprint covers the service on the host of the caller. Its hash context has a new version, since builds before this compute another one.

--- a/crates/calls/src/crash/fingerprint.rs
+++ b/crates/calls/src/crash/fingerprint.rs
@@ -4,7 +4,7 @@
 
 /// BLAKE3 key derivation context. Separates fingerprints from other uses of the hash and from later
 /// versions of the fingerprint.
-const HASH_CONTEXT: &str = "agatedeck 2026 request fingerprint v1";
+const HASH_CONTEXT: &str = "agatedeck 2026 request fingerprint v2";
 
 /// Distinguishes requests with the same method, path and query.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +18,9 @@
 /// The parts of a request that its fingerprint covers.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestView<'a> {
+    /// Service on the host that the request originates from. Targets are told the caller, and may
+    /// crash on the request of one caller while they answer the same request of others.
+    pub caller: &'a str,
     /// Name of the service.
     pub service: &'a str,
     /// HTTP method.
@@ -43,6 +46,7 @@
             RequestIdentity::Body(digest) => (b"sum", digest),
         };
         let parts = [
+            request.caller.as_bytes(),
             request.service.as_bytes(),
             request.method.as_bytes(),
             request.path.as_bytes(),
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -10,6 +10,7 @@
 
 fn fingerprint_of(path: &str, query: &str, identity: RequestIdentity<'_>) -> Fingerprint {
     Fingerprint::from_request(&RequestView {
+        caller: "catalogue",
         service: "orders",
         method: "POST",
         path,
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -106,7 +106,8 @@
         Err(_) => return refuse_call(&gateway, Some(plan), StopReason::Deadline),
     };
     let digest = request_digest(&parts, &body);
-    let fingerprint = fingerprint(&plan.service, &parts, &digest);
+    let caller = gateway.context.settings.service_name();
+    let fingerprint = fingerprint(caller, &plan.service, &parts, &digest);
     let now = gateway.context.clock.now();
     let is_refused = gateway.crash_view.borrow().is_refused(fingerprint, now);
     if is_refused {
@@ -164,9 +165,10 @@
     *hasher.finalize().as_bytes()
 }
 
-fn fingerprint(service: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
+fn fingerprint(caller: &str, service: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
     let key = header_text(&parts.headers, &IDEMPOTENCY_KEY);
     Fingerprint::from_request(&RequestView {
+        caller,
         service,
         method: parts.method.as_str(),
         path: parts.uri.path(),
