Send crash reports to a node that joins

Cause: a report is sent once, when the crash happens, and kept in memory. A node that joins learned members, floor and version from its peer, but no crash. Once the node of a caller and the node of a target had both started again, nothing refused the request.

Ruled out: refusals that expire (10 min), and clearing, since the request is never answered.

Change: the answer to a join holds the reports that count, at most 256, those of the most suspected requests first. The crash actor starts before the join actor, which passes the reports on to it.

Not mended: reports are lost if all nodes end at once.

--- a/crates/calls/src/crash/tracker.rs
+++ b/crates/calls/src/crash/tracker.rs
@@ -1,5 +1,6 @@
 //! Counts target crashes by request fingerprint.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
     pub max_fingerprints: usize,
     /// Bound on the reports per fingerprint; at least `crash_threshold`.
     pub max_reports: usize,
+    /// Bound on the reports that are sent to a node which has just started, about 70 bytes each.
+    pub max_listed_reports: usize,
 }
 
 impl Default for CrashSettings {
@@ -29,6 +32,7 @@
             report_ttl_ms: 600_000,
             max_fingerprints: 4_096,
             max_reports: 8,
+            max_listed_reports: 256,
         }
     }
 }
@@ -124,15 +128,43 @@
     cleared: bool,
 }
 
+impl SuspectReport {
+    /// Whether the report is neither cleared nor expired.
+    fn is_counted(&self, now: Instant) -> bool {
+        !self.cleared && !self.expires_at.is_past(now)
+    }
+}
+
 impl SuspectRequest {
-    /// Expiry times of the reports that are neither cleared nor expired, latest first.
+    /// The reports that count, with the time that remains of each.
+    fn counted_reports(
+        &self,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> impl Iterator<Item = TargetCrashReport> {
+        let counted = self
+            .reports
+            .iter()
+            .filter(move |(_, report)| report.is_counted(now));
+        counted.map(
+            move |((node, incarnation, crash), report)| TargetCrashReport {
+                fingerprint,
+                service: self.service.clone(),
+                node: node.clone(),
+                incarnation: *incarnation,
+                crash: *crash,
+                remaining_ms: u32::try_from(report.expires_at.since(now).as_millis())
+                    .unwrap_or(u32::MAX),
+            },
+        )
+    }
+
+    /// Expiry times of the reports that count, latest first.
     fn counted_expiries(&self, now: Instant) -> Vec<Instant> {
-        let is_counted =
-            |report: &&SuspectReport| !report.cleared && !report.expires_at.is_past(now);
         let mut expiries: Vec<Instant> = self
             .reports
             .values()
-            .filter(is_counted)
+            .filter(|report| report.is_counted(now))
             .map(|report| report.expires_at)
             .collect();
         expiries.sort_unstable_by(|left, right| right.cmp(left));
@@ -237,6 +269,25 @@
         refused.collect()
     }
 
+    /// Lists the reports that count, those of the most suspected requests first and at most
+    /// `max_listed_reports`. A node that has just started merges them: it would otherwise admit
+    /// requests that every other node refuses.
+    pub fn counted_reports(&self, now: Instant) -> Vec<TargetCrashReport> {
+        let mut suspects: Vec<(usize, &Fingerprint, &SuspectRequest)> = self
+            .suspects
+            .iter()
+            .map(|(fingerprint, suspect)| {
+                (suspect.counted_expiries(now).len(), fingerprint, suspect)
+            })
+            .collect();
+        suspects.sort_by_key(|(count, ..)| Reverse(*count));
+        suspects
+            .into_iter()
+            .flat_map(|(_, fingerprint, suspect)| suspect.counted_reports(*fingerprint, now))
+            .take(self.settings.max_listed_reports)
+            .collect()
+    }
+
     /// Removes expired reports. To be called periodically, so that memory is freed.
     pub fn remove_expired(&mut self, now: Instant) {
         self.suspects.retain(|_, suspect| {
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -114,6 +114,41 @@
     assert!(tracker.refused_until(fingerprint("/bad"), now).is_some());
 }
 
+/// Guards against a node that starts and learns of no crash, of expired ones only, or of so many that the
+/// answer to its join grows without bound.
+#[test]
+fn lists_counted_reports_of_the_most_suspected_requests_first() {
+    let settings = CrashSettings {
+        max_listed_reports: 4,
+        ..CrashSettings::default()
+    };
+    let (mut tracker, now) = (CrashTracker::new(settings), Instant::from_millis(5_000));
+    for number in 0..8 {
+        tracker.merge(
+            &crash_report(&format!("/{number}"), "a", 1),
+            Instant::default(),
+        );
+    }
+    for crash in 1..=3 {
+        tracker.merge(&crash_report("/bad", "a", crash), Instant::default());
+        tracker.merge(&crash_report("/innocent", "a", crash), Instant::default());
+        tracker.record_completion(fingerprint("/innocent"), Instant::default());
+    }
+    let listed = tracker.counted_reports(now);
+    assert_eq!(listed.len(), 4);
+    assert!(listed.iter().all(|report| report.remaining_ms == 595_000));
+    let mut started = CrashTracker::new(CrashSettings::default());
+    for report in &listed {
+        started.merge(report, now);
+    }
+    assert!(started.refused_until(fingerprint("/bad"), now).is_some());
+    assert!(
+        tracker
+            .counted_reports(Instant::from_millis(600_000))
+            .is_empty()
+    );
+}
+
 /// Guards against equal fingerprints of requests whose parts differ only in where they are split.
 #[test]
 fn fingerprint_separates_request_parts() {
--- a/crates/control/src/join/responder.rs
+++ b/crates/control/src/join/responder.rs
@@ -77,6 +77,7 @@
             floor: floor_table.floor(&member.node).max(latest_version),
             version,
             members: table.members().chain(tombstone).cloned().collect(),
+            ..JoinAnswer::default()
         }
     }
 
--- a/crates/control/tests/join_machine.rs
+++ b/crates/control/tests/join_machine.rs
@@ -51,6 +51,7 @@
         floor: 3,
         version: 3,
         members: vec![member("a", "a", 3), member("b", "b", 3)],
+        ..JoinAnswer::default()
     };
     machine.on_join_answer(&answer, now, &mut rng);
     assert_eq!(
--- a/crates/node/src/calls/crash_actor.rs
+++ b/crates/node/src/calls/crash_actor.rs
@@ -9,9 +9,9 @@
 };
 use agatedeck_clock::Instant;
 use agatedeck_wire::CrashReport;
-use kameo::Actor;
-use kameo::actor::ActorRef;
+use kameo::actor::{ActorRef, Spawn};
 use kameo::message::{Context, Message};
+use kameo::{Actor, mailbox};
 use tokio::sync::watch;
 
 use crate::context::NodeContext;
@@ -46,20 +46,28 @@
     view_sender: watch::Sender<Arc<CrashView>>,
 }
 
-impl CrashActor {
-    pub(super) fn new(
-        context: NodeContext,
-        relay: ActorRef<DisseminationRelay>,
-        view_sender: watch::Sender<Arc<CrashView>>,
-    ) -> Self {
-        Self {
-            context,
+/// The crash actor and the state that it publishes.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashMonitor {
+    pub(crate) actor: ActorRef<CrashActor>,
+    pub(super) view: watch::Receiver<Arc<CrashView>>,
+}
+
+impl CrashMonitor {
+    pub(crate) fn start(context: &NodeContext, relay: ActorRef<DisseminationRelay>) -> Self {
+        let (view_sender, view) = watch::channel(Arc::default());
+        let actor = CrashActor {
+            context: context.clone(),
             tracker: CrashTracker::new(CrashSettings::default()),
             relay,
             view_sender,
-        }
+        };
+        let actor = CrashActor::spawn_with_mailbox(actor, mailbox::unbounded());
+        Self { actor, view }
     }
+}
 
+impl CrashActor {
     /// Merges crash reports and returns those that were added.
     fn merge_reports(&mut self, reports: Vec<TargetCrashReport>) -> Vec<TargetCrashReport> {
         let now = self.context.clock.now();
@@ -105,7 +113,7 @@
     }
 }
 
-/// Merges crash reports received from another node in a rumor.
+/// Merges crash reports received from another node.
 pub(crate) struct MergeCrashReports(pub(crate) Vec<CrashReport>);
 
 impl Message<MergeCrashReports> for CrashActor {
@@ -124,6 +132,26 @@
     }
 }
 
+/// Requests the crash reports for a node that has just started.
+pub(crate) struct ListCrashReports;
+
+/// Crash reports, as [`CrashTracker::counted_reports`] lists them.
+#[derive(Debug, Default, kameo::Reply)]
+pub(crate) struct CrashReportList(pub(crate) Vec<CrashReport>);
+
+impl Message<ListCrashReports> for CrashActor {
+    type Reply = CrashReportList;
+
+    async fn handle(
+        &mut self,
+        ListCrashReports: ListCrashReports,
+        _: &mut Context<Self, CrashReportList>,
+    ) -> CrashReportList {
+        let reports = self.tracker.counted_reports(self.context.clock.now());
+        CrashReportList(reports.iter().map(TargetCrashReport::to_wire).collect())
+    }
+}
+
 /// Records that a target answered a request.
 pub(super) struct RecordCompletion(pub(super) Fingerprint);
 
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -43,7 +43,8 @@
 
 pub(crate) use call_drain::CallDrain;
 pub(crate) use crash_actor::{
-    CrashActor, ListRefusedRequests, MergeCrashReports, RefusedRequestList,
+    CrashActor, CrashMonitor, ListCrashReports, ListRefusedRequests, MergeCrashReports,
+    RefusedRequestList,
 };
 pub use headers::parse_rate_limit;
 pub(crate) use latency_actor::{LatencyActor, LatencyList, ListLatencies};
--- a/crates/node/src/calls/system.rs
+++ b/crates/node/src/calls/system.rs
@@ -17,7 +17,7 @@
 
 use super::call_drain::{CallDrain, DrainProgress};
 use super::claim_actor::ClaimActor;
-use super::crash_actor::{CrashActor, RemoveExpiredReports};
+use super::crash_actor::{CrashActor, CrashMonitor, RemoveExpiredReports};
 use super::gateway::{GatewayContext, gateway_router};
 use super::health_check::check_health;
 use super::http_client::{CallClients, ClientLimits};
@@ -28,7 +28,6 @@
 use super::target_client::TargetClient;
 use super::target_probe::{ProbeActor, ProbeTarget};
 use crate::context::NodeContext;
-use crate::dissemination::DisseminationRelay;
 use crate::member::MemberActor;
 use crate::settings::CallSettings;
 
@@ -53,7 +52,6 @@
 /// The actors that handle calls, and the HTTP routes of both listeners for calls.
 #[derive(Debug)]
 pub(crate) struct CallSystem {
-    pub(crate) crash_actor: ActorRef<CrashActor>,
     pub(crate) latency_actor: ActorRef<LatencyActor>,
     pub(crate) router: ActorRef<CallRouter>,
     /// Actor that owns the slots of the local target, if there is one.
@@ -108,11 +106,10 @@
 impl CallSystem {
     pub(crate) fn start(
         context: &NodeContext,
-        relay: ActorRef<DisseminationRelay>,
+        crashes: &CrashMonitor,
         members: ActorRef<MemberActor>,
     ) -> Result<Self, CallSystemError> {
         let settings = &context.settings.calls;
-        let (crash_view_sender, crash_view) = watch::channel(Arc::default());
         let (drain_progress, drain_receiver) = watch::channel(DrainProgress::default());
         let (drained_sender, drained) = watch::channel(false);
         let (health_checks, health_check_requests) = watch::channel(HealthCheckTicket::default());
@@ -121,8 +118,6 @@
 
         let latency_actor = LatencyActor::new(context.metrics.clone())?;
         let latency_actor = LatencyActor::spawn_with_mailbox(latency_actor, mailbox::unbounded());
-        let crash_actor = CrashActor::new(context.clone(), relay, crash_view_sender);
-        let crash_actor = CrashActor::spawn_with_mailbox(crash_actor, mailbox::unbounded());
         let claim_actor = ClaimActor::new(context.clone(), latency_actor.clone())?;
         let claim_actor = ClaimActor::spawn_with_mailbox(claim_actor, mailbox::unbounded());
         let router = CallRouter::new(context.clone());
@@ -131,7 +126,7 @@
             let slot_actor = SlotActor::new(
                 context.clone(),
                 members,
-                crash_actor.clone(),
+                crashes.actor.clone(),
                 health_checks,
                 drained_sender,
             );
@@ -145,7 +140,7 @@
             )),
             tokio::spawn(start_periodic_messages(
                 latency_actor.clone(),
-                crash_actor.clone(),
+                crashes.actor.clone(),
             )),
         ];
         let mut target = None;
@@ -172,9 +167,9 @@
             clients: peer_clients,
             router,
             claim_actor: claim_actor.clone(),
-            crash_actor: crash_actor.clone(),
+            crash_actor: crashes.actor.clone(),
             latency_actor: latency_actor.clone(),
-            crash_view: crash_view.clone(),
+            crash_view: crashes.view.clone(),
             drain: drain_receiver,
             open_calls: open_calls.clone(),
         };
@@ -182,13 +177,12 @@
             node: context.clone(),
             client: target_client,
             target,
-            crash_actor: crash_actor.clone(),
+            crash_actor: crashes.actor.clone(),
             latency_actor: latency_actor.clone(),
-            crash_view,
+            crash_view: crashes.view.clone(),
             open_calls: open_calls.clone(),
         };
         Ok(Self {
-            crash_actor,
             latency_actor,
             router: gateway_context.router.clone(),
             slots: slots.clone(),
--- a/crates/node/src/member/join.rs
+++ b/crates/node/src/member/join.rs
@@ -16,6 +16,7 @@
 
 use super::actor::{MemberActor, MergeMemberList};
 use crate::adapters::ConfigFeed;
+use crate::calls::{CrashActor, MergeCrashReports};
 use crate::config::{ConfigActor, OfferFeedSnapshot, PullFromPeers, RaiseFloor, ReadLatest};
 use crate::context::NodeContext;
 use crate::peer::PeerAddress;
@@ -42,18 +43,22 @@
     /// Newest version that this node is known to hold; it may not be active yet.
     held_version: u64,
     rng: SmallRng,
-    config: ActorRef<ConfigActor>,
-    members: ActorRef<MemberActor>,
-    reader: ReaderSender,
+    receivers: JoinReceivers,
     phase_sender: watch::Sender<JoinState>,
 }
 
+/// The tasks that receive what a node learns while it joins.
+pub(crate) struct JoinReceivers {
+    pub(crate) config: ActorRef<ConfigActor>,
+    pub(crate) members: ActorRef<MemberActor>,
+    pub(crate) crash_actor: ActorRef<CrashActor>,
+    pub(crate) reader: ReaderSender,
+}
+
 impl JoinActor {
     pub(crate) fn new(
         context: NodeContext,
-        config: ActorRef<ConfigActor>,
-        members: ActorRef<MemberActor>,
-        reader: ReaderSender,
+        receivers: JoinReceivers,
         phase_sender: watch::Sender<JoinState>,
     ) -> Self {
         let seeds: Vec<String> = context
@@ -76,9 +81,7 @@
             held_version: 0,
             rng: SmallRng::from_rng(&mut rand::rng()),
             phase_sender,
-            config,
-            members,
-            reader,
+            receivers,
         }
     }
 
@@ -95,13 +98,13 @@
                 } => self.query_floor(node, &address, record, actor),
                 // The sends to other actors fail only while the node is stopping.
                 JoinEffect::MergeMemberList(members) => {
-                    let _ = self.members.tell(MergeMemberList(members)).await;
+                    let _ = self.receivers.members.tell(MergeMemberList(members)).await;
                 }
                 JoinEffect::Fetch { floor } => self.fetch(floor, actor),
                 JoinEffect::Serve => {
                     let floor = self.machine.floor().unwrap_or(0);
                     log::info!(event = "serving", floor; "serving calls; the floor is version {floor}");
-                    let _ = self.config.tell(RaiseFloor(floor)).await;
+                    let _ = self.receivers.config.tell(RaiseFloor(floor)).await;
                 }
                 JoinEffect::Drain => log::info!(event = "draining"; "draining"),
                 JoinEffect::Stop => log::info!(event = "drained"; "no calls are left"),
@@ -111,7 +114,7 @@
 
     fn read_head(&self, actor: &ActorRef<Self>) {
         let (context, actor) = (self.context.clone(), actor.clone());
-        let (config, reader) = (self.config.clone(), self.reader.clone());
+        let (config, reader) = (self.receivers.config.clone(), self.receivers.reader.clone());
         tokio::spawn(async move {
             let head = match &context.feed {
                 Some(feed) => read_feed(&context, &**feed, &config, &reader).await,
@@ -177,7 +180,7 @@
     /// when many nodes start together, and from the store if no peer has one.
     fn fetch(&self, floor: u64, actor: &ActorRef<Self>) {
         let (context, actor) = (self.context.clone(), actor.clone());
-        let (config, head) = (self.config.clone(), self.head.clone());
+        let (config, head) = (self.receivers.config.clone(), self.head.clone());
         let mut version = self.held_version;
         tokio::spawn(async move {
             // A version read from the feed may be held but not active yet.
@@ -261,6 +264,13 @@
     ) {
         let actor = context.actor_ref().clone();
         let now = self.context.clock.now();
+        if let Some(answer) = &answer
+            && !answer.crashes.is_empty()
+        {
+            let merge = MergeCrashReports(answer.crashes.clone());
+            // The send fails only while the node is stopping.
+            let _ = self.receivers.crash_actor.tell(merge).await;
+        }
         let effects = match answer {
             Some(answer) => self.machine.on_join_answer(&answer, now, &mut self.rng),
             None => self.machine.on_join_failed(&mut self.rng),
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -9,4 +9,6 @@
     MergeBroadcast, PROBE_TIMEOUT, RecordFloor, SetActiveVersion, SetTarget, run_detector,
 };
 pub(crate) use directory::{remove_own_row, run_directory};
-pub(crate) use join::{CallsDrained, JoinActor, SetHeldVersion, StartDrain, run_join};
+pub(crate) use join::{
+    CallsDrained, JoinActor, JoinReceivers, SetHeldVersion, StartDrain, run_join,
+};
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -18,7 +18,7 @@
 
 use crate::adapters::FeedPosition;
 use crate::admin::survey;
-use crate::calls::{CrashActor, MergeCrashReports};
+use crate::calls::{CrashActor, ListCrashReports, MergeCrashReports};
 use crate::config::{AnswerPull, ConfigActor, ObservePeerVersion, OfferVersion};
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationPayload, DisseminationRelay, StartDissemination};
@@ -217,11 +217,13 @@
     }
 
     async fn join(self, _: Context, join: Join) -> JoinAnswer {
-        self.members
-            .ask(AnswerJoin(join))
-            .await
-            .unwrap_or_default()
-            .0
+        let answer = self.members.ask(AnswerJoin(join)).await;
+        let mut answer = answer.unwrap_or_default().0;
+        if answer.accepted {
+            let reports = self.crash_actor.ask(ListCrashReports).await;
+            answer.crashes = reports.unwrap_or_default().0;
+        }
+        answer
     }
 
     async fn survey(self, _: Context, request: Survey) -> SurveyAnswer {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -24,15 +24,15 @@
 
 use crate::adapters::NodeAdapters;
 use crate::admin::{AdminState, admin_router};
-use crate::calls::{CallDrain, CallSystem, CallSystemError, NativeProtocol};
+use crate::calls::{CallDrain, CallSystem, CallSystemError, CrashMonitor, NativeProtocol};
 use crate::clock::{ProcessClock, unix_ms};
 use crate::config::ConfigActor;
 use crate::context::{NodeContext, ServedConfig};
 use crate::dissemination::DisseminationRelay;
 use crate::listeners::{Listeners, NodeAddresses};
 use crate::member::{
-    AnnounceStatus, CallsDrained, JoinActor, MemberActor, SetActiveVersion, SetHeldVersion,
-    StartDrain, remove_own_row, run_detector, run_directory, run_join,
+    AnnounceStatus, CallsDrained, JoinActor, JoinReceivers, MemberActor, SetActiveVersion,
+    SetHeldVersion, StartDrain, remove_own_row, run_detector, run_directory, run_join,
 };
 use crate::metrics::{NodeMetrics, metrics_router, report_gauges, report_peer_requests};
 use crate::peer::{
@@ -258,6 +258,7 @@
     members: ActorRef<MemberActor>,
     commit_actor: ActorRef<CommitActor>,
     join: ActorRef<JoinActor>,
+    crashes: CrashMonitor,
 }
 
 impl ControlActors {
@@ -280,11 +281,15 @@
             config: config.clone(),
             relay: relay.clone(),
         });
+        let crashes = CrashMonitor::start(context, relay.clone());
         let join = JoinActor::spawn(JoinActor::new(
             context.clone(),
-            config.clone(),
-            members.clone(),
-            reader,
+            JoinReceivers {
+                config: config.clone(),
+                members: members.clone(),
+                crash_actor: crashes.actor.clone(),
+                reader,
+            },
             senders.phase,
         ));
         Ok(Self {
@@ -293,6 +298,7 @@
             members,
             commit_actor,
             join,
+            crashes,
         })
     }
 }
@@ -342,8 +348,9 @@
             members,
             commit_actor,
             join,
+            crashes,
         } = ControlActors::spawn(&context, senders, reader_sender.clone())?;
-        let calls = CallSystem::start(&context, relay.clone(), members.clone())?;
+        let calls = CallSystem::start(&context, &crashes, members.clone())?;
         let (failure_sender, failure_receiver) = watch::channel(false);
         let mut tasks = vec![
             supervise_actor("config keeper", config.clone(), failure_sender.clone()),
@@ -364,7 +371,7 @@
             config: config.clone(),
             members: members.clone(),
             relay: relay.clone(),
-            crash_actor: calls.crash_actor.clone(),
+            crash_actor: crashes.actor.clone(),
             reader: reader_sender,
         };
         let admin = AdminState {
@@ -373,7 +380,7 @@
             commit_actor,
             meters: meters.clone(),
             latency_actor: calls.latency_actor.clone(),
-            crash_actor: calls.crash_actor.clone(),
+            crash_actor: crashes.actor.clone(),
         };
         let (stop_sender, stop_receiver) = watch::channel(false);
         let call_servers = vec![
--- a/tests/trace_replay.rs
+++ b/tests/trace_replay.rs
@@ -566,6 +566,7 @@
                     floor: *floor,
                     version: *version,
                     members: members.iter().map(|name| test_member(name)).collect(),
+                    ..JoinAnswer::default()
                 };
                 self.advance_join(host, expect, step_label, |machine, now, rng| {
                     machine.on_join_answer(&answer, now, rng)
