Recognise a request whatever service of its route it goes to

Cause: the fingerprint held the service that was drawn for the attempt, so each service had a count of its own. A route that is moved to another service started anew in the same way.

Change: the host name takes the place of the service in the fingerprint. It keeps equal paths of different applications apart.

--- a/crates/calls/src/crash/fingerprint.rs
+++ b/crates/calls/src/crash/fingerprint.rs
@@ -21,8 +21,10 @@
     /// Service on the host that the request originates from. Targets are told the caller, and may
     /// crash on the request of one caller while they answer the same request of others.
     pub caller: &'a str,
-    /// Name of the service.
-    pub service: &'a str,
+    /// Host name that the request is addressed to. It tells requests to different services apart where
+    /// the service itself cannot be used: a route may be split over several services, or move to another
+    /// one, and the request then crashes targets of each.
+    pub host: &'a str,
     /// HTTP method.
     pub method: &'a str,
     /// Path without the query.
@@ -47,7 +49,7 @@
         };
         let parts = [
             request.caller.as_bytes(),
-            request.service.as_bytes(),
+            request.host.as_bytes(),
             request.method.as_bytes(),
             request.path.as_bytes(),
             request.query.as_bytes(),
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -11,7 +11,7 @@
 fn fingerprint_of(path: &str, query: &str, identity: RequestIdentity<'_>) -> Fingerprint {
     Fingerprint::from_request(&RequestView {
         caller: "catalogue",
-        service: "orders",
+        host: "orders.example",
         method: "POST",
         path,
         query,
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -22,7 +22,7 @@
 use super::headers::{IDEMPOTENCY_KEY, header_text, local_answer_for_caller};
 use super::http_client::CallClients;
 use super::latency_actor::{LatencyActor, RecordCall};
-use super::plan::CallPlan;
+use super::plan::{CallPlan, host_name};
 use super::reason::StopReason;
 use super::refusal_trail::RefusalTrail;
 use super::request_body::RequestBody;
@@ -107,7 +107,7 @@
     };
     let digest = request_digest(&parts, &body);
     let caller = gateway.context.settings.service_name();
-    let fingerprint = fingerprint(caller, &plan.service, &parts, &digest);
+    let fingerprint = fingerprint(caller, &parts, &digest);
     let now = gateway.context.clock.now();
     let is_refused = gateway.crash_view.borrow().is_refused(fingerprint, now);
     if is_refused {
@@ -165,11 +165,11 @@
     *hasher.finalize().as_bytes()
 }
 
-fn fingerprint(caller: &str, service: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
+fn fingerprint(caller: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
     let key = header_text(&parts.headers, &IDEMPOTENCY_KEY);
     Fingerprint::from_request(&RequestView {
         caller,
-        service,
+        host: host_name(parts),
         method: parts.method.as_str(),
         path: parts.uri.path(),
         query: parts.uri.query().unwrap_or_default(),
--- a/crates/node/src/calls/plan.rs
+++ b/crates/node/src/calls/plan.rs
@@ -153,7 +153,8 @@
     }
 }
 
-fn host_name(parts: &Parts) -> &str {
+/// Name of the host that a request is addressed to, without the port.
+pub(super) fn host_name(parts: &Parts) -> &str {
     let host = header_text(&parts.headers, &header::HOST).or_else(|| parts.uri.host());
     let host = host.unwrap_or_default();
     host.rsplit_once(':').map_or(host, |(name, _)| name)
