Give a body one fingerprint however it is read and framed

Cause: the fingerprint covered the buffered part of the body. A node stops to buffer at the first read that exceeds kept_request_bytes, so the part depended on the reads. The content length, which chunked encoding lacks, and an idempotency key, which a caller may choose anew each time, varied for the same body as well.

Change: the fingerprint covers the first kept_request_bytes bytes, and neither the length nor the key. The digest of a claim is computed for claimed calls only and keeps its form, since it is stored.

--- a/crates/calls/src/crash/fingerprint.rs
+++ b/crates/calls/src/crash/fingerprint.rs
@@ -6,15 +6,6 @@
 /// versions of the fingerprint.
 const HASH_CONTEXT: &str = "agatedeck 2026 request fingerprint v2";
 
-/// Distinguishes requests with the same method, path and query.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RequestIdentity<'a> {
-    /// The caller's idempotency key, which a resent request carries again.
-    Key(&'a str),
-    /// Digest of the request body.
-    Body(&'a [u8]),
-}
-
 /// The parts of a request that its fingerprint covers.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestView<'a> {
@@ -31,8 +22,8 @@
     pub path: &'a str,
     /// Query without the question mark; empty if there is none.
     pub query: &'a str,
-    /// Idempotency key or body digest.
-    pub identity: RequestIdentity<'a>,
+    /// The body, or the first bytes of a large one. Their number must be the same in each attempt.
+    pub body: &'a [u8],
 }
 
 /// BLAKE3 hash of a [`RequestView`]. [`Display`](std::fmt::Display) writes it in hexadecimal.
@@ -43,18 +34,13 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request.
     pub fn from_request(request: &RequestView<'_>) -> Self {
-        let (tag, identity) = match request.identity {
-            RequestIdentity::Key(key) => (b"key", key.as_bytes()),
-            RequestIdentity::Body(digest) => (b"sum", digest),
-        };
         let parts = [
             request.caller.as_bytes(),
             request.host.as_bytes(),
             request.method.as_bytes(),
             request.path.as_bytes(),
             request.query.as_bytes(),
-            tag,
-            identity,
+            request.body,
         ];
         let mut hasher = blake3::Hasher::new_derive_key(HASH_CONTEXT);
         for part in parts {
--- a/crates/calls/src/crash/mod.rs
+++ b/crates/calls/src/crash/mod.rs
@@ -9,6 +9,6 @@
 mod in_flight;
 mod tracker;
 
-pub use fingerprint::{Fingerprint, RequestIdentity, RequestView};
+pub use fingerprint::{Fingerprint, RequestView};
 pub use in_flight::InFlightTable;
 pub use tracker::{CrashSettings, CrashTracker, MergeResult, RefusedRequest, TargetCrashReport};
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -26,7 +26,7 @@
 };
 pub use crash::{
     CrashSettings, CrashTracker, Fingerprint, InFlightTable, MergeResult, RefusedRequest,
-    RequestIdentity, RequestView, TargetCrashReport,
+    RequestView, TargetCrashReport,
 };
 pub use histogram::{LatencySettings, LatencySummary, LatencyTable, OVERFLOW_SERIES};
 pub use registration::{
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -1,26 +1,26 @@
 //! Detection of queries of death by the crash tracker.
 
 use agatedeck_calls::{
-    CrashSettings, CrashTracker, Fingerprint, InFlightTable, MergeResult, RequestIdentity,
-    RequestView, TargetCrashReport,
+    CrashSettings, CrashTracker, Fingerprint, InFlightTable, MergeResult, RequestView,
+    TargetCrashReport,
 };
 use agatedeck_clock::Instant;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
-fn fingerprint_of(path: &str, query: &str, identity: RequestIdentity<'_>) -> Fingerprint {
+fn fingerprint_of(path: &str, query: &str, body: &[u8]) -> Fingerprint {
     Fingerprint::from_request(&RequestView {
         caller: "catalogue",
         host: "orders.example",
         method: "POST",
         path,
         query,
-        identity,
+        body,
     })
 }
 
 fn fingerprint(path: &str) -> Fingerprint {
-    fingerprint_of(path, "", RequestIdentity::Key("k"))
+    fingerprint_of(path, "", b"k")
 }
 
 fn crash_report(path: &str, node: &str, crash: u64) -> TargetCrashReport {
@@ -152,14 +152,13 @@
 /// Guards against equal fingerprints of requests whose parts differ only in where they are split.
 #[test]
 fn fingerprint_separates_request_parts() {
-    let (key, body) = (RequestIdentity::Key("k"), RequestIdentity::Body(b"k"));
     assert_ne!(
-        fingerprint_of("/a", "bc", key),
-        fingerprint_of("/ab", "c", key)
+        fingerprint_of("/a", "bc", b""),
+        fingerprint_of("/ab", "c", b"")
     );
     assert_ne!(
-        fingerprint_of("/a", "", key),
-        fingerprint_of("/a", "", body)
+        fingerprint_of("/a", "b", b"c"),
+        fingerprint_of("/a", "", b"bc")
     );
 }
 
--- a/crates/node/src/calls/attempt_request.rs
+++ b/crates/node/src/calls/attempt_request.rs
@@ -5,11 +5,11 @@
 use agatedeck_calls::Fingerprint;
 use axum::body::Body;
 use axum::http::uri::Authority;
-use axum::http::{HeaderMap, HeaderValue, Request, request};
+use axum::http::{HeaderMap, HeaderValue, Request, header, request};
 
 use super::headers::{
     ATTEMPT, CALLER_SERVICE, CLASS, DEADLINE_MS, DEPTH, FINGERPRINT, PRIORITY, SENT_AT, SERVICE,
-    USEFUL_MS, WORKSPACE, strip_hop_by_hop_headers,
+    USEFUL_MS, WORKSPACE, header_text, strip_hop_by_hop_headers,
 };
 use super::http_client::forwarded_uri;
 use super::plan::CallPlan;
@@ -21,9 +21,6 @@
 pub(super) struct CallRequest {
     pub(super) parts: request::Parts,
     pub(super) body: RequestBody,
-    /// BLAKE3 digest of the method, path and query, content length, and the buffered part of the
-    /// body.
-    pub(super) digest: [u8; 32],
 }
 
 /// What the headers of an attempt state.
@@ -37,6 +34,21 @@
 }
 
 impl CallRequest {
+    /// BLAKE3 digest of the method, path and query, content length and body, by which a claim tells
+    /// whether its key comes again with the same request. The body of a claimed call is buffered.
+    pub(super) fn claim_digest(&self) -> [u8; 32] {
+        let parts = &self.parts;
+        let mut hasher = blake3::Hasher::new();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let length = header_text(&parts.headers, &header::CONTENT_LENGTH).unwrap_or_default();
+        for part in [parts.method.as_str(), path, length] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(self.body.buffered_prefix());
+        *hasher.finalize().as_bytes()
+    }
+
     /// Builds the request of an attempt at the node at `authority`; `None` if the body was already
     /// consumed.
     pub(super) fn build_attempt(
--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -139,7 +139,10 @@
         while let Some(effect) = effects.pop_front() {
             match effect {
                 CallEffect::AcquireClaim => {
-                    effects.extend(self.acquire_claim(request.digest, &mut answer).await);
+                    effects.extend(
+                        self.acquire_claim(request.claim_digest(), &mut answer)
+                            .await,
+                    );
                 }
                 CallEffect::PickTarget => effects.extend(self.pick_target().await),
                 CallEffect::SendAttempt(..) => {
--- a/crates/node/src/calls/gateway.rs
+++ b/crates/node/src/calls/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use agatedeck_calls::{CallOutcome, Fingerprint, RefusedCall, RequestIdentity, RequestView};
+use agatedeck_calls::{CallOutcome, Fingerprint, RefusedCall, RequestView};
 use axum::Router;
 use axum::extract::{Request, State};
 use axum::http::HeaderValue;
@@ -19,7 +19,7 @@
 use super::claim_actor::ClaimActor;
 use super::crash_actor::{CrashActor, CrashView};
 use super::drain_body::respond_after_drain;
-use super::headers::{IDEMPOTENCY_KEY, header_text, local_answer_for_caller};
+use super::headers::local_answer_for_caller;
 use super::http_client::CallClients;
 use super::latency_actor::{LatencyActor, RecordCall};
 use super::plan::{CallPlan, host_name};
@@ -105,20 +105,14 @@
         Ok(Err(_)) => return refuse_call(&gateway, Some(plan), StopReason::BodyIncomplete),
         Err(_) => return refuse_call(&gateway, Some(plan), StopReason::Deadline),
     };
-    let digest = request_digest(&parts, &body);
-    let caller = gateway.context.settings.service_name();
-    let fingerprint = fingerprint(caller, &parts, &digest);
+    let fingerprint = request_fingerprint(&gateway.context, &parts, &body);
     let now = gateway.context.clock.now();
     let is_refused = gateway.crash_view.borrow().is_refused(fingerprint, now);
     if is_refused {
         let response = refuse_call(&gateway, Some(plan), StopReason::CrashedTargets);
         return respond_after_drain(response, body.into_unread().await).await;
     }
-    let request = CallRequest {
-        parts,
-        body,
-        digest,
-    };
+    let request = CallRequest { parts, body };
     CallTask::new(gateway, plan, &request, fingerprint, open_token)
         .run(request)
         .await
@@ -150,29 +144,15 @@
     local_answer_for_caller(protocol, CallOutcome::NotRun, reason, &refused_call)
 }
 
-/// Digest that identifies a request: method, path and query, content length, and the buffered part
-/// of the body. The content length distinguishes large bodies with the same prefix.
-fn request_digest(parts: &Parts, body: &RequestBody) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let length =
-        header_text(&parts.headers, &axum::http::header::CONTENT_LENGTH).unwrap_or_default();
-    for part in [parts.method.as_str(), path, length] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
-    }
-    hasher.update(body.buffered_prefix());
-    *hasher.finalize().as_bytes()
-}
-
-fn fingerprint(caller: &str, parts: &Parts, digest: &[u8]) -> Fingerprint {
-    let key = header_text(&parts.headers, &IDEMPOTENCY_KEY);
+/// Fingerprint of a request. How its body is framed and read makes no difference: of a body that is too
+/// large to buffer, it covers the first `kept_request_bytes` bytes.
+fn request_fingerprint(context: &NodeContext, parts: &Parts, body: &RequestBody) -> Fingerprint {
     Fingerprint::from_request(&RequestView {
-        caller,
+        caller: context.settings.service_name(),
         host: host_name(parts),
         method: parts.method.as_str(),
         path: parts.uri.path(),
         query: parts.uri.query().unwrap_or_default(),
-        identity: key.map_or(RequestIdentity::Body(digest), RequestIdentity::Key),
+        body: body.first_bytes(context.settings.calls.kept_request_bytes),
     })
 }
--- a/crates/node/src/calls/request_body.rs
+++ b/crates/node/src/calls/request_body.rs
@@ -54,7 +54,8 @@
         matches!(self, Self::Buffered(_))
     }
 
-    /// The part of the body that is buffered.
+    /// The part of the body that is buffered. How far it reaches into a large body depends on how the
+    /// body was read.
     pub(super) fn buffered_prefix(&self) -> &[u8] {
         match self {
             Self::Buffered(whole) => whole,
@@ -62,6 +63,12 @@
         }
     }
 
+    /// The first `limit_bytes` bytes of the body, or all of a smaller one.
+    pub(super) fn first_bytes(&self, limit_bytes: usize) -> &[u8] {
+        let prefix = self.buffered_prefix();
+        &prefix[..prefix.len().min(limit_bytes)]
+    }
+
     /// Returns the body for an attempt; `None` if it was already streamed.
     pub(super) fn attempt_body(&mut self) -> Option<Body> {
         match self {
