Count a crash after the sender of its request has left

Cause: a call whose sender leaves, or whose deadline passes, took its fingerprint out of the table of what the target runs, though many targets run on. And a crash was noticed only by a broken or refused connection, so not at all where no other call was open.

Ruled out: the reports. With one call open beside it the crash is reported, for that call only.

Change: an abandoned request stays in the table until the target has answered a call that was sent after its deadline, for 15 s at most. A target whose next start serves though the one before did not leave has crashed. Calls that were declined or not sent complete as not run, apart from cancelled ones. A call whose connection was lost at a target that still listens is kept as well.

--- a/crates/calls/src/registration/target_registration.rs
+++ b/crates/calls/src/registration/target_registration.rs
@@ -142,6 +142,8 @@
     expires_at: Option<Instant>,
     /// Number of messages by which a target has left.
     departures: u64,
+    /// Number of starts that ended without leaving.
+    abrupt_ends: u64,
 }
 
 impl TargetRegistration {
@@ -154,6 +156,7 @@
             candidate: None,
             expires_at: None,
             departures: 0,
+            abrupt_ends: 0,
         }
     }
 
@@ -177,6 +180,11 @@
         self.current.warm_up_ends_at
     }
 
+    /// Number of starts that ended without leaving, each known from the start after it.
+    pub fn abrupt_ends(&self) -> u64 {
+        self.abrupt_ends
+    }
+
     /// Time at which [`Self::tick`] must be called.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.expires_at
@@ -298,6 +306,9 @@
         let Some(start) = self.take_verified_start(report) else {
             return Vec::new();
         };
+        if self.current.is_known() && !self.has_left() {
+            self.abrupt_ends += 1;
+        }
         self.current = start;
         self.expires_at = Some(self.expiry_after(now));
         self.advance(RegistrationEvent::Verified)
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -87,15 +87,37 @@
     }
     in_flight.record_end(fingerprint("/one"));
     in_flight.record_end(fingerprint("/two"));
-    let reports = in_flight.record_crash(600_000);
+    let reports = in_flight.record_crash(Instant::default(), 600_000);
     assert_eq!(reports.len(), 1);
     assert_eq!(reports[0].fingerprint, fingerprint("/two"));
     assert_eq!((reports[0].incarnation, reports[0].crash), (4, 1));
-    assert!(in_flight.record_crash(600_000).is_empty());
+    assert!(
+        in_flight
+            .record_crash(Instant::default(), 600_000)
+            .is_empty()
+    );
     let decoded = TargetCrashReport::from_wire(&reports[0].to_wire());
     assert_eq!(decoded.as_ref(), Some(&reports[0]));
 }
 
+/// Guards against a crash that is not reported for a request whose sender had left, and against one that
+/// is reported for a request that the target has survived.
+#[test]
+fn crash_reports_abandoned_requests_until_the_target_survives_them() {
+    let mut in_flight = InFlightTable::new("a", 4, "orders");
+    for (path, deadline_ms) in [("/survived", 2_000), ("/running", 3_000), ("/old", 2_600)] {
+        in_flight.record_dispatch(fingerprint(path));
+        in_flight.record_abandoned(fingerprint(path), Instant::from_millis(deadline_ms));
+    }
+    in_flight.record_alive(Instant::from_millis(2_500));
+    let now = Instant::from_millis(17_700);
+    assert!(in_flight.has_abandoned(now));
+    let reports = in_flight.record_crash(now, 600_000);
+    let reported: Vec<Fingerprint> = reports.iter().map(|report| report.fingerprint).collect();
+    assert_eq!(reported, [fingerprint("/running")]);
+    assert!(!in_flight.has_abandoned(now));
+}
+
 /// Guards against a flood of fingerprints that exhausts the memory or evicts a refused request.
 #[test]
 fn keeps_refused_requests_when_full() {
--- a/crates/node/src/calls/slots/actor.rs
+++ b/crates/node/src/calls/slots/actor.rs
@@ -27,6 +27,7 @@
 
 pub(super) struct WaitingCall {
     fingerprint: Fingerprint,
+    deadline: Instant,
     priority: u32,
     delayed: bool,
     reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
@@ -35,6 +36,9 @@
 #[derive(Clone, Copy)]
 pub(super) struct RunningCall {
     pub(super) fingerprint: Fingerprint,
+    pub(super) dispatched_at: Instant,
+    /// Until when the target may run the call.
+    pub(super) deadline: Instant,
     /// Value of `SlotActor::crash_count` when the call was dispatched. A crash of the target breaks
     /// the connections of all calls in flight; only the first report counts as a crash.
     pub(super) crash_count: u64,
@@ -121,10 +125,11 @@
                     };
                     let fingerprint = waiting.fingerprint;
                     self.in_flight_table.record_dispatch(fingerprint);
-                    let crash_count = self.crash_count;
                     let running = RunningCall {
                         fingerprint,
-                        crash_count,
+                        dispatched_at: self.context.clock.now(),
+                        deadline: waiting.deadline,
+                        crash_count: self.crash_count,
                     };
                     self.running.insert(call, running);
                     let grant = SlotGrant {
@@ -223,6 +228,9 @@
     pub(super) sent_at: Option<(String, u64)>,
     pub(super) class: String,
     pub(super) useful_until: Option<Instant>,
+    /// Until when the call may wait for a slot.
+    pub(super) wait_deadline: Instant,
+    /// Until when the call may run.
     pub(super) deadline: Instant,
     pub(super) fingerprint: Fingerprint,
     pub(super) reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
@@ -239,6 +247,7 @@
         let waiting = WaitingCall {
             delayed,
             fingerprint: admit.fingerprint,
+            deadline: admit.deadline,
             priority: admit.priority,
             reply: admit.reply,
         };
@@ -249,7 +258,7 @@
             priority: admit.priority,
             class: &admit.class,
             useful_until: admit.useful_until,
-            deadline: admit.deadline,
+            deadline: admit.wait_deadline,
         };
         let effects = self.queue.admit(&request, now);
         self.apply_effects(effects, ctx.actor_ref());
--- a/crates/node/src/calls/slots/crash_detection.rs
+++ b/crates/node/src/calls/slots/crash_detection.rs
@@ -16,20 +16,22 @@
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl SlotActor {
-    /// Counts a crash if calls dispatched since the last crash are in flight, or a lost connection
-    /// is being checked.
+    /// Counts a crash if the target may be running calls that were dispatched since the last crash, or a
+    /// lost connection is being checked.
     pub(super) fn count_crash(&mut self) {
+        let now = self.context.clock.now();
         let in_flight = self
             .running
             .values()
             .any(|running| running.crash_count == self.crash_count);
-        if !in_flight && self.pending_crash_checks == 0 {
+        let may_run = in_flight || self.in_flight_table.has_abandoned(now);
+        if !may_run && self.pending_crash_checks == 0 {
             return;
         }
         self.crash_count += 1;
         let crash_reports = self
             .in_flight_table
-            .record_crash(CrashSettings::default().report_ttl_ms);
+            .record_crash(now, CrashSettings::default().report_ttl_ms);
         log::warn!(
             event = "target-crashed";
             "target crashed with {} distinct requests in flight",
@@ -39,7 +41,7 @@
             .crash_actor
             .tell(ReportCrashes(crash_reports))
             .try_send();
-        self.queue.restart_warm_up(self.context.clock.now());
+        self.queue.restart_warm_up(now);
     }
 
     pub(super) fn complete_running_call(
@@ -48,11 +50,21 @@
         completion: CallCompletion,
         actor: &ActorRef<Self>,
     ) {
-        let no_crash_since_dispatch = running.crash_count == self.crash_count;
-        if no_crash_since_dispatch && completion == CallCompletion::ConnectionLost {
-            self.confirm_crash(running, actor);
-        } else if no_crash_since_dispatch {
-            self.in_flight_table.record_end(running.fingerprint);
+        if running.crash_count == self.crash_count {
+            let table = &mut self.in_flight_table;
+            match completion {
+                CallCompletion::Answered => {
+                    table.record_end(running.fingerprint);
+                    table.record_alive(running.dispatched_at);
+                }
+                CallCompletion::NotRun | CallCompletion::NotSent => {
+                    table.record_end(running.fingerprint);
+                }
+                CallCompletion::Cancelled => {
+                    table.record_abandoned(running.fingerprint, running.deadline);
+                }
+                CallCompletion::ConnectionLost => self.confirm_crash(running, actor),
+            }
         }
         if completion == CallCompletion::NotSent {
             self.count_crash();
@@ -98,7 +110,12 @@
             if result.refused {
                 self.count_crash();
             } else {
-                self.in_flight_table.record_end(result.running.fingerprint);
+                let RunningCall {
+                    fingerprint,
+                    deadline,
+                    ..
+                } = result.running;
+                self.in_flight_table.record_abandoned(fingerprint, deadline);
             }
         }
         self.pending_crash_checks = self.pending_crash_checks.saturating_sub(1);
--- a/crates/node/src/calls/slots/registration.rs
+++ b/crates/node/src/calls/slots/registration.rs
@@ -186,7 +186,11 @@
             id: verified.id.as_deref(),
             slots: verified.slots,
         };
+        let abrupt_ends = registration.abrupt_ends();
         let effects = registration.verify(verified.ticket, &report, now);
+        if registration.abrupt_ends() > abrupt_ends {
+            self.count_crash();
+        }
         self.adopt_registration(now, ctx.actor_ref());
         self.apply_registration_effects(effects, ctx.actor_ref())
             .await;
--- a/crates/node/src/calls/slots/slot_client.rs
+++ b/crates/node/src/calls/slots/slot_client.rs
@@ -42,7 +42,6 @@
         request: &SlotRequest<'_>,
         now: Instant,
     ) -> Result<SlotLease, SlotRefusal> {
-        let deadline = request.refusal_deadline(now);
         let fingerprint = request.fingerprint;
         let call = CallId::from(self.next_call_id.fetch_add(1, Ordering::Relaxed));
         let (reply, grant_receiver) = oneshot::channel();
@@ -56,7 +55,8 @@
             }),
             class: request.class.to_owned(),
             useful_until: request.useful_until,
-            deadline,
+            wait_deadline: request.refusal_deadline(now),
+            deadline: request.deadline,
             fingerprint,
             reply,
         };
@@ -145,16 +145,18 @@
 pub(crate) enum CallCompletion {
     /// The answer is complete.
     Answered,
-    /// This node cancelled the call, or its answer is unusable.
+    /// This node cancelled the call, or its answer is unusable. The target may still run it.
     Cancelled,
+    /// The call was not sent, or the target stated that it did not run it.
+    NotRun,
     /// The connection to the target could not be opened, so the call was not sent.
     NotSent,
     /// The target reset or closed the connection during the call.
     ConnectionLost,
 }
 
-/// A slot of the target, or a position in its queue. Dropping the lease before `complete` cancels
-/// the call.
+/// A slot of the target, or a position in its queue. A lease is dropped before `complete` only if its
+/// call was not sent.
 #[derive(Debug)]
 pub(crate) struct SlotLease {
     call: CallId,
@@ -212,7 +214,7 @@
 impl Drop for SlotLease {
     fn drop(&mut self) {
         if !self.completed {
-            self.send_completion(CallCompletion::Cancelled);
+            self.send_completion(CallCompletion::NotRun);
         }
     }
 }
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -85,7 +85,7 @@
     }
     if let Some((outcome, reason)) = unanswered_outcome(&context, kind, &answer) {
         if outcome == CallOutcome::NotRun {
-            call.end(CallCompletion::Cancelled, reason);
+            call.end(CallCompletion::NotRun, reason);
             return refuse(&context, reason);
         }
         return call.end_as_unknown(CallCompletion::Cancelled, reason);
@@ -274,7 +274,11 @@
 impl Drop for TargetCall {
     fn drop(&mut self) {
         if self.lease.is_some() {
-            self.end(CallCompletion::Cancelled, StopReason::Cancelled);
+            let completion = match self.dispatch {
+                Some(_) => CallCompletion::Cancelled,
+                None => CallCompletion::NotRun,
+            };
+            self.end(completion, StopReason::Cancelled);
         }
     }
 }
