Let only a success clear the crash reports of a request

Cause: any answer of a target cleared the reports of a request below the threshold, also a 500 of a target that fails each request without running it. The nodes that saw it then let the request crash other targets.

Change: both nodes of a call report it as completed only if the status of its answer is a success.

Test: failures_do_not_clear_crashes failed with the check of the status left out (no request is refused within 3 s) and passes now.

--- a/crates/node/src/calls/call_task.rs
+++ b/crates/node/src/calls/call_task.rs
@@ -65,10 +65,8 @@
     answer_record: Option<AnswerRecord>,
     /// Load that the target's node stated with its answer or refusal, as a fraction of the slots.
     reported_load: Option<f64>,
-    /// Whether the target answered with a status of 500 or above. The caller receives the answer,
-    /// but the load balancer counts it as a failure: a target that fails immediately looks fast and
-    /// idle and would attract calls from healthy ones.
-    is_server_error: bool,
+    /// Status of the target's answer, if one has arrived.
+    answer_status: Option<StatusCode>,
     /// Why the last attempt was not answered.
     reason: StopReason,
     /// Shortest queue wait that a refusing target's node expects.
@@ -107,7 +105,7 @@
             claim_lease: None,
             answer_record: None,
             reported_load: None,
-            is_server_error: false,
+            answer_status: None,
             reason: StopReason::Cancelled,
             expected_wait: None,
             last_target_address: String::new(),
@@ -197,7 +195,7 @@
             match *effect {
                 CallEffect::RecordResult { result, .. } => {
                     if let Some(target) = self.target_lease.take() {
-                        let failed = self.is_server_error && result == AttemptResult::Answered;
+                        let failed = self.is_server_error() && result == AttemptResult::Answered;
                         let result = if failed {
                             AttemptResult::Failed
                         } else {
@@ -339,7 +337,7 @@
                     parts,
                     Body::from(body),
                 )));
-                if self.is_server_error && self.plan.idempotent {
+                if self.is_server_error() && self.plan.idempotent {
                     self.reason = StopReason::TargetFailed;
                     let mut effects = self.handle_attempt_event(AttemptEvent::SendStarted);
                     effects.extend(self.handle_attempt_event(AttemptEvent::AnsweredFailure));
@@ -373,10 +371,18 @@
         request.build_attempt(&metadata, authority)
     }
 
+    /// Whether the target answered with a status of 500 or above. The caller receives the answer,
+    /// but the load balancer counts it as a failure: a target that fails immediately looks fast and
+    /// idle and would attract calls from healthy ones.
+    fn is_server_error(&self) -> bool {
+        self.answer_status
+            .is_some_and(|status| status.is_server_error())
+    }
+
     /// Records what the load balancer and the claim need from an answer.
     fn record_answer(&mut self, parts: &Parts, body: Option<&Bytes>) {
         self.reported_load = stated_load(&parts.headers);
-        self.is_server_error = parts.status.is_server_error();
+        self.answer_status = Some(parts.status);
         if self.claim_lease.is_some() {
             let content_type = super::headers::header_text(&parts.headers, &header::CONTENT_TYPE);
             self.answer_record = Some(AnswerRecord {
@@ -444,7 +450,9 @@
             return;
         }
         let answered = outcome == CallOutcome::Answered;
-        if answered && self.gateway.crash_view.borrow().has_reports {
+        // Only a success shows that a target ran the request to its end.
+        let has_run = answered && self.answer_status.is_some_and(|status| status.is_success());
+        if has_run && self.gateway.crash_view.borrow().has_reports {
             let completion = RecordCompletion(self.fingerprint);
             let _ = self.gateway.crash_actor.tell(completion).try_send();
         }
--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -90,6 +90,7 @@
         }
         return call.end_as_unknown(CallCompletion::Cancelled, reason);
     }
+    call.is_success = status.is_success();
     let (mut parts, body) = answer.into_parts();
     let headers = &mut parts.headers;
     strip_hop_by_hop_headers(headers);
@@ -196,6 +197,8 @@
     delayed: bool,
     /// `None` until the request is sent.
     dispatch: Option<TargetDispatch>,
+    /// Whether the target answers that it has run the call to its end.
+    is_success: bool,
     /// Keeps the call in the tracker of open calls until this value is dropped.
     _open_token: TaskTrackerToken,
 }
@@ -215,6 +218,7 @@
             arrived_at: admitted.arrived_at,
             deadline: admitted.deadline,
             dispatch: None,
+            is_success: false,
             _open_token: open_token,
         }
     }
@@ -286,7 +290,7 @@
 impl AnswerObserver for TargetCall {
     fn on_complete(&mut self) {
         self.complete(CallCompletion::Answered);
-        if self.context.crash_view.borrow().has_reports {
+        if self.is_success && self.context.crash_view.borrow().has_reports {
             let completion = RecordCompletion(self.fingerprint);
             let _ = self.context.crash_actor.tell(completion).try_send();
         }
