Answer other nodes in HTTP/1.1 whatever the target speaks

Cause: the node of the target passed on the version of the answer with it. The server then wrote HTTP/1.0 to the caller's node, where a body without a length ends with the connection, so the close after the truncation looked like the end.

Ruled out: the client that reads the target, which reports the reset in both versions; the same answer in HTTP/1.1 ended with 502.

Change: the response to another node is HTTP/1.1, so that its body has a length or is chunked.

--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -6,7 +6,7 @@
 use agatedeck_clock::Instant;
 use axum::body::Body;
 use axum::extract::Request;
-use axum::http::{HeaderMap, header};
+use axum::http::{HeaderMap, Version, header};
 use axum::response::Response;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
@@ -92,6 +92,9 @@
     }
     call.is_success = status.is_success();
     let (mut parts, body) = answer.into_parts();
+    // Between nodes every body has a length or is chunked. A server answers in the version of the
+    // response, and HTTP/1.0 would end the body with the connection, however that ends.
+    parts.version = Version::HTTP_11;
     let headers = &mut parts.headers;
     strip_hop_by_hop_headers(headers);
     headers.remove(REASON);
