Take only 200 to 599 for the status of an answer

Callers saw: statuses 600 and 999, and a 101 that nobody asked for, passed on as the endpoint's answer with its signature.

Cause: the parser accepts every number of three digits from 100 on, and an answer was classified by its headers.

Change: an answer with another status is unusable: the call ends as unknown, which is 502 on the users' platform, and its connection is not used again.

--- a/crates/node/src/calls/target_call.rs
+++ b/crates/node/src/calls/target_call.rs
@@ -6,7 +6,7 @@
 use agatedeck_clock::Instant;
 use axum::body::Body;
 use axum::extract::Request;
-use axum::http::{HeaderMap, Version, header};
+use axum::http::{HeaderMap, StatusCode, Version, header};
 use axum::response::Response;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
@@ -74,10 +74,12 @@
     };
     let (status, headers) = (answer.status(), answer.headers());
     let request_id = call.request_id.as_deref();
-    let kind = context
-        .node
-        .protocol
-        .classify_answer(request_id, status, headers);
+    let protocol = &context.node.protocol;
+    let kind = if is_final_status(status) {
+        protocol.classify_answer(request_id, status, headers)
+    } else {
+        AnswerKind::Unusable
+    };
     if matches!(kind, AnswerKind::Answered | AnswerKind::Declined) {
         call.record_statements(headers);
     } else {
@@ -108,6 +110,12 @@
     Response::from_parts(parts, Body::new(body))
 }
 
+/// Whether a status is one with which a target may answer. The parser also accepts 600 to 999, which HTTP
+/// does not define, and an upgrade of the connection, which no node requests.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Outcome and reason if an answer of this kind does not answer the request; `None` if it does.
 fn unanswered_outcome(
     context: &InboundContext,
