Keep the generation of the store with a position in its changes

Cause, shown by tests on the code before: a position in the changes was a version alone. (2) Once the store had passed that position again, changes before it were never seen.

Not traced: why the case `refused`, an outage that readers notice, passed before too; other readers may have read less far.

Change: a position holds the generation first and the offset second, and a read after a position of another generation is answered with the newest configuration. Heartbeats of readers carry both.

--- a/crates/node/src/adapters.rs
+++ b/crates/node/src/adapters.rs
@@ -20,7 +20,13 @@
 
 /// Position in a configuration feed: all changes up to it have been read.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct FeedPosition(pub u64);
+pub struct FeedPosition {
+    /// Number of times that the source has gone back to an earlier copy of itself. Offsets of different
+    /// generations cannot be compared, since the source gives them out again.
+    pub generation: u64,
+    /// Offset in the changes of this generation.
+    pub offset: u64,
+}
 
 /// Answer of a configuration feed.
 #[derive(Clone, Debug, Default)]
@@ -46,7 +52,8 @@
     fn newest(&self, deadline: Instant) -> BoxFuture<'_, Result<FeedAnswer, StoreError>>;
 
     /// Waits up to `wait` for a version that was written after `after`. The answer is empty if there
-    /// was none in that time.
+    /// was none in that time. If the source no longer has the changes after that position, or is of
+    /// another generation, the answer holds its newest version.
     ///
     /// # Errors
     ///
--- a/crates/node/src/dissemination/relay.rs
+++ b/crates/node/src/dissemination/relay.rs
@@ -76,13 +76,15 @@
                 version,
                 position: feed_position,
             } => {
+                let feed_position = feed_position.unwrap_or_default();
                 let heartbeat = ReaderHeartbeat {
                     node: node.clone(),
                     version: *version,
                     salt,
                     scope,
                     position,
-                    feed_position: feed_position.map_or(0, |position| position.0),
+                    feed_position: feed_position.offset,
+                    feed_generation: feed_position.generation,
                 };
                 ControlPlaneRequest::ReaderHeartbeat { heartbeat }
             }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -183,8 +183,11 @@
         heartbeat: ReaderHeartbeat,
     ) -> ReaderHeartbeatAnswer {
         let (node, version) = (heartbeat.node.clone(), heartbeat.version);
-        let position = heartbeat.feed_position;
-        let position = (position > 0).then_some(FeedPosition(position));
+        let position = FeedPosition {
+            generation: heartbeat.feed_generation,
+            offset: heartbeat.feed_position,
+        };
+        let position = (position > FeedPosition::default()).then_some(position);
         let dissemination = StartDissemination::from_message(
             heartbeat.salt,
             heartbeat.scope(),
--- a/crates/node/tests/feed_reads.rs
+++ b/crates/node/tests/feed_reads.rs
@@ -46,7 +46,10 @@
 fn answer(version: u64) -> FeedAnswer {
     let snapshot = ConfigSnapshot::try_from_records(version, Vec::new());
     FeedAnswer {
-        position: FeedPosition(version),
+        position: FeedPosition {
+            offset: version,
+            ..Default::default()
+        },
         newest: Some(snapshot.expect("a valid configuration")),
         configurations: 1,
         bytes: 0,
@@ -67,7 +70,7 @@
         let (version_sender, version) = oneshot::channel();
         // The test may have ended.
         let _ = self.reads.send(PendingRead {
-            after: after.0,
+            after: after.offset,
             version_sender,
         });
         Box::pin(async move {
--- a/crates/store/src/http_exchange.rs
+++ b/crates/store/src/http_exchange.rs
@@ -2,6 +2,7 @@
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
+use reqwest::header::HeaderMap;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::{Instant, timeout_at};
@@ -23,13 +24,28 @@
     deadline: Instant,
     status_error: fn(StatusCode) -> Option<StoreError>,
 ) -> Result<StoreResponse, StoreError> {
+    let response = send_request_for_headers(request, deadline, status_error).await?;
+    Ok(response.1)
+}
+
+/// As [`send_request`], and returns the headers of the response too.
+///
+/// # Errors
+///
+/// As [`send_request`].
+pub async fn send_request_for_headers(
+    request: RequestBuilder,
+    deadline: Instant,
+    status_error: fn(StatusCode) -> Option<StoreError>,
+) -> Result<(HeaderMap, StoreResponse), StoreError> {
     let response = async {
         let response = request
             .send()
             .await
             .map_err(|error| classify_send_error(&error))?;
+        let headers = response.headers().clone();
         let (status, body) = read_body(response).await?;
-        status_error(status).map_or(Ok((status, body)), Err)
+        status_error(status).map_or(Ok((headers, (status, body))), Err)
     };
     match timeout_at(deadline, response).await {
         Ok(response) => response,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use http_exchange::{
     StoreResponse, check_write_response, decode_json, decode_value, read_object_response,
-    send_request, unexpected_status,
+    send_request, send_request_for_headers, unexpected_status,
 };
 pub use http_store::{HttpStore, HttpStoreSettings};
 pub use store::{
