Write the row of a node again that the store has lost

Users would see: nodes that start after the store has gone back to a copy do not find those whose rows the copy lacks, until the next scan of a refresher, up to 20 s later, and know none of their targets.

Cause: a node wrote its row when it started and when its service or slots changed, and never learned that the store had lost it.

Change: the reading task publishes the newest generation of the store that it knows, from its reads and from the heartbeats of readers, so nodes that read nothing learn of it too. A node whose row is less than a minute old writes it again then. The writes of all nodes are spread over two seconds.

--- a/crates/node/src/member/directory.rs
+++ b/crates/node/src/member/directory.rs
@@ -13,6 +13,7 @@
 use kameo::actor::ActorRef;
 use prost::Message as _;
 use rand::Rng;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::actor::{MemberActor, MergeMemberList, SetSeedAddresses};
@@ -37,6 +38,13 @@
 /// Time for which changes of the own entry are collected into one write of the row.
 const WRITE_DEBOUNCE: Duration = Duration::from_millis(300);
 
+/// Age up to which a row may be missing in the copy that the store goes back to. Copies are some seconds
+/// old.
+const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+
+/// Time over which the nodes spread the writes of their rows after the store has lost them.
+const REWRITE_SPREAD: Duration = Duration::from_secs(2);
+
 /// Timeout for removing the own row at shutdown.
 const REMOVE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -48,14 +56,16 @@
     context: NodeContext,
     join: ActorRef<JoinActor>,
     members: ActorRef<MemberActor>,
+    generation: watch::Receiver<Option<u64>>,
 ) {
     // Starts the join, which queries the floor without waiting for discovery.
     if join.ask(AddSeedAddresses(Vec::new())).await.is_err() {
         return;
     }
-    let written_entry = discover_nodes(&context, &join, &members).await;
+    let entry = discover_nodes(&context, &join, &members).await;
+    let own_row = OwnRow::new(entry, *generation.borrow());
     tokio::join!(
-        update_own_row(&context, written_entry),
+        update_own_row(&context, own_row, generation),
         refresh_seed_addresses(&context, &members)
     );
 }
@@ -109,17 +119,63 @@
     }
 }
 
-/// Rewrites the own row after each relevant change of the own entry.
-async fn update_own_row(context: &NodeContext, mut written_entry: Member) {
+/// The row of this node, as it was written last.
+struct OwnRow {
+    entry: Member,
+    written_at: Instant,
+    /// Generation of the store when the row was written; `None` if it was not known then.
+    generation: Option<u64>,
+}
+
+impl OwnRow {
+    fn new(entry: Member, generation: Option<u64>) -> Self {
+        Self {
+            entry,
+            written_at: Instant::now(),
+            generation,
+        }
+    }
+
+    /// Whether the row differs from the entry in a field that a starting node uses.
+    fn is_stale(&self, entry: &Member) -> bool {
+        (&entry.service, entry.slots) != (&self.entry.service, self.entry.slots)
+    }
+
+    /// Whether the store may have lost the row, because it has gone back to an earlier copy since.
+    fn may_be_lost(&self, generation: Option<u64>) -> bool {
+        self.generation.is_some()
+            && generation > self.generation
+            && self.written_at.elapsed() < MAX_COPY_AGE
+    }
+}
+
+/// Rewrites the own row after each relevant change of the own entry, and after the store has lost it.
+async fn update_own_row(
+    context: &NodeContext,
+    mut own_row: OwnRow,
+    mut generation: watch::Receiver<Option<u64>>,
+) {
     let mut members = context.members.clone();
-    while members.changed().await.is_ok() {
-        if !is_row_stale(&own_entry(context), &written_entry) {
+    loop {
+        let changed = tokio::select! {
+            changed = members.changed() => changed,
+            changed = generation.changed() => changed,
+        };
+        // The senders are dropped when the node stops.
+        if changed.is_err() {
+            return;
+        }
+        own_row.generation = own_row.generation.or(*generation.borrow());
+        if own_row.may_be_lost(*generation.borrow()) {
+            sleep(with_jitter(REWRITE_SPREAD)).await;
+        } else if own_row.is_stale(&own_entry(context)) {
+            sleep(WRITE_DEBOUNCE).await;
+        } else {
             continue;
         }
-        sleep(WRITE_DEBOUNCE).await;
-        let entry = own_entry(context);
+        let (entry, current) = (own_entry(context), *generation.borrow());
         match write_row(context, &entry).await {
-            Ok(()) => written_entry = entry,
+            Ok(()) => own_row = OwnRow::new(entry, current),
             Err(error) => {
                 log::warn!(event = "directory-unwritten"; "could not update the row of this node: {error}");
                 sleep(with_jitter(MAX_BACKOFF)).await;
@@ -129,11 +185,6 @@
     }
 }
 
-/// Whether the row differs from the entry in a field that a starting node uses.
-fn is_row_stale(entry: &Member, written_entry: &Member) -> bool {
-    (&entry.service, entry.slots) != (&written_entry.service, written_entry.slots)
-}
-
 /// Passes the addresses in all rows to the failure detector, which merges partitions that formed
 /// separately, and removes the rows of departed nodes. Only the first-ranked node of a failure
 /// domain does this, so the number of scans does not grow with the number of nodes.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -400,18 +400,17 @@
         tasks.extend(calls.tasks);
         let drain_timeout = context.settings.calls.drain_timeout();
         let drain_notice = context.settings.calls.drain_notice;
-        tasks.push(spawn_version_reader(
-            &context,
-            config,
-            relay,
-            reader_receiver,
-        ));
+        let (version_reader, generation) =
+            spawn_version_reader(&context, config, relay, reader_receiver);
+        tasks.push(version_reader);
         tasks.push(tokio::spawn(report_gauges(context.clone(), meters.clone())));
         tasks.push(tokio::spawn(report_peer_requests(
             context.metrics.clone(),
             meters.clone(),
         )));
-        tasks.extend(spawn_membership_tasks(&context, &members, &join));
+        tasks.extend(spawn_membership_tasks(
+            &context, &members, &join, generation,
+        ));
         addresses.log();
         Ok(Self {
             addresses,
@@ -561,7 +560,7 @@
     config: ActorRef<ConfigActor>,
     relay: ActorRef<DisseminationRelay>,
     messages: ReaderReceiver,
-) -> JoinHandle<()> {
+) -> (JoinHandle<()>, watch::Receiver<Option<u64>>) {
     let context = context.clone();
     let source: Arc<dyn VersionSource> = match context.feed.clone() {
         Some(feed) => Arc::new(FeedSource {
@@ -574,13 +573,16 @@
             config: config.clone(),
         }),
     };
-    tokio::spawn(run_reader(VersionReader {
+    let (generation_sender, generation) = watch::channel(None);
+    let reader = VersionReader {
         context,
         source,
         config,
         relay,
         messages,
-    }))
+        generation: generation_sender,
+    };
+    (tokio::spawn(run_reader(reader)), generation)
 }
 
 /// Starts the tasks that drive membership and the join.
@@ -588,6 +590,7 @@
     context: &NodeContext,
     members: &ActorRef<MemberActor>,
     join: &ActorRef<JoinActor>,
+    generation: watch::Receiver<Option<u64>>,
 ) -> [JoinHandle<()>; 4] {
     [
         tokio::spawn(run_detector(context.clone(), members.clone())),
@@ -596,6 +599,7 @@
             context.clone(),
             join.clone(),
             members.clone(),
+            generation,
         )),
         tokio::spawn(forward_active_version(
             context.config.clone(),
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -16,7 +16,7 @@
 use kameo::actor::ActorRef;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep_until;
 
 use super::catch_up::{CatchUpError, NewVersion, latest_version};
@@ -57,6 +57,21 @@
     pub(crate) config: ActorRef<ConfigActor>,
     pub(crate) relay: ActorRef<DisseminationRelay>,
     pub(crate) messages: ReaderReceiver,
+    /// Publishes the generation of the feed, as of the newest position that this node knows.
+    pub(crate) generation: watch::Sender<Option<u64>>,
+}
+
+impl VersionReader {
+    fn publish_generation(&self, position: Option<FeedPosition>) {
+        let generation = position.map(|position| position.generation);
+        self.generation.send_if_modified(|published| {
+            let is_new = generation > *published;
+            if is_new {
+                *published = generation;
+            }
+            is_new
+        });
+    }
 }
 
 type ReadResult = Result<SourceAnswer, CatchUpError>;
@@ -174,6 +189,7 @@
                 version,
                 position,
             } => {
+                reader.publish_generation(position);
                 let now = reader.context.clock.now();
                 self.machine.on_heartbeat(&node, now, &mut self.rng);
                 // A node that takes over reads what came after the last heartbeat, not all that came
@@ -182,7 +198,10 @@
                     self.raise_position(position);
                 }
             }
-            ReaderMessage::PositionReached(position) => self.raise_position(Some(position)),
+            ReaderMessage::PositionReached(position) => {
+                reader.publish_generation(Some(position));
+                self.raise_position(Some(position));
+            }
         }
     }
 
@@ -203,6 +222,7 @@
         // Earlier reads would only repeat the answer.
         self.reads.clear();
         self.position = self.position.max(answer.position);
+        reader.publish_generation(answer.position);
         match answer.handover {
             Some(handover) => self.handovers.push(handover),
             None if self.handovers.is_empty() => self.held_position = self.position,
