Read the newest version alone after a read without an answer

Cause: a reader asked for the changes after its position, a page of up to 1 MB, which takes 0.6 s on a link of 14 Mbit/s. It waits 0.7 s and then reads once more over the same link, so each page delayed the next. It learned that it was behind only from a whole page.

Ruled out: decoding (5 ms for 215 kB in a debug build) and dissemination (all nodes have the version within 10 ms of each other).

Change: a read that follows one without an answer, or a failed one, asks for the newest version. A takeover, and a reader that rests, begin anew, since a standby read that waits for a change is no silence.

Two tests of feed_reads.rs changed with it: their feed answered each read of the newest version at once with the first one, and lets the test answer them now; and the second test dropped waiting reads, which ended them as failed, and took the retry for the takeover that it is about. Reads of a role that ended just before the node was appointed again are ended too.

Test: a_read_after_one_without_an_answer_asks_for_the_newest_version, silent and refused, failed before.

--- a/crates/control/src/reader/machine.rs
+++ b/crates/control/src/reader/machine.rs
@@ -113,8 +113,9 @@
 
 /// Decides when a node reads new versions, and when it sends heartbeats.
 ///
-/// A node that is behind does not read the versions that it lacks one by one: each is a complete
-/// configuration, and on a slow link they would arrive later than new ones are written.
+/// A node that is behind, or that the source has not answered for a while, does not read the versions that
+/// it lacks one by one: each is a complete configuration, and on a slow link they would arrive later than
+/// new ones are written.
 ///
 /// Invariant: while the node does not lead, its reads stop or become rare only until
 /// [`ReaderSettings::heartbeat_timeout`] and the delay of its takeover have passed since the last
@@ -135,6 +136,8 @@
     contact_until: Instant,
     /// What the next read asks for.
     range: ReadRange,
+    /// Whether the last read has had no answer yet.
+    is_unanswered: bool,
     /// Whether the next read must be answered at once, to show that the source answers this node.
     confirms: bool,
     failures: u32,
@@ -159,6 +162,7 @@
             read_at: None,
             contact_until: now,
             range: ReadRange::Changes,
+            is_unanswered: false,
             confirms: false,
             failures: 0,
             settings,
@@ -208,6 +212,10 @@
         if !self.read_at?.is_past(now) {
             return None;
         }
+        if std::mem::replace(&mut self.is_unanswered, true) {
+            // Any number of changes may have been written since the source fell silent.
+            self.range = ReadRange::Newest;
+        }
         let wait = self.read_wait();
         let mut retry_pause = self.settings.answer_timeout;
         if self.confirms && self.standby_interval.is_none() {
@@ -243,6 +251,7 @@
             ReadProgress::Current => ReadRange::Changes,
             ReadProgress::Behind => ReadRange::Newest,
         };
+        self.is_unanswered = false;
         self.failures = 0;
         self.confirms = false;
         self.contact_until = now.after(self.settings.heartbeat_timeout);
@@ -299,9 +308,17 @@
     fn advance(&mut self, event: ReaderEvent, now: Instant) {
         for action in READER_CHART.advance(&mut self.state, event) {
             match action {
-                ReaderAction::Read => self.read_at = Some(now),
+                ReaderAction::Read => {
+                    // A standby read still waits for a change.
+                    self.is_unanswered = false;
+                    self.read_at = Some(now);
+                }
                 ReaderAction::Confirm => self.confirms = true,
-                ReaderAction::Rest => self.read_at = None,
+                ReaderAction::Rest => {
+                    self.is_unanswered = false;
+                    self.range = ReadRange::Changes;
+                    self.read_at = None;
+                }
             }
         }
     }
--- a/crates/control/tests/reader.rs
+++ b/crates/control/tests/reader.rs
@@ -255,6 +255,31 @@
     assert_eq!(last.range, ReadRange::Changes);
 }
 
+/// Guards against a reader that asks for every change of an outage once the source answers again: a page of them
+/// takes longer on a slow link than the reader waits for, and more reads of the same page queue behind it.
+#[parameterized(
+    silent = { false },
+    refused = { true },
+)]
+fn a_read_after_one_without_an_answer_asks_for_the_newest_version(is_refused: bool) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let start = Instant::default();
+    let mut machine = ReaderMachine::new("node", 1, ReaderSettings::default(), start, &mut rng);
+    // Takes over, as it hears no heartbeat.
+    let mut now = machine.next_deadline();
+    let first = machine.poll(now, &mut rng).expect("a read");
+    assert_eq!(first.range, ReadRange::Changes);
+    if is_refused {
+        machine.on_read_failed(now, &mut rng);
+    }
+    now = machine.next_deadline();
+    let second = machine.poll(now, &mut rng).expect("a read");
+    assert_eq!(second.range, ReadRange::Newest);
+    machine.on_read(ReadProgress::Current, now);
+    let third = machine.poll(now, &mut rng).expect("a read");
+    assert_eq!(third.range, ReadRange::Changes);
+}
+
 /// Guards against hundreds of nodes that take over at once after the loss of the leading reader: each reads the
 /// store and sends versions and heartbeats to the whole fleet.
 #[test]
--- a/crates/node/src/store/reader.rs
+++ b/crates/node/src/store/reader.rs
@@ -168,11 +168,16 @@
             };
             self.reads.push(reader.source.read(read));
         }
+        self.end_reads_of_ended_role();
+        self.log_role();
+    }
+
+    /// Ends the reads of a node that no longer reads. To be called before the node is appointed again, as
+    /// their failures would count for its new role.
+    fn end_reads_of_ended_role(&mut self) {
         if self.machine.state() == ReaderState::Idle {
-            // Reads of a role that has ended.
             self.reads.clear();
         }
-        self.log_role();
     }
 
     fn log_role(&mut self) {
@@ -192,6 +197,7 @@
                 reader.publish_generation(position);
                 let now = reader.context.clock.now();
                 self.machine.on_heartbeat(&node, now, &mut self.rng);
+                self.end_reads_of_ended_role();
                 // A node that takes over reads what came after the last heartbeat, not all that came
                 // since it has read itself.
                 if reader.context.served().snapshot.version() >= version {
--- a/crates/node/tests/feed_reads.rs
+++ b/crates/node/tests/feed_reads.rs
@@ -1,7 +1,9 @@
 //! Reads of the configuration feed that are answered at the same moment.
 
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use agatedeck_node::{
@@ -23,10 +25,11 @@
 
 const STARTING_VERSION: u64 = 1;
 
-/// A read that waits for a version newer than `after`.
+/// A read that the test answers.
 #[derive(Debug)]
 struct PendingRead {
-    after: u64,
+    /// The read waits for a version newer than this one; `None` if it asks for the newest one.
+    after: Option<u64>,
     version_sender: oneshot::Sender<u64>,
 }
 
@@ -41,6 +44,30 @@
 #[derive(Debug)]
 struct ScriptedFeed {
     reads: mpsc::UnboundedSender<PendingRead>,
+    /// Whether the first read was answered.
+    has_started: AtomicBool,
+}
+
+impl ScriptedFeed {
+    /// Passes a read to the test and waits for its answer.
+    fn pass_read(
+        &self,
+        after: Option<u64>,
+        deadline: Instant,
+    ) -> BoxFuture<'_, Result<FeedAnswer, StoreError>> {
+        let (version_sender, version) = oneshot::channel();
+        // The test may have ended.
+        let _ = self.reads.send(PendingRead {
+            after,
+            version_sender,
+        });
+        Box::pin(async move {
+            let unanswered = || StoreError::Unanswered("no answer in time".to_owned());
+            let version = timeout_at(deadline, version).await;
+            let version = version.map_err(|_| unanswered())?;
+            Ok(answer(version.map_err(|_| unanswered())?))
+        })
+    }
 }
 
 fn answer(version: u64) -> FeedAnswer {
@@ -57,7 +84,10 @@
 }
 
 impl ConfigFeed for ScriptedFeed {
-    fn newest(&self, _: Instant) -> BoxFuture<'_, Result<FeedAnswer, StoreError>> {
+    fn newest(&self, deadline: Instant) -> BoxFuture<'_, Result<FeedAnswer, StoreError>> {
+        if self.has_started.swap(true, Ordering::Relaxed) {
+            return self.pass_read(None, deadline);
+        }
         Box::pin(async { Ok(answer(STARTING_VERSION)) })
     }
 
@@ -67,18 +97,7 @@
         _: Duration,
         deadline: Instant,
     ) -> BoxFuture<'_, Result<FeedAnswer, StoreError>> {
-        let (version_sender, version) = oneshot::channel();
-        // The test may have ended.
-        let _ = self.reads.send(PendingRead {
-            after: after.offset,
-            version_sender,
-        });
-        Box::pin(async move {
-            let unanswered = || StoreError::Unanswered("no answer in time".to_owned());
-            let version = timeout_at(deadline, version).await;
-            let version = version.map_err(|_| unanswered())?;
-            Ok(answer(version.map_err(|_| unanswered())?))
-        })
+        self.pass_read(Some(after.offset), deadline)
     }
 }
 
@@ -104,7 +123,10 @@
     let (sender, reads) = mpsc::unbounded_channel();
     let adapters = NodeAdapters {
         store: Arc::new(store.expect("a store client")),
-        feed: Some(Arc::new(ScriptedFeed { reads: sender })),
+        feed: Some(Arc::new(ScriptedFeed {
+            reads: sender,
+            has_started: AtomicBool::new(false),
+        })),
         protocol: Arc::new(NativeProtocol),
     };
     let node = Node::start_with_adapters(settings, adapters).await;
@@ -115,7 +137,7 @@
 async fn answer_reads(mut reads: mpsc::UnboundedReceiver<PendingRead>, newest: u64) {
     let mut kept = Vec::new();
     while let Some(read) = reads.recv().await {
-        if read.after < newest {
+        if read.after.is_none_or(|after| after < newest) {
             read.answer(newest);
         } else {
             kept.push(read);
@@ -190,17 +212,18 @@
     // The first node is answered until the other one has the newest version and heard of its position.
     let answered_until = Instant::now() + Duration::from_secs(4);
     while let Ok(Some(read)) = timeout_at(answered_until, reads.recv()).await {
-        let version = read.after.max(NEWEST_VERSION);
+        let version = read.after.unwrap_or_default().max(NEWEST_VERSION);
         sleep(Duration::from_millis(100)).await;
         read.answer(version);
     }
     let deadline = Instant::now() + CONFIG_BOUND;
     let in_force = timeout_at(deadline, other.wait_for_version(NEWEST_VERSION)).await;
     in_force.expect("the version is in force at the other node");
-    while other_reads.try_recv().is_ok() {}
+    // Kept, since a read whose sender is dropped fails at once.
+    let _unanswered: Vec<PendingRead> = iter::from_fn(|| other_reads.try_recv().ok()).collect();
     // Without answers, the first node sends no heartbeats any more.
     let deadline = Instant::now() + START_BOUND;
     let read = timeout_at(deadline, other_reads.recv()).await;
     let read = read.expect("the other node reads").expect("a read");
-    assert_eq!(read.after, NEWEST_VERSION);
+    assert_eq!(read.after, Some(NEWEST_VERSION));
 }
