Move the control plane of a node to a module of its own

The two tests of what a reader asks for share the reader that has taken over. No change of behaviour.

--- a/crates/control/tests/reader.rs
+++ b/crates/control/tests/reader.rs
@@ -230,15 +230,21 @@
     }
 }
 
-/// Guards against a reader that reads every version that it lacks before the newest one.
-#[test]
-fn a_reader_that_is_behind_asks_for_the_newest_version() {
+/// A reader that has taken over, as it heard no heartbeat, and reads for the first time; and the time.
+fn leading_reader() -> (ReaderMachine, Instant, SmallRng) {
     let mut rng = SmallRng::seed_from_u64(1);
     let start = Instant::default();
     let mut machine = ReaderMachine::new("node", 1, ReaderSettings::default(), start, &mut rng);
-    let mut now = machine.next_deadline();
+    let now = machine.next_deadline();
     let first = machine.poll(now, &mut rng).expect("a read");
     assert_eq!(first.range, ReadRange::Changes);
+    (machine, now, rng)
+}
+
+/// Guards against a reader that reads every version that it lacks before the newest one.
+#[test]
+fn a_reader_that_is_behind_asks_for_the_newest_version() {
+    let (mut machine, mut now, mut rng) = leading_reader();
     machine.on_read(ReadProgress::Behind, now);
     let second = machine.poll(now, &mut rng).expect("a read");
     assert_eq!(second.range, ReadRange::Newest);
@@ -262,13 +268,7 @@
     refused = { true },
 )]
 fn a_read_after_one_without_an_answer_asks_for_the_newest_version(is_refused: bool) {
-    let mut rng = SmallRng::seed_from_u64(1);
-    let start = Instant::default();
-    let mut machine = ReaderMachine::new("node", 1, ReaderSettings::default(), start, &mut rng);
-    // Takes over, as it hears no heartbeat.
-    let mut now = machine.next_deadline();
-    let first = machine.poll(now, &mut rng).expect("a read");
-    assert_eq!(first.range, ReadRange::Changes);
+    let (mut machine, mut now, mut rng) = leading_reader();
     if is_refused {
         machine.on_read_failed(now, &mut rng);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod config;
 mod context;
+mod control_plane;
 mod daemon;
 mod dissemination;
 mod listeners;
