Tell a node that was out of reach which requests crash targets

Callers would see: a node that was cut off while a crash was reported lets the request crash targets again after the cut, if the node of the target missed the reports too.

Cause: reports are disseminated once. A node that misses the message never gets it.

Test: lists_counted_reports_of_the_most_suspected_requests_first also checks that only refused requests are listed for it. The exchange itself has no test yet.

--- a/crates/calls/src/crash/tracker.rs
+++ b/crates/calls/src/crash/tracker.rs
@@ -269,16 +269,17 @@
         refused.collect()
     }
 
-    /// Lists the reports that count, those of the most suspected requests first and at most
-    /// `max_listed_reports`. A node that has just started merges them: it would otherwise admit
-    /// requests that every other node refuses.
-    pub fn counted_reports(&self, now: Instant) -> Vec<TargetCrashReport> {
+    /// Lists the reports that count of requests with at least `min_reports` of them, those of the most
+    /// suspected requests first and at most `max_listed_reports`. A node that has just started, or that
+    /// was out of reach, merges them: it would otherwise admit requests that other nodes refuse.
+    pub fn counted_reports(&self, min_reports: usize, now: Instant) -> Vec<TargetCrashReport> {
         let mut suspects: Vec<(usize, &Fingerprint, &SuspectRequest)> = self
             .suspects
             .iter()
             .map(|(fingerprint, suspect)| {
                 (suspect.counted_expiries(now).len(), fingerprint, suspect)
             })
+            .filter(|(count, ..)| *count >= min_reports)
             .collect();
         suspects.sort_by_key(|(count, ..)| Reverse(*count));
         suspects
--- a/crates/calls/tests/crash_tracker.rs
+++ b/crates/calls/tests/crash_tracker.rs
@@ -156,9 +156,11 @@
         tracker.merge(&crash_report("/innocent", "a", crash), Instant::default());
         tracker.record_completion(fingerprint("/innocent"), Instant::default());
     }
-    let listed = tracker.counted_reports(now);
+    let listed = tracker.counted_reports(1, now);
     assert_eq!(listed.len(), 4);
     assert!(listed.iter().all(|report| report.remaining_ms == 595_000));
+    let threshold = CrashSettings::default().crash_threshold;
+    assert_eq!(tracker.counted_reports(threshold, now), listed[..3]);
     let mut started = CrashTracker::new(CrashSettings::default());
     for report in &listed {
         started.merge(report, now);
@@ -166,7 +168,7 @@
     assert!(started.refused_until(fingerprint("/bad"), now).is_some());
     assert!(
         tracker
-            .counted_reports(Instant::from_millis(600_000))
+            .counted_reports(1, Instant::from_millis(600_000))
             .is_empty()
     );
 }
--- a/crates/control/src/member/anti_entropy.rs
+++ b/crates/control/src/member/anti_entropy.rs
@@ -32,7 +32,11 @@
         } else {
             self.table.domain_digests()
         };
-        let answer = SyncAnswer { digests, entries };
+        let answer = SyncAnswer {
+            digests,
+            entries,
+            ..SyncAnswer::default()
+        };
         (answer, effects)
     }
 
--- a/crates/node/src/calls/crash_actor.rs
+++ b/crates/node/src/calls/crash_actor.rs
@@ -132,8 +132,13 @@
     }
 }
 
-/// Requests the crash reports for a node that has just started.
-pub(crate) struct ListCrashReports;
+/// Requests crash reports for another node.
+pub(crate) enum ListCrashReports {
+    /// All that count, for a node that has just started.
+    Counted,
+    /// Those for which this node refuses requests, for a node that may have missed them.
+    Refused,
+}
 
 /// Crash reports, as [`CrashTracker::counted_reports`] lists them.
 #[derive(Debug, Default, kameo::Reply)]
@@ -144,10 +149,15 @@
 
     async fn handle(
         &mut self,
-        ListCrashReports: ListCrashReports,
+        list: ListCrashReports,
         _: &mut Context<Self, CrashReportList>,
     ) -> CrashReportList {
-        let reports = self.tracker.counted_reports(self.context.clock.now());
+        let min_reports = match list {
+            ListCrashReports::Counted => 1,
+            ListCrashReports::Refused => CrashSettings::default().crash_threshold,
+        };
+        let now = self.context.clock.now();
+        let reports = self.tracker.counted_reports(min_reports, now);
         CrashReportList(reports.iter().map(TargetCrashReport::to_wire).collect())
     }
 }
--- a/crates/node/src/control_plane.rs
+++ b/crates/node/src/control_plane.rs
@@ -163,18 +163,19 @@
         let config = ConfigActor::new(context.clone(), senders.config)?;
         let config = ConfigActor::spawn(config);
         let relay = DisseminationRelay::spawn(DisseminationRelay::new(context.clone()));
+        let crashes = CrashMonitor::start(context, relay.clone());
         let members = MemberActor::spawn(MemberActor::new(
             context.clone(),
             senders.members,
             relay.clone(),
             config.clone(),
+            crashes.actor.clone(),
         ));
         let commit_actor = CommitActor::spawn(CommitActor {
             context: context.clone(),
             config: config.clone(),
             relay: relay.clone(),
         });
-        let crashes = CrashMonitor::start(context, relay.clone());
         let join = JoinActor::spawn(JoinActor::new(
             context.clone(),
             JoinReceivers {
--- a/crates/node/src/member/actor.rs
+++ b/crates/node/src/member/actor.rs
@@ -18,6 +18,7 @@
 use kameo::message::{Context, Message};
 use tokio::sync::watch;
 
+use crate::calls::{CrashActor, MergeCrashReports};
 use crate::config::{ConfigActor, ObservePeerVersion};
 use crate::context::NodeContext;
 use crate::dissemination::{DisseminationRelay, StartDissemination};
@@ -52,6 +53,7 @@
     table_sender: watch::Sender<Arc<MemberTable>>,
     relay: ActorRef<DisseminationRelay>,
     config: ActorRef<ConfigActor>,
+    crash_actor: ActorRef<CrashActor>,
 }
 
 impl MemberActor {
@@ -60,6 +62,7 @@
         table_sender: watch::Sender<Arc<MemberTable>>,
         relay: ActorRef<DisseminationRelay>,
         config: ActorRef<ConfigActor>,
+        crash_actor: ActorRef<CrashActor>,
     ) -> Self {
         let now = context.clock.now();
         let settings = MemberSettings::default();
@@ -76,6 +79,7 @@
             table_sender,
             relay,
             config,
+            crash_actor,
         }
     }
 
@@ -456,7 +460,12 @@
                 self.detector.on_indirect_answer(&node, &answer);
                 Vec::new()
             }
-            PeerAnswer::Sync { from, answer } => {
+            PeerAnswer::Sync { from, mut answer } => {
+                let crashes = std::mem::take(&mut answer.crashes);
+                if !crashes.is_empty() {
+                    // The send fails only while the node is stopping.
+                    let _ = self.crash_actor.tell(MergeCrashReports(crashes)).await;
+                }
                 self.record_floors(&answer.entries);
                 self.detector.on_sync_answer(&from, &answer, now)
             }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -144,11 +144,15 @@
     }
 
     async fn sync(self, _: Context, sync: Sync) -> SyncAnswer {
-        self.members
-            .ask(AnswerSync(sync))
-            .await
-            .unwrap_or_default()
-            .0
+        // The second request of an exchange has none.
+        let begins_exchange = !sync.digests.is_empty();
+        let answer = self.members.ask(AnswerSync(sync)).await;
+        let mut answer = answer.unwrap_or_default().0;
+        if begins_exchange {
+            let reports = self.crash_actor.ask(ListCrashReports::Refused).await;
+            answer.crashes = reports.unwrap_or_default().0;
+        }
+        answer
     }
 
     async fn rumor(self, _: Context, rumor: Rumor) -> RumorAnswer {
@@ -223,7 +227,7 @@
         let answer = self.members.ask(AnswerJoin(join)).await;
         let mut answer = answer.unwrap_or_default().0;
         if answer.accepted {
-            let reports = self.crash_actor.ask(ListCrashReports).await;
+            let reports = self.crash_actor.ask(ListCrashReports::Counted).await;
             answer.crashes = reports.unwrap_or_default().0;
         }
         answer
