--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -281,10 +281,15 @@
     for member in table.members() {
         *members.entry(member.status().as_str_name()).or_default() += 1;
     }
+    let mut targets: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+    for member in table.live().filter(|member| !member.service.is_empty()) {
+        *targets.entry(&member.service).or_default() += 1;
+    }
     let meters = &state.meters;
     let body = json!({
         "report": report,
         "members": members,
+        "targets": targets,
         "control_bytes": meters.all.sent() + meters.all.received(),
         "cross_region_control_bytes": meters.cross_region.sent() + meters.cross_region.received(),
         "histograms": histograms_json(&state).await,
