Test that a member exchange tells which requests are refused

The exchange of crash reports between nodes that compare their members had no test. It covers the node that answers, not the merge at the one that asked. An import in place of two paths.

--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -1,5 +1,6 @@
 //! Handlers of the admin API. `docs/design.md` section 6.1 lists its requests.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use agatedeck_calls::{LatencySummary, RefusedRequest};
@@ -277,11 +278,11 @@
 async fn read_node(State(state): State<AdminState>) -> Response {
     let report = local_report(&state.context, &state.config).await;
     let table = state.context.table();
-    let mut members: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+    let mut members: BTreeMap<&str, usize> = BTreeMap::new();
     for member in table.members() {
         *members.entry(member.status().as_str_name()).or_default() += 1;
     }
-    let mut targets: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+    let mut targets: BTreeMap<&str, usize> = BTreeMap::new();
     for member in table.live().filter(|member| !member.service.is_empty()) {
         *targets.entry(&member.service).or_default() += 1;
     }
--- a/crates/node/tests/calls/faults.rs
+++ b/crates/node/tests/calls/faults.rs
@@ -398,6 +398,31 @@
     assert_eq!(mesh.run_count("poison").await, 3);
 }
 
+/// Guards against a node that was out of reach while crashes were reported, and does not learn of the requests
+/// that the others refuse when it compares its members with theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_exchange_tells_which_requests_are_refused() {
+    let mesh = TestMesh::start(&["waiverbox"]).await;
+    let behaviour = TargetBehaviour {
+        crash_path: Some("/waivers/poison".to_owned()),
+        ..Default::default()
+    };
+    mesh.set_behaviour(0, behaviour).await;
+    let crash = || {
+        send_call(
+            mesh.client
+                .post(mesh.url(0, "/waivers/poison"))
+                .body("same"),
+        )
+    };
+    for crashes in 1..=3 {
+        assert_answer(&crash().await, 504, "unknown", "no-answer");
+        let reports = mesh.reports_in_member_exchange(0).await;
+        let expected = if crashes < 3 { 0 } else { 3 };
+        assert_eq!(reports, expected, "after {crashes} crashes");
+    }
+}
+
 /// Guards against nested calls that outlive the deadline of the outer call, and against retries
 /// that multiply with each hop.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/calls/support.rs
+++ b/crates/node/tests/calls/support.rs
@@ -9,9 +9,11 @@
 };
 use agatedeck_records::read_record_file;
 use agatedeck_standin::{PlatformServer, TargetBehaviour, TargetServer};
+use agatedeck_wire::{ControlPlaneClient, DomainDigest, Sync, client_transport};
 use reqwest::{Client, RequestBuilder};
 use serde_json::{Value, json};
-use tokio::net::UdpSocket;
+use tarpc::client::Config;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::task::JoinHandle;
 
 /// Records of the mesh. Calls under the policy `search` are idempotent, those under `charge` run at
@@ -270,6 +272,20 @@
         answer.text().await.expect("the answer is text")
     }
 
+    /// Number of crash reports in the answer of a node to another one that compares its members.
+    pub(crate) async fn reports_in_member_exchange(&self, node: usize) -> usize {
+        let node = self.nodes[node].as_ref().expect("the node runs");
+        let stream = TcpStream::connect(node.addresses().control).await;
+        let transport = client_transport(stream.expect("the node listens"));
+        let client = ControlPlaneClient::new(Config::default(), transport).spawn();
+        let sync = Sync {
+            digests: vec![DomainDigest::default()],
+            ..Default::default()
+        };
+        let answer = client.sync(tarpc::context::current(), sync).await;
+        answer.expect("the node answers").crashes.len()
+    }
+
     pub(crate) fn get_request(&self, node: usize, path: &str) -> RequestBuilder {
         self.client.get(self.url(node, path))
     }
