--- a/crates/sim/src/host.rs
+++ b/crates/sim/src/host.rs
@@ -20,8 +20,6 @@
 /// The message that the processor handles.
 #[derive(Debug)]
 pub(crate) struct CurrentWork {
-    /// Distinguishes the end of the work from an earlier estimate of it.
-    pub(crate) number: u64,
     event: ProcessEvent,
     /// Time on a whole core that was left at `since`.
     left: Duration,
@@ -50,7 +48,7 @@
     pub(crate) waiting_work: VecDeque<WaitingWork>,
     /// What the processor does; `None` while it is idle.
     pub(crate) current_work: Option<CurrentWork>,
-    /// Number of the last estimate of the end of work.
+    /// Number of the last estimate of the end of work, which tells it from earlier ones.
     pub(crate) last_estimate: u64,
     /// Work of sending, on a whole core, which delays the next message.
     pub(crate) sending_work: Duration,
@@ -79,7 +77,6 @@
     pub(crate) fn start_work(&mut self, now: Instant) -> Option<WorkEstimate> {
         let WaitingWork { work, event } = self.waiting_work.pop_front()?;
         self.current_work = Some(CurrentWork {
-            number: 0,
             event,
             left: work + std::mem::take(&mut self.sending_work),
             since: now,
@@ -89,8 +86,10 @@
 
     /// Ends the current work if this is its latest estimate; returns the event that it was for.
     pub(crate) fn end_work(&mut self, number: u64) -> Option<ProcessEvent> {
-        let ended = self.current_work.take_if(|work| work.number == number)?;
-        Some(ended.event)
+        if number != self.last_estimate {
+            return None;
+        }
+        Some(self.current_work.take()?.event)
     }
 
     /// Changes the speed of the host, also for the work in progress.
@@ -111,11 +110,10 @@
 
     fn estimate_work(&mut self) -> Option<WorkEstimate> {
         let speed = self.speed();
-        let work = self.current_work.as_mut()?;
+        let work = self.current_work.as_ref()?;
         self.last_estimate += 1;
-        work.number = self.last_estimate;
         Some(WorkEstimate {
-            number: work.number,
+            number: self.last_estimate,
             ends_at: work.since.after(work.left.div_f64(speed)),
         })
     }
