--- a/review/standins3.py
+++ b/review/standins3.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import re
 import signal
@@ -17,6 +18,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HOST = "shop.example"
 STARTED = time.monotonic()
+# A peer that has closed its connection is no news here.
+logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
 def now():
@@ -244,6 +247,10 @@
         await asyncio.sleep(0.03)
         return 200, f"run by {self.ident}".encode()
 
+    def proof(self):
+        """Further headers of an answer."""
+        return {}
+
     async def after(self, writer, ident):
         """Called once an answer has been written."""
 
@@ -275,7 +282,7 @@
             status, text = await self.work(headers)
         finally:
             self.running -= 1
-        proof = {"Request-Id": ident, "Response-Signature": f"3e1b.{ident}.{len(text)}", **load}
+        proof = {"Request-Id": ident, "Response-Signature": f"3e1b.{ident}.{len(text)}", **load, **self.proof()}
         writer.write(encode(f"HTTP/1.1 {status} X", proof, text))
         await writer.drain()
         await self.after(writer, ident)
